Add the design page, base and protocol packages and the check script

The repository was empty. base holds the clock, ids, settings and digests; protocol holds authenticated framed connections with heartbeats in both directions. scripts/check installs, builds, tests, formats and lints.

--- /dev/null
+++ b/base/src/AsioImpl.cpp
@@ -0,0 +1,2 @@
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/base/src/Digest.cpp
@@ -0,0 +1,52 @@
+#include "amaranth/base/Digest.h"
+
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+#define XXH_INLINE_ALL
+#include <cstring>
+#include <stdexcept>
+#include <xxhash.h>
+
+namespace amaranth::base {
+
+std::uint64_t hash64(ByteView Data) {
+  return XXH3_64bits(Data.data(), Data.size());
+}
+
+std::string hex64(std::uint64_t Value) { return fmt::format("{:016x}", Value); }
+
+Bytes hmacSha256(ByteView Key, ByteView Data) {
+  Bytes Result(EVP_MAX_MD_SIZE);
+  unsigned Size = 0;
+  if (!HMAC(EVP_sha256(), Key.data(), static_cast<int>(Key.size()), Data.data(),
+            Data.size(), Result.data(), &Size))
+    throw std::runtime_error("HMAC-SHA256 failed");
+  Result.resize(Size);
+  return Result;
+}
+
+bool equalConstantTime(ByteView Left, ByteView Right) {
+  return Left.size() == Right.size() &&
+         CRYPTO_memcmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+Bytes randomBytes(std::size_t Count) {
+  Bytes Result(Count);
+  if (RAND_bytes(Result.data(), static_cast<int>(Count)) != 1)
+    throw std::runtime_error("the system's random generator failed");
+  return Result;
+}
+
+std::uint64_t randomU64() {
+  std::uint64_t Value = 0;
+  Bytes Raw = randomBytes(sizeof Value);
+  std::memcpy(&Value, Raw.data(), sizeof Value);
+  return Value;
+}
+
+std::string randomHexId() { return hex64(randomU64()) + hex64(randomU64()); }
+
+} // namespace amaranth::base
--- /dev/null
+++ b/cmake/Amaranth.cmake
@@ -0,0 +1,34 @@
+# amaranth_library(<package> SOURCES <files> DEPENDS <targets>)
+# Defines the static library amaranth_<package> with the package's include
+# folder as its public surface.
+function(amaranth_library Package)
+  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(amaranth_${Package} STATIC ${Arg_SOURCES})
+  target_include_directories(amaranth_${Package}
+    PUBLIC include
+    PRIVATE src)
+  target_link_libraries(amaranth_${Package} PUBLIC ${Arg_DEPENDS})
+  amaranth_warnings(amaranth_${Package})
+endfunction()
+
+# Warnings and compile definitions shared by every target of the project.
+function(amaranth_warnings Target)
+  target_compile_options(${Target} PRIVATE -Wall -Wextra -Wpedantic
+    -Wno-missing-field-initializers)
+  target_compile_definitions(${Target} PUBLIC
+    BOOST_ASIO_SEPARATE_COMPILATION BOOST_BEAST_SEPARATE_COMPILATION
+    BOOST_ASIO_NO_DEPRECATED)
+endfunction()
+
+# amaranth_test(<package> SOURCES <files> DEPENDS <targets>)
+# One Catch2 program per package, run by CTest.
+function(amaranth_test Package)
+  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${Package}_test ${Arg_SOURCES})
+  target_link_libraries(${Package}_test
+    PRIVATE amaranth_test_main amaranth_${Package} ${Arg_DEPENDS})
+  amaranth_warnings(${Package}_test)
+  add_test(NAME ${Package}_test COMMAND ${Package}_test)
+  # A test that waits on a condition that never comes true must not hang CI.
+  set_tests_properties(${Package}_test PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/protocol/src/SocketChannel.cpp
@@ -0,0 +1,168 @@
+#include "SocketChannel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace asio = boost::asio;
+
+namespace amaranth::protocol::detail {
+
+namespace {
+
+/// `send` waits above this; it bounds the memory of a connection whose peer
+/// reads slowly.
+constexpr std::size_t MaxQueuedBytes = 1U << 20U;
+/// Frames gathered into one write.
+constexpr std::size_t MaxGatheredFrames = 32;
+
+} // namespace
+
+SocketChannel::SocketChannel(asio::ip::tcp::socket Connected, base::Clock &Time)
+    : Socket(std::move(Connected)), Time(Time), Queued(Socket.get_executor()),
+      Drained(Socket.get_executor()), Closed(Socket.get_executor()),
+      LastReceived(Time.now()), LastQueued(Time.now()) {
+  boost::system::error_code Ignored;
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+}
+
+void SocketChannel::start(Identity Peer) {
+  PeerIdentity = std::move(Peer);
+  LastReceived = Time.now();
+  auto Self = shared_from_this();
+  asio::co_spawn(
+      Socket.get_executor(),
+      [Self]() -> asio::awaitable<void> { co_await Self->writeLoop(); },
+      asio::detached);
+  asio::co_spawn(
+      Socket.get_executor(),
+      [Self]() -> asio::awaitable<void> { co_await Self->heartbeatLoop(); },
+      asio::detached);
+}
+
+asio::awaitable<void> SocketChannel::writeNow(MessageType Type,
+                                              base::Bytes Payload) {
+  FrameHeader Header = encodeFrameHeader(Type, 0, Payload.size());
+  std::array<asio::const_buffer, 2> Buffers = {asio::buffer(Header),
+                                               asio::buffer(Payload)};
+  Sent += co_await asio::async_write(Socket, Buffers, asio::use_awaitable);
+}
+
+asio::awaitable<Frame> SocketChannel::readFrame() {
+  FrameHeader Raw{};
+  co_await asio::async_read(Socket, asio::buffer(Raw), asio::use_awaitable);
+  DecodedHeader Header = decodeFrameHeader(Raw);
+  Frame Result{Header.Type, Header.Stream, base::Bytes(Header.PayloadBytes)};
+  if (Header.PayloadBytes != 0)
+    co_await asio::async_read(Socket, asio::buffer(Result.Payload),
+                              asio::use_awaitable);
+  Received += FrameHeaderBytes + Header.PayloadBytes;
+  LastReceived = Time.now();
+  co_return Result;
+}
+
+asio::awaitable<void> SocketChannel::send(MessageType Type,
+                                          std::uint64_t Stream,
+                                          base::Bytes Payload) {
+  auto Self = shared_from_this();
+  while (Open && QueuedBytes > MaxQueuedBytes)
+    co_await Drained.wait();
+  if (!Open)
+    throwClosed();
+  post(Type, Stream, std::move(Payload));
+}
+
+void SocketChannel::post(MessageType Type, std::uint64_t Stream,
+                         base::Bytes Payload) {
+  if (!Open)
+    return;
+  FrameHeader Header = encodeFrameHeader(Type, Stream, Payload.size());
+  QueuedBytes += FrameHeaderBytes + Payload.size();
+  LastQueued = Time.now();
+  Queue.push_back({Header, std::move(Payload)});
+  Queued.notifyAll();
+}
+
+asio::awaitable<Frame> SocketChannel::receive() {
+  auto Self = shared_from_this();
+  while (Open) {
+    try {
+      Frame Next = co_await readFrame();
+      if (Next.Type != MessageType::Heartbeat)
+        co_return Next;
+    } catch (const boost::system::system_error &Failure) {
+      close(Failure.code() == asio::error::eof ? "closed by the peer"
+                                               : Failure.code().message());
+    } catch (const base::ProtocolError &Failure) {
+      close(Failure.what());
+    }
+  }
+  throwClosed();
+}
+
+void SocketChannel::close(const std::string &Reason) {
+  if (!Open)
+    return;
+  Open = false;
+  CloseReason = Reason;
+  boost::system::error_code Ignored;
+  Socket.close(Ignored);
+  Queued.notifyAll();
+  Drained.notifyAll();
+  Closed.notifyAll();
+}
+
+void SocketChannel::throwClosed() const {
+  throw ChannelClosed(fmt::format("connection to '{}' ended: {}",
+                                  PeerIdentity.Id, CloseReason));
+}
+
+asio::awaitable<void> SocketChannel::writeLoop() {
+  std::vector<asio::const_buffer> Buffers;
+  while (Open) {
+    if (Queue.empty()) {
+      co_await Queued.wait();
+      continue;
+    }
+    Buffers.clear();
+    std::size_t Count = std::min(Queue.size(), MaxGatheredFrames);
+    for (std::size_t I = 0; I < Count; ++I) {
+      Buffers.push_back(asio::buffer(Queue[I].Header));
+      Buffers.push_back(asio::buffer(Queue[I].Payload));
+    }
+    try {
+      std::size_t Written =
+          co_await asio::async_write(Socket, Buffers, asio::use_awaitable);
+      Sent += Written;
+      QueuedBytes -= Written;
+    } catch (const boost::system::system_error &Failure) {
+      close(Failure.code().message());
+      co_return;
+    }
+    Queue.erase(Queue.begin(),
+                Queue.begin() + static_cast<std::ptrdiff_t>(Count));
+    Drained.notifyAll();
+  }
+}
+
+asio::awaitable<void> SocketChannel::heartbeatLoop() {
+  using namespace asio::experimental::awaitable_operators;
+  while (Open) {
+    co_await (Time.sleepFor(HeartbeatInterval) || Closed.wait());
+    if (!Open)
+      co_return;
+    if (Time.now() - LastReceived >= SilenceTimeout) {
+      close(fmt::format("no data for {} ms", SilenceTimeout.count()));
+      co_return;
+    }
+    if (Time.now() - LastQueued >= HeartbeatInterval)
+      post(MessageType::Heartbeat, 0, {});
+  }
+}
+
+} // namespace amaranth::protocol::detail
--- /dev/null
+++ b/protocol/src/SocketChannel.h
@@ -0,0 +1,67 @@
+#ifndef AMARANTH_PROTOCOL_SOCKETCHANNEL_H
+#define AMARANTH_PROTOCOL_SOCKETCHANNEL_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/base/Signal.h"
+#include "amaranth/protocol/Channel.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <deque>
+#include <vector>
+
+namespace amaranth::protocol::detail {
+
+/// A `Channel` over one TCP socket. `start` must be called once after the
+/// handshake; it spawns the writer and the heartbeat task.
+class SocketChannel final : public Channel,
+                            public std::enable_shared_from_this<SocketChannel> {
+public:
+  SocketChannel(boost::asio::ip::tcp::socket Socket, base::Clock &Time);
+
+  void start(Identity PeerIdentity);
+
+  /// One frame straight to and from the socket, for the handshake.
+  boost::asio::awaitable<void> writeNow(MessageType Type, base::Bytes Payload);
+  boost::asio::awaitable<Frame> readFrame();
+
+  const Identity &peer() const override { return PeerIdentity; }
+  boost::asio::awaitable<void> send(MessageType Type, std::uint64_t Stream,
+                                    base::Bytes Payload) override;
+  void post(MessageType Type, std::uint64_t Stream,
+            base::Bytes Payload) override;
+  boost::asio::awaitable<Frame> receive() override;
+  void close(const std::string &Reason) override;
+  bool isOpen() const override { return Open; }
+  std::uint64_t bytesSent() const override { return Sent; }
+  std::uint64_t bytesReceived() const override { return Received; }
+
+private:
+  struct Outgoing {
+    FrameHeader Header;
+    base::Bytes Payload;
+  };
+
+  boost::asio::awaitable<void> writeLoop();
+  boost::asio::awaitable<void> heartbeatLoop();
+  [[noreturn]] void throwClosed() const;
+
+  boost::asio::ip::tcp::socket Socket;
+  base::Clock &Time;
+  Identity PeerIdentity;
+  base::Signal Queued;
+  base::Signal Drained;
+  base::Signal Closed;
+  std::deque<Outgoing> Queue;
+  std::size_t QueuedBytes = 0;
+  std::uint64_t Sent = 0;
+  std::uint64_t Received = 0;
+  base::TimePoint LastReceived;
+  base::TimePoint LastQueued;
+  std::string CloseReason;
+  bool Open = true;
+};
+
+} // namespace amaranth::protocol::detail
+
+#endif
