--- /dev/null
+++ b/control/include/amaranth/control/ControlState.h
@@ -0,0 +1,91 @@
+#ifndef AMARANTH_CONTROL_CONTROLSTATE_H
+#define AMARANTH_CONTROL_CONTROLSTATE_H
+
+#include "amaranth/control/Commands.h"
+#include "amaranth/document/MeshSnapshot.h"
+#include "amaranth/replication/ReplicatedLog.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranth::control {
+
+/// One section of the accepted document.
+struct StoredSection {
+  std::string Name;
+  base::TeamName Owner;
+  std::string Body;
+  base::Revision Rev;
+  std::uint64_t Digest = 0;
+};
+
+/// One line of the audit trail.
+struct AuditEntry {
+  base::LogIndex Index;
+  base::WallTime Time;
+  /// Operator, or `system` for decisions of the system itself.
+  std::string Actor;
+  std::string Section;
+  base::Revision OldRevision;
+  base::Revision NewRevision;
+  std::uint64_t Digest = 0;
+  std::string Operation;
+  /// `accepted`, `conflict`, `forbidden`, `invalid`, or the rollout phase.
+  std::string Result;
+  std::string Reason;
+};
+
+/// State of one rollout.
+struct RolloutStatus {
+  base::ServiceName Service;
+  base::Revision Section;
+  base::VersionName From;
+  base::VersionName To;
+  RolloutPhase Phase = RolloutPhase::Waiting;
+  std::uint32_t Share = 0;
+  std::uint32_t Step = 0;
+  std::uint64_t Epoch = 0;
+  std::string Reason;
+  /// Entry times of the first and the last decision.
+  base::WallTime Since;
+  base::WallTime LastChange;
+  /// Body of the section, for the controller's plan.
+  std::string Body;
+};
+
+/// The replicated state machine of the control processes. Queries may be
+/// made at any time on the thread that applies entries.
+class ControlState final : public replication::StateMachine {
+public:
+  ControlState();
+  ~ControlState() override;
+
+  base::Bytes apply(const replication::AppliedEntry &Entry) override;
+  base::Bytes snapshot() const override;
+  void restore(base::ByteView Snapshot) override;
+
+  base::DocumentVersion documentVersion() const;
+  base::StateIndex stateIndex() const;
+  /// Sections in name order.
+  std::vector<StoredSection> sections() const;
+  std::vector<RolloutStatus> rollouts() const;
+  /// The newest entries first, at most `Limit`.
+  std::vector<AuditEntry> audit(std::size_t Limit) const;
+  std::size_t claimCount() const;
+
+  /// The value for nodes. Built once for each state and then shared; changes
+  /// of claims alone do not build a new one.
+  std::shared_ptr<const document::MeshSnapshot> mesh() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Self;
+};
+
+} // namespace amaranth::control
+
+#endif
