--- /dev/null
+++ b/document/src/MeshSnapshot.cpp
@@ -0,0 +1,140 @@
+#include "amaranth/document/MeshSnapshot.h"
+
+#include "amaranth/base/Digest.h"
+
+#include <fmt/format.h>
+
+#include <string_view>
+
+namespace amaranth::document {
+
+namespace {
+
+bool isSegmentPrefix(const std::string &Prefix, std::string_view Path) {
+  if (!Path.starts_with(Prefix))
+    return false;
+  return Path.size() == Prefix.size() || Prefix.ends_with('/') ||
+         Path[Prefix.size()] == '/';
+}
+
+/// Collects fields in one buffer; each text carries its length, so that
+/// neighbouring fields cannot run into each other.
+class DigestBuilder {
+public:
+  DigestBuilder &number(std::uint64_t Value) {
+    for (unsigned Shift = 0; Shift < 64; Shift += 8)
+      Buffer.push_back(static_cast<std::uint8_t>(Value >> Shift));
+    return *this;
+  }
+  DigestBuilder &text(std::string_view Value) {
+    number(Value.size());
+    Buffer.insert(Buffer.end(), Value.begin(), Value.end());
+    return *this;
+  }
+  DigestBuilder &real(double Value) { return text(fmt::format("{}", Value)); }
+  std::uint64_t finish() const { return base::hash64(Buffer); }
+
+private:
+  base::Bytes Buffer;
+};
+
+void addService(DigestBuilder &Out, const Service &Entry) {
+  Out.text(Entry.Name.value()).number(Entry.Versions.size());
+  for (const VersionShare &Version : Entry.Versions)
+    Out.text(Version.Version.value())
+        .number(Version.Share)
+        .number(Version.Barred ? 1 : 0);
+  Out.number(Entry.HasRollout ? 1 : 0);
+  if (!Entry.HasRollout)
+    return;
+  const ActiveRollout &Rollout = Entry.Rollout;
+  Out.text(Rollout.From.value())
+      .text(Rollout.To.value())
+      .number(Rollout.Section.value())
+      .number(Rollout.Epoch)
+      .real(Rollout.MaxErrorIncrease)
+      .real(Rollout.MaxLatencyRatio);
+}
+
+void addEndpoint(DigestBuilder &Out, const Endpoint &Entry) {
+  Out.text(Entry.Id.value())
+      .text(Entry.Node.value())
+      .text(Entry.NodeAddress.text())
+      .text(Entry.Service.value())
+      .text(Entry.Version.value())
+      .text(Entry.Zone.value())
+      .number(Entry.Slots)
+      .number(static_cast<std::uint64_t>(Entry.State))
+      .number(Entry.Incarnation)
+      .number(Entry.Sequence)
+      .number(static_cast<std::uint64_t>(Entry.ReadySince));
+}
+
+std::string shareFault(const Service &Entry) {
+  std::uint64_t Sum = 0;
+  for (const VersionShare &Version : Entry.Versions) {
+    Sum += Version.Share;
+    if (Version.Barred && Version.Share != 0)
+      return fmt::format("service {}: barred version {} has a share",
+                         Entry.Name.value(), Version.Version.value());
+  }
+  if (Sum == FullShare)
+    return {};
+  return fmt::format("service {}: shares sum up to {}, expected {}",
+                     Entry.Name.value(), Sum, FullShare);
+}
+
+} // namespace
+
+const Route *MeshSnapshot::match(const std::string &Path) const {
+  const Route *Best = nullptr;
+  for (const auto &[Name, Candidate] : Routes) {
+    if (!isSegmentPrefix(Candidate.PathPrefix, Path))
+      continue;
+    if (!Best || Candidate.PathPrefix.size() > Best->PathPrefix.size())
+      Best = &Candidate;
+  }
+  return Best;
+}
+
+std::vector<std::string> MeshSnapshot::faults() const {
+  std::vector<std::string> Found;
+  for (const auto &[Name, Entry] : Routes)
+    if (!Services.contains(Entry.Service))
+      Found.push_back(fmt::format("route {} refers to service {}, which does "
+                                  "not exist",
+                                  Name.value(), Entry.Service.value()));
+  for (const auto &[Name, Entry] : Services)
+    if (std::string Fault = shareFault(Entry); !Fault.empty())
+      Found.push_back(std::move(Fault));
+  for (const auto &[Id, Entry] : Endpoints)
+    if (Entry.Id != Id || Entry.Slots == 0)
+      Found.push_back(fmt::format("endpoint {} is malformed", Id.value()));
+  return Found;
+}
+
+std::uint64_t MeshSnapshot::digest() const {
+  DigestBuilder Out;
+  Out.number(Document.value()).number(Routes.size());
+  for (const auto &[Name, Entry] : Routes)
+    Out.text(Name.value())
+        .text(Entry.PathPrefix)
+        .text(Entry.Service.value())
+        .number(static_cast<std::uint64_t>(Entry.Timeout.count()))
+        .number(Entry.RequireIdempotencyKey ? 1 : 0);
+  Out.number(Services.size());
+  for (const auto &[Name, Entry] : Services)
+    addService(Out, Entry);
+  Out.number(Endpoints.size());
+  for (const auto &[Id, Entry] : Endpoints)
+    addEndpoint(Out, Entry);
+  Out.number(Quarantine.size());
+  for (const auto &[Fingerprint, Entry] : Quarantine)
+    Out.number(Fingerprint)
+        .text(Entry.Service.value())
+        .number(Entry.Convicted ? 1 : 0)
+        .number(static_cast<std::uint64_t>(Entry.Until.count()));
+  return Out.finish();
+}
+
+} // namespace amaranth::document
--- /dev/null
+++ b/rollout/src/Evidence.cpp
@@ -0,0 +1,29 @@
+#include "amaranth/rollout/Evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranth::rollout {
+
+std::size_t latencyBucket(base::Millis Latency) {
+  if (Latency.count() <= 1)
+    return 0;
+  double HalfOctaves = 2 * std::log2(static_cast<double>(Latency.count()));
+  return std::min(static_cast<std::size_t>(HalfOctaves), LatencyBuckets - 1);
+}
+
+void EvidenceCounts::add(bool Error, base::Millis Took) {
+  ++Requests;
+  Errors += Error ? 1 : 0;
+  ++Latency[latencyBucket(Took)];
+}
+
+EvidenceCounts &EvidenceCounts::operator+=(const EvidenceCounts &Other) {
+  Requests += Other.Requests;
+  Errors += Other.Errors;
+  for (std::size_t I = 0; I < LatencyBuckets; ++I)
+    Latency[I] += Other.Latency[I];
+  return *this;
+}
+
+} // namespace amaranth::rollout
