--- /dev/null
+++ b/tools/daemon/test/DaemonSettings_test.cpp
@@ -0,0 +1,75 @@
+#include "amaranth/daemon/DaemonSettings.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace amaranth::daemon {
+
+class DaemonSettingsTest {
+protected:
+  DaemonSettingsTest()
+      : Path(std::filesystem::temp_directory_path() /
+             ("amaranth_settings_" + std::to_string(::getpid()) + ".ini")) {}
+  ~DaemonSettingsTest() { std::filesystem::remove(Path); }
+
+  std::string write(const std::string &Text) {
+    std::ofstream(Path) << Text;
+    return Path.string();
+  }
+
+  template <typename Function> std::size_t faultsOf(Function Read) {
+    try {
+      Read();
+    } catch (const base::FileError &Error) {
+      UNSCOPED_INFO(Error.what());
+      return Error.faults().size();
+    }
+    return 0;
+  }
+
+  std::filesystem::path Path;
+};
+
+static const std::string ValidNode =
+    "[node]\nid = n1\navailability-zone = z1\n"
+    "inner-address = 127.0.0.1:1\ncaller-address = 127.0.0.1:2\n"
+    "node-key-file = k\ncontrol = 127.0.0.1:4@z1, 127.0.0.1:5@z2\n";
+
+TEST_CASE_METHOD(DaemonSettingsTest, "readNodeSettings valid file is read") {
+  auto Settings =
+      readNodeSettings(write(ValidNode + "announce-address = 127.0.0.1:3\n"));
+  REQUIRE(Settings.Control.size() == 2);
+  CHECK(Settings.Control[1].Zone == base::AvailabilityZone("z2"));
+  CHECK(Settings.ShutdownTimeout == base::Millis::seconds(30));
+}
+
+TEST_CASE_METHOD(DaemonSettingsTest,
+                 "readNodeSettings announce address must be loopback") {
+  auto File = write(ValidNode + "announce-address = 10.0.0.1:3\n");
+  CHECK(faultsOf([&] { readNodeSettings(File); }) == 1);
+}
+
+TEST_CASE_METHOD(DaemonSettingsTest,
+                 "readNodeSettings reports every fault of the file") {
+  auto File = write("[node]\nid = \ncaller-address = x\ncontrol = y\n"
+                    "nonsense = 1\n[other]\n");
+  // Section, id, zone, three addresses, two for control, key file, unknown.
+  CHECK(faultsOf([&] { readNodeSettings(File); }) == 10);
+}
+
+TEST_CASE_METHOD(DaemonSettingsTest,
+                 "readControlSettings process outside the voters must join") {
+  std::string Text = "[control]\ndata-folder = d\navailability-zone = z\n"
+                     "inner-address = 127.0.0.1:1\n"
+                     "operator-address = 127.0.0.1:2\n"
+                     "voters = 127.0.0.1:7\ncontrol-key-file = a\n"
+                     "node-key-file = b\noperator-keys-file = c\n";
+  CHECK(faultsOf([&] { readControlSettings(write(Text)); }) == 1);
+  CHECK(faultsOf([&] { readControlSettings(write(Text + "join = true\n")); }) ==
+        0);
+}
+
+} // namespace amaranth::daemon
