--- /dev/null
+++ b/tools/bench/src/JsonImpl.cpp
@@ -0,0 +1,2 @@
+// Compiles Boost.JSON once for this program.
+#include <boost/json/src.hpp>
