--- a/tools/bench/src/Main.cpp
+++ b/tools/bench/src/Main.cpp
@@ -180,8 +180,7 @@
 }
 
 int run(int Count, char **Values) {
-  Arguments Args =
-      docopt::docopt(Usage, {Values + 1, Values + Count}, true, "");
+  base::Arguments Args = base::parseCommandLine(Usage, Count, Values);
   if (Args.at("load").asBool())
     return runLoadCommand(Args);
   return runPathCommand(Args);
