--- /dev/null
+++ b/tools/harness/src/HttpClient.cpp
@@ -0,0 +1,146 @@
+#include "amaranth/harness/HttpClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <chrono>
+#include <mutex>
+#include <set>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace amaranth::harness {
+
+namespace {
+
+constexpr std::size_t ReadPieceBytes = 256U << 10U;
+constexpr std::uint64_t MaxBodyBytes = 512ULL << 20U;
+
+std::string lowerCase(std::string_view Text) {
+  std::string Result(Text);
+  std::transform(Result.begin(), Result.end(), Result.begin(), [](char C) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(C)));
+  });
+  return Result;
+}
+
+http::request<http::string_body> buildRequest(const base::Address &Server,
+                                              const HttpRequest &Request) {
+  http::request<http::string_body> Message;
+  Message.version(11);
+  Message.method_string(Request.Method);
+  Message.target(Request.Target);
+  Message.set(http::field::host, Server.text());
+  Message.set(http::field::connection, "close");
+  for (const auto &[Name, Value] : Request.Headers)
+    Message.set(Name, Value);
+  Message.body() = Request.Body;
+  Message.prepare_payload();
+  return Message;
+}
+
+class Exchange {
+public:
+  Exchange(const base::Address &Server, const HttpRequest &Request,
+           base::Millis Limit)
+      : Server(Server), Request(Request), Limit(Limit), Stream(Context) {}
+
+  HttpResponse run() {
+    asio::co_spawn(Context, exchange(), [this](std::exception_ptr Failure) {
+      try {
+        if (Failure)
+          std::rethrow_exception(Failure);
+      } catch (const std::exception &Error) {
+        Response.Status = 0;
+        Response.Failure = Error.what();
+      }
+    });
+    Context.run();
+    return std::move(Response);
+  }
+
+private:
+  asio::awaitable<void> exchange() {
+    Stream.expires_after(std::chrono::milliseconds(Limit.count()));
+    asio::ip::tcp::endpoint Remote(asio::ip::make_address(Server.Ip),
+                                   Server.Port);
+    co_await Stream.async_connect(Remote, asio::use_awaitable);
+    auto Message = buildRequest(Server, Request);
+    co_await http::async_write(Stream, Message, asio::use_awaitable);
+    co_await readResponse();
+  }
+
+  asio::awaitable<void> readResponse() {
+    beast::flat_buffer Buffer(ReadPieceBytes);
+    http::response_parser<http::string_body> Parser;
+    Parser.body_limit(MaxBodyBytes);
+    if (Request.Method == "HEAD")
+      Parser.skip(true);
+    co_await http::async_read_header(Stream, Buffer, Parser,
+                                     asio::use_awaitable);
+    std::size_t SincePause = 0;
+    while (!Parser.is_done()) {
+      SincePause += co_await http::async_read_some(Stream, Buffer, Parser,
+                                                   asio::use_awaitable);
+      if (Request.ReadPause.count() == 0 || SincePause < ReadPieceBytes)
+        continue;
+      SincePause = 0;
+      asio::steady_timer Timer(
+          Context, std::chrono::milliseconds(Request.ReadPause.count()));
+      co_await Timer.async_wait(asio::use_awaitable);
+    }
+    Response.Status = Parser.get().result_int();
+    for (const auto &Field : Parser.get())
+      Response.Headers[lowerCase(
+          {Field.name_string().data(), Field.name_string().size()})] =
+          std::string(Field.value());
+    Response.Body = std::move(Parser.get().body());
+  }
+
+  const base::Address &Server;
+  const HttpRequest &Request;
+  base::Millis Limit;
+  asio::io_context Context{1};
+  beast::tcp_stream Stream;
+  HttpResponse Response;
+};
+
+} // namespace
+
+std::string HttpResponse::header(const std::string &LowerCaseName) const {
+  auto It = Headers.find(LowerCaseName);
+  return It == Headers.end() ? std::string() : It->second;
+}
+
+HttpResponse sendRequest(const base::Address &Server,
+                         const HttpRequest &Request, base::Millis Limit) {
+  return Exchange(Server, Request, Limit).run();
+}
+
+base::Address freeLoopbackAddress() {
+  // The kernel may hand out a port again right after it was closed, so the
+  // ports of this process are remembered.
+  static std::mutex Mutex;
+  static std::set<std::uint16_t> Used;
+  std::lock_guard<std::mutex> Lock(Mutex);
+  for (;;) {
+    asio::io_context Context;
+    asio::ip::tcp::acceptor Acceptor(Context,
+                                     {asio::ip::address_v4::loopback(), 0});
+    std::uint16_t Port = Acceptor.local_endpoint().port();
+    if (Used.insert(Port).second)
+      return {"127.0.0.1", Port};
+  }
+}
+
+} // namespace amaranth::harness
