Add the binary form of commands and results

Commands travel through the replicated log and between processes, so the decoders verify each buffer and refuse unknown kinds, states, phases and codes with ProtocolError.

--- /dev/null
+++ b/control/src/WireParts.cpp
@@ -0,0 +1,58 @@
+#include "WireParts.h"
+
+namespace amaranth::control::detail {
+
+Offset<wire::StoredResponse> writeResponse(Builder &Out,
+                                           const StoredResponse &Value) {
+  std::vector<Offset<wire::Header>> Headers;
+  for (const auto &[Name, Content] : Value.Headers) {
+    auto NameText = Out.CreateString(Name);
+    auto ContentText = Out.CreateString(Content);
+    Headers.push_back(wire::CreateHeader(Out, NameText, ContentText));
+  }
+  auto List = Out.CreateVector(Headers);
+  auto Body = Out.CreateString(Value.Body);
+  return wire::CreateStoredResponse(Out, Value.Status, List, Body);
+}
+
+StoredResponse readResponse(const wire::StoredResponse &Value) {
+  StoredResponse Result;
+  Result.Status = Value.status();
+  for (const wire::Header *Entry : *Value.headers())
+    Result.Headers.emplace_back(Entry->name()->str(), Entry->value()->str());
+  Result.Body = Value.body()->str();
+  return Result;
+}
+
+Offset<wire::Endpoint> writeEndpoint(Builder &Out,
+                                     const document::Endpoint &Value) {
+  auto Id = writeText(Out, Value.Id);
+  auto Node = writeText(Out, Value.Node);
+  auto Ip = Out.CreateString(Value.NodeAddress.Ip);
+  auto Service = writeText(Out, Value.Service);
+  auto Version = writeText(Out, Value.Version);
+  auto Zone = writeText(Out, Value.Zone);
+  return wire::CreateEndpoint(
+      Out, Id, Node, Ip, Value.NodeAddress.Port, Service, Version, Zone,
+      Value.Slots, static_cast<std::uint8_t>(Value.State), Value.Incarnation,
+      Value.Sequence, Value.ReadySince);
+}
+
+document::Endpoint readEndpoint(const wire::Endpoint &Value) {
+  document::Endpoint Result;
+  Result.Id = base::EndpointId(Value.id()->str());
+  Result.Node = base::NodeId(Value.node()->str());
+  Result.NodeAddress = {Value.ip()->str(), Value.port()};
+  Result.Service = base::ServiceName(Value.service()->str());
+  Result.Version = base::VersionName(Value.version()->str());
+  Result.Zone = base::AvailabilityZone(Value.availability_zone()->str());
+  Result.Slots = Value.slots();
+  Result.State = readEnum(Value.state(), document::EndpointState::Unreachable,
+                          "endpoint state");
+  Result.Incarnation = Value.incarnation();
+  Result.Sequence = Value.sequence();
+  Result.ReadySince = Value.ready_since();
+  return Result;
+}
+
+} // namespace amaranth::control::detail
