Add the configuration document: parsing, checks, diff and mesh parts

A document is split into sections, the unit of ownership. All faults are reported at once with file, line, section, key and reason. Lines of a section that comes alone from an operator count from its section line.

--- /dev/null
+++ b/document/include/amaranth/document/Document.h
@@ -0,0 +1,138 @@
+#ifndef AMARANTH_DOCUMENT_DOCUMENT_H
+#define AMARANTH_DOCUMENT_DOCUMENT_H
+
+#include "amaranth/base/Error.h"
+#include "amaranth/base/Millis.h"
+#include "amaranth/document/MeshSnapshot.h"
+#include "amaranth/document/SectionText.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace amaranth::document {
+
+/// Limits of a document. They bound the memory of each control process and
+/// node and leave a factor of about eight above the target size.
+inline constexpr std::size_t MaxRoutes = 4096;
+inline constexpr std::size_t MaxServices = 2048;
+inline constexpr std::size_t MaxVersionsPerService = 64;
+inline constexpr std::size_t MaxSections = 16'384;
+inline constexpr std::size_t MaxSectionBytes = 16U << 10U;
+/// All section names and bodies together.
+inline constexpr std::size_t MaxDocumentBytes = 4U << 20U;
+/// Names of routes, services, versions, teams and operators.
+inline constexpr std::size_t MaxNameBytes = 64;
+inline constexpr std::size_t MaxPathBytes = 256;
+
+/// 1 to `MaxNameBytes` characters of `A-Z a-z 0-9 . _ -`, the first one a
+/// letter or digit.
+bool isName(std::string_view Text);
+
+/// `[route NAME]`
+struct RouteSection {
+  base::TeamName Owner;
+  Route Value;
+};
+
+/// `[service NAME]`
+struct ServiceSection {
+  base::ServiceName Name;
+  base::TeamName Owner;
+  /// Gets all traffic while the service has no rollout.
+  base::VersionName Version;
+};
+
+/// `[version SERVICE/ID]`
+struct VersionSection {
+  base::ServiceName Service;
+  base::VersionName Id;
+  base::TeamName Owner;
+  std::string Note;
+};
+
+/// `[rollout SERVICE]`
+struct RolloutSection {
+  base::ServiceName Service;
+  base::TeamName Owner;
+  base::VersionName From;
+  base::VersionName To;
+  base::WallTime Start;
+  base::WallTime Deadline;
+  /// Accepted difference of the error rates, 0 to 0.5.
+  double MaxErrorIncrease = 0.01;
+  /// Accepted ratio of the latencies, 1 to 100.
+  double MaxLatencyRatio = 1.5;
+  /// Shares of the new version in millionths, rising to `FullShare`.
+  std::vector<std::uint32_t> Steps = {10'000, 50'000, 200'000, 500'000,
+                                      FullShare};
+  std::uint32_t MinRequests = 50;
+  /// Too little traffic rolls back instead of going forward.
+  bool HighRisk = false;
+};
+
+/// What the traffic of a service depends on besides the document.
+struct RolloutTraffic {
+  base::Revision Section;
+  std::uint64_t Epoch = 0;
+  /// Share of the new version in millionths.
+  std::uint32_t Share = 0;
+  /// Neither done nor rolled back.
+  bool Running = false;
+};
+using RolloutTraffics = std::map<base::ServiceName, RolloutTraffic>;
+/// The version of each service that was rolled back, if any.
+using BarredVersions = std::map<base::ServiceName, base::VersionName>;
+
+/// A valid configuration document.
+class Document {
+public:
+  /// Parses and checks sections. All faults go to `Faults`; the result is
+  /// meaningful only when none was added.
+  static Document parse(const std::vector<SectionText> &Sections,
+                        const std::string &FileName,
+                        std::vector<base::FileFault> &Faults);
+  /// The same from INI text.
+  static Document parse(std::string_view Text, const std::string &FileName,
+                        std::vector<base::FileFault> &Faults);
+
+  const std::map<base::RouteName, RouteSection> &routes() const {
+    return Routes;
+  }
+  const std::map<base::ServiceName, ServiceSection> &services() const {
+    return Services;
+  }
+  using VersionKey = std::pair<base::ServiceName, base::VersionName>;
+  const std::map<VersionKey, VersionSection> &versions() const {
+    return Versions;
+  }
+  const std::map<base::ServiceName, RolloutSection> &rollouts() const {
+    return Rollouts;
+  }
+
+  /// Fills the routes and services of `Mesh`. A service with a rollout
+  /// section and no entry in `Traffic` sends everything to the old version.
+  void fillMesh(MeshSnapshot &Mesh, const RolloutTraffics &Traffic,
+                const BarredVersions &Barred) const;
+
+private:
+  friend class DocumentParser;
+
+  std::map<base::RouteName, RouteSection> Routes;
+  std::map<base::ServiceName, ServiceSection> Services;
+  std::map<VersionKey, VersionSection> Versions;
+  std::map<base::ServiceName, RolloutSection> Rollouts;
+};
+
+/// Owner named in one section. Empty when there is none or it is no name.
+base::TeamName ownerOf(const SectionText &Section);
+
+/// Parses one rollout section, for the controller. Faults as for `Document`.
+RolloutSection parseRollout(const SectionText &Section,
+                            const std::string &FileName,
+                            std::vector<base::FileFault> &Faults);
+
+} // namespace amaranth::document
+
+#endif
--- /dev/null
+++ b/document/src/Diff.cpp
@@ -0,0 +1,115 @@
+#include "amaranth/document/Diff.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace amaranth::document {
+
+namespace {
+
+using Lines = std::vector<std::string>;
+
+Lines linesOf(std::string_view Body) {
+  Lines Result;
+  while (!Body.empty()) {
+    auto End = std::min(Body.find('\n'), Body.size());
+    Result.emplace_back(Body.substr(0, End));
+    Body.remove_prefix(std::min(End + 1, Body.size()));
+  }
+  return Result;
+}
+
+/// The table of the longest common subsequence has one cell per pair of
+/// lines; larger sections are shown as removed and added whole.
+constexpr std::size_t MaxTableCells = 4U << 20U;
+
+void addAll(std::vector<DiffLine> &Out, char Mark, const Lines &Text) {
+  for (const std::string &Line : Text)
+    Out.push_back({Mark, Line});
+}
+
+std::vector<DiffLine> diffLines(const Lines &Old, const Lines &New) {
+  std::vector<DiffLine> Result;
+  std::size_t Width = New.size() + 1;
+  if ((Old.size() + 1) * Width > MaxTableCells) {
+    addAll(Result, '-', Old);
+    addAll(Result, '+', New);
+    return Result;
+  }
+  // Common[I * Width + J]: common lines of Old from I on and New from J on.
+  std::vector<std::uint32_t> Common((Old.size() + 1) * Width);
+  for (std::size_t I = Old.size(); I-- > 0;)
+    for (std::size_t J = New.size(); J-- > 0;)
+      Common[I * Width + J] = Old[I] == New[J]
+                                  ? Common[(I + 1) * Width + J + 1] + 1
+                                  : std::max(Common[(I + 1) * Width + J],
+                                             Common[I * Width + J + 1]);
+  std::size_t I = 0;
+  std::size_t J = 0;
+  while (I < Old.size() && J < New.size()) {
+    if (Old[I] == New[J]) {
+      Result.push_back({' ', Old[I++]});
+      ++J;
+    } else if (Common[(I + 1) * Width + J] >= Common[I * Width + J + 1]) {
+      Result.push_back({'-', Old[I++]});
+    } else {
+      Result.push_back({'+', New[J++]});
+    }
+  }
+  addAll(Result, '-', Lines(Old.begin() + static_cast<long>(I), Old.end()));
+  addAll(Result, '+', Lines(New.begin() + static_cast<long>(J), New.end()));
+  return Result;
+}
+
+const char *word(DiffKind Kind) {
+  switch (Kind) {
+  case DiffKind::Added:
+    return "added";
+  case DiffKind::Removed:
+    return "removed";
+  case DiffKind::Changed:
+    break;
+  }
+  return "changed";
+}
+
+} // namespace
+
+std::vector<SectionDiff> diffSections(const std::vector<SectionText> &Old,
+                                      const std::vector<SectionText> &New) {
+  struct Pair {
+    const SectionText *Old = nullptr;
+    const SectionText *New = nullptr;
+  };
+  std::map<std::string, Pair> Pairs;
+  for (const SectionText &Section : Old)
+    Pairs[Section.Name].Old = &Section;
+  for (const SectionText &Section : New)
+    Pairs[Section.Name].New = &Section;
+  std::vector<SectionDiff> Result;
+  for (const auto &[Name, Both] : Pairs) {
+    if (Both.Old && Both.New && Both.Old->Body == Both.New->Body)
+      continue;
+    DiffKind Kind = !Both.Old   ? DiffKind::Added
+                    : !Both.New ? DiffKind::Removed
+                                : DiffKind::Changed;
+    Result.push_back({Kind, Name,
+                      diffLines(Both.Old ? linesOf(Both.Old->Body) : Lines(),
+                                Both.New ? linesOf(Both.New->Body) : Lines())});
+  }
+  return Result;
+}
+
+std::string formatDiff(const std::vector<SectionDiff> &Diff) {
+  std::string Text;
+  for (const SectionDiff &Section : Diff) {
+    Text += fmt::format("{} [{}]\n", word(Section.Kind), Section.Name);
+    for (const DiffLine &Line : Section.Lines)
+      Text += fmt::format("{} {}\n", Line.Mark, Line.Text);
+  }
+  return Text;
+}
+
+} // namespace amaranth::document
--- /dev/null
+++ b/document/src/SectionText.cpp
@@ -0,0 +1,150 @@
+#include "amaranth/document/SectionText.h"
+
+#include "amaranth/base/IniFile.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace amaranth::document {
+
+namespace {
+
+std::string_view trim(std::string_view Text) {
+  constexpr std::string_view Space = " \t\r";
+  auto First = Text.find_first_not_of(Space);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Space) - First + 1);
+}
+
+/// Value of a `revision = N` line, or null when the line is another one.
+std::optional<std::string_view> revisionValue(std::string_view Line) {
+  auto Equals = Line.find('=');
+  if (Equals == std::string_view::npos ||
+      trim(Line.substr(0, Equals)) != "revision")
+    return std::nullopt;
+  return trim(Line.substr(Equals + 1));
+}
+
+class Splitter {
+public:
+  Splitter(const std::string &FileName, std::vector<base::FileFault> &Faults)
+      : FileName(FileName), Faults(Faults) {}
+
+  std::vector<SectionText> split(std::string_view Text) {
+    while (!Text.empty()) {
+      ++Line;
+      auto End = std::min(Text.find('\n'), Text.size());
+      takeLine(Text.substr(0, End));
+      Text.remove_prefix(std::min(End + 1, Text.size()));
+    }
+    finishSection();
+    return std::move(Result);
+  }
+
+private:
+  void takeLine(std::string_view Raw) {
+    std::string_view Text = trim(Raw);
+    if (!Text.empty() && Text.front() == '[')
+      return beginSection(Text);
+    if (Open)
+      return addLine(Text);
+    bool Ignored = Text.empty() || Text.front() == ';' || Text.front() == '#';
+    if (!Ignored && !Skipping)
+      fault("", "the entry stands before the first section");
+  }
+
+  void beginSection(std::string_view Text) {
+    finishSection();
+    if (Text.back() != ']') {
+      // The lines up to the next section line belong to no known section.
+      Skipping = true;
+      return fault("", "a section line must end with ']'");
+    }
+    Open = true;
+    std::string_view Name = trim(Text.substr(1, Text.size() - 2));
+    Result.push_back({std::string(Name), "", {Line}, std::nullopt});
+  }
+
+  void addLine(std::string_view Text) {
+    SectionText &Current = Result.back();
+    if (auto Value = revisionValue(Text))
+      return takeRevision(*Value);
+    Current.Body.append(Text).push_back('\n');
+    Current.Lines.push_back(Line);
+  }
+
+  void takeRevision(std::string_view Text) {
+    SectionText &Current = Result.back();
+    std::uint64_t Value = 0;
+    auto [End, Code] =
+        std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+    if (Code != std::errc() || End != Text.data() + Text.size())
+      return fault("revision", fmt::format("'{}' is no whole number", Text));
+    if (Current.Seen)
+      return fault("revision", "duplicate key in this section");
+    Current.Seen = base::Revision(Value);
+  }
+
+  void finishSection() {
+    if (!Open)
+      return;
+    std::string &Body = Result.back().Body;
+    while (Body.ends_with("\n\n") || Body == "\n") {
+      Body.pop_back();
+      Result.back().Lines.pop_back();
+    }
+    Open = false;
+  }
+
+  void fault(const std::string &Key, std::string Reason) {
+    Faults.push_back({FileName, Line, Open ? Result.back().Name : "", Key,
+                      std::move(Reason)});
+  }
+
+  const std::string &FileName;
+  std::vector<base::FileFault> &Faults;
+  std::vector<SectionText> Result;
+  unsigned Line = 0;
+  bool Open = false;
+  bool Skipping = false;
+};
+
+} // namespace
+
+unsigned SectionText::fileLine(unsigned Number) const {
+  if (Lines.empty())
+    return Number;
+  if (Number == 0 || Number > Lines.size())
+    return Lines.back();
+  return Lines[Number - 1];
+}
+
+std::vector<SectionText> splitSections(std::string_view Text,
+                                       const std::string &FileName,
+                                       std::vector<base::FileFault> &Faults) {
+  if (Text.size() > base::MaxIniBytes) {
+    Faults.push_back({FileName, 0, "", "",
+                      fmt::format("the text has {} bytes, the limit is {}",
+                                  Text.size(), base::MaxIniBytes)});
+    return {};
+  }
+  return Splitter(FileName, Faults).split(Text);
+}
+
+std::string joinSections(const std::vector<SectionText> &Sections) {
+  std::string Text;
+  for (const SectionText &Section : Sections) {
+    if (!Text.empty())
+      Text += '\n';
+    Text += fmt::format("[{}]\n", Section.Name);
+    if (Section.Seen)
+      Text += fmt::format("revision = {}\n", Section.Seen->value());
+    Text += Section.Body;
+  }
+  return Text;
+}
+
+} // namespace amaranth::document
