Add version rollouts: plan, sequential test, lifecycle and controller

A rollout had only its evidence counts.

At 100 % there is no concurrent old version. An alarm against its last behaviour lowers the share to 20 % and lets the sequential test decide, so a failed dependency does not roll back a good version.

--- /dev/null
+++ b/rollout/include/amaranth/rollout/Baseline.h
@@ -0,0 +1,40 @@
+#ifndef AMARANTH_ROLLOUT_BASELINE_H
+#define AMARANTH_ROLLOUT_BASELINE_H
+
+#include "amaranth/rollout/Evidence.h"
+
+#include <array>
+#include <cstddef>
+#include <optional>
+
+namespace amaranth::rollout {
+
+/// Recent behaviour of one version on one route: sums that forget, about
+/// the last 60 additions count.
+class Baseline {
+public:
+  void add(const EvidenceCounts &Counts);
+
+  /// Requests remembered.
+  double requests() const { return Requests; }
+  /// Estimated error rate, 0.001..0.8; one error in 100 before any request.
+  double errorRate() const;
+
+  struct SlowLimit {
+    /// Bucket of the 95th percentile.
+    std::size_t Bucket = 0;
+    /// Estimated share of requests in the buckets above it.
+    double Rate = 0;
+  };
+  /// Nothing while too few requests were seen.
+  std::optional<SlowLimit> slowLimit() const;
+
+private:
+  double Requests = 0;
+  double Errors = 0;
+  std::array<double, LatencyBuckets> Latency{};
+};
+
+} // namespace amaranth::rollout
+
+#endif
--- /dev/null
+++ b/rollout/include/amaranth/rollout/ReferenceAlarm.h
@@ -0,0 +1,48 @@
+#ifndef AMARANTH_ROLLOUT_REFERENCEALARM_H
+#define AMARANTH_ROLLOUT_REFERENCEALARM_H
+
+#include "amaranth/rollout/Baseline.h"
+#include "amaranth/rollout/EvidenceWindow.h"
+#include "amaranth/rollout/RolloutPlan.h"
+#include "amaranth/rollout/SequentialTest.h"
+
+#include <map>
+#include <string>
+
+namespace amaranth::rollout {
+
+/// Watches a new version that has all of the traffic, when there is no
+/// concurrent old version to compare it with.
+///
+/// Compares with the last behaviour of the old version. This cannot tell a
+/// bad version from a failed dependency, so an alarm does not reject: the
+/// share is lowered until the sequential test has compared both versions
+/// again. A false alarm costs only time, hence its level of 1/100.
+class ReferenceAlarm {
+public:
+  explicit ReferenceAlarm(const RolloutGuards &Guards);
+
+  /// Adds one window; `Alone` tells that the new version has all traffic.
+  void add(const EvidenceWindow &Window, bool Alone, const Allowance &Cold);
+  /// Forgets the bets but not the old version's behaviour.
+  void reset();
+  /// Measure and route; empty without an alarm.
+  const std::string &alarm() const { return Alarm; }
+
+private:
+  struct Route {
+    Baseline Old;
+    BettingProcess Errors;
+    BettingProcess Latency;
+  };
+  void judge(const base::RouteName &Name, Route &Target,
+             const EvidenceCounts &New, const Allowance &Cold);
+
+  RolloutGuards Guards;
+  std::map<base::RouteName, Route> Routes;
+  std::string Alarm;
+};
+
+} // namespace amaranth::rollout
+
+#endif
--- /dev/null
+++ b/rollout/include/amaranth/rollout/RolloutState.h
@@ -0,0 +1,54 @@
+#ifndef AMARANTH_ROLLOUT_ROLLOUTSTATE_H
+#define AMARANTH_ROLLOUT_ROLLOUTSTATE_H
+
+#include "amaranth/base/Millis.h"
+#include "amaranth/base/StrongId.h"
+
+#include <cstdint>
+#include <string>
+
+namespace amaranth::rollout {
+
+/// The values equal those of the replicated decision.
+enum class Phase : std::uint8_t {
+  Waiting = 1,
+  Stepping = 2,
+  Watching = 3,
+  Done = 4,
+  RolledBack = 5,
+};
+
+inline bool isFinal(Phase Value) {
+  return Value == Phase::Done || Value == Phase::RolledBack;
+}
+
+/// The replicated state of one rollout.
+struct RolloutState {
+  Phase Current = Phase::Waiting;
+  /// Share of the new version in millionths.
+  std::uint32_t Share = 0;
+  /// 1-based index of the step that is in force or being approached; 0 while
+  /// waiting.
+  std::uint32_t Step = 0;
+  /// Grows with each decision.
+  std::uint64_t Epoch = 0;
+  /// Time of the last decision.
+  base::WallTime LastChange;
+};
+
+/// What the machine wants to be committed.
+struct Decision {
+  base::ServiceName Service;
+  base::Revision Section;
+  /// Epoch of the state that the decision was made on.
+  std::uint64_t ExpectedEpoch = 0;
+  Phase Next = Phase::Waiting;
+  std::uint32_t Share = 0;
+  std::uint32_t Step = 0;
+  /// One line for operators.
+  std::string Reason;
+};
+
+} // namespace amaranth::rollout
+
+#endif
--- /dev/null
+++ b/rollout/include/amaranth/rollout/SequentialTest.h
@@ -0,0 +1,121 @@
+#ifndef AMARANTH_ROLLOUT_SEQUENTIALTEST_H
+#define AMARANTH_ROLLOUT_SEQUENTIALTEST_H
+
+#include "amaranth/rollout/Baseline.h"
+#include "amaranth/rollout/EvidenceWindow.h"
+#include "amaranth/rollout/RolloutPlan.h"
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace amaranth::rollout {
+
+/// Settings of the tests of one rollout.
+struct TestSettings {
+  /// Bound on the probability that a version within the guards is rejected,
+  /// over all looks, routes and measures.
+  double Alpha = 0.001;
+  double MaxErrorIncrease = 0.01;
+  double MaxLatencyRatio = 1.5;
+  /// Number of windows that the capital is spread over.
+  double Horizon = 1800;
+};
+
+/// Accepted differences of a window in which the new version may be cold.
+struct Allowance {
+  double ExtraErrors = 0;
+  double LatencyFactor = 1;
+};
+
+/// Capital of a bet against the null hypothesis, for a fixed set of
+/// alternatives. Starts as cash 1; a part is invested at each window so that
+/// a fault that appears late is not offset by the good time before it. The
+/// expected wealth never grows under the null hypothesis, so by Ville's
+/// inequality the probability that it ever reaches 1/a is at most a.
+class BettingProcess {
+public:
+  static constexpr std::size_t Alternatives = 6;
+  using LogFactors = std::array<double, Alternatives>;
+
+  BettingProcess();
+  /// Moves up to `Part` of the initial capital from cash into the bets.
+  void invest(double Part);
+  /// Multiplies the bet on each alternative with its e-value.
+  void multiply(const LogFactors &Factors);
+  double logWealth() const;
+
+private:
+  double Cash = 1;
+  LogFactors LogBets;
+};
+
+/// Compares a new version with the old one that runs at the same time.
+///
+/// Method: for each block of concurrent requests the two-sample e-value of
+/// Turner, Ly and Gruenwald (2022) for "rate of new <= rate of old + guard",
+/// that is the likelihood ratio of an alternative against its projection on
+/// the null hypothesis; products of it over blocks form a betting process.
+/// Reasons: it holds at every look, for any counts (also 1 request) and any
+/// imbalance, and the rates may change from block to block in any way as
+/// long as they change for both versions, so a lost availability zone or a
+/// failed shared dependency gives no evidence. Estimates of the old version
+/// come from earlier blocks and affect only the power.
+///
+/// Latency counts as a rate: requests of the old version above its 95th
+/// percentile bucket (of earlier blocks), against requests of the new one
+/// above that limit times max-latency-ratio.
+///
+/// Alpha is split: half for each measure, and of that half for all routes
+/// together (product of the routes' e-values, so a different mix of routes
+/// does no harm) and 1/(2j(j+1)) for the j-th route.
+class SequentialTest {
+public:
+  explicit SequentialTest(TestSettings Settings);
+
+  /// Adds one window. A route whose window is too small is joined with its
+  /// next ones, up to 10 s.
+  void add(const EvidenceWindow &Window, const Allowance &Cold);
+
+  /// The share changed: requests before and after are not compared.
+  void cut();
+
+  /// Largest log of (wealth * part of alpha) now; at log(1/alpha) the new
+  /// version is rejected.
+  double logEvidence() const;
+  /// Stays true once it was true.
+  bool rejected() const { return !Rejection.empty(); }
+  /// Measure and route of the rejection; empty without one.
+  const std::string &rejection() const { return Rejection; }
+
+private:
+  struct RouteTest {
+    double Split = 0;
+    RouteWindow Open;
+    unsigned OpenWindows = 0;
+    Baseline Old;
+    BettingProcess Errors;
+    BettingProcess Latency;
+  };
+  struct Factors {
+    BettingProcess::LogFactors Errors{};
+    BettingProcess::LogFactors Latency{};
+  };
+
+  void admitRoutes(const EvidenceWindow &Window);
+  static bool complete(const RouteTest &Route);
+  Factors evaluate(const RouteTest &Route, const Allowance &Cold) const;
+  void checkRejection();
+
+  TestSettings Settings;
+  double InvestPerWindow;
+  std::map<base::RouteName, RouteTest> Routes;
+  BettingProcess PooledErrors;
+  BettingProcess PooledLatency;
+  std::string Rejection;
+};
+
+} // namespace amaranth::rollout
+
+#endif
--- /dev/null
+++ b/rollout/src/Baseline.cpp
@@ -0,0 +1,39 @@
+#include "amaranth/rollout/Baseline.h"
+
+#include <algorithm>
+
+namespace amaranth::rollout {
+
+namespace {
+
+constexpr double Decay = 0.983;
+/// Below 20 requests there is no 95th percentile.
+constexpr double LeastRequests = 20;
+
+} // namespace
+
+void Baseline::add(const EvidenceCounts &Counts) {
+  Requests = Requests * Decay + static_cast<double>(Counts.Requests);
+  Errors = Errors * Decay + static_cast<double>(Counts.Errors);
+  for (std::size_t I = 0; I < LatencyBuckets; ++I)
+    Latency[I] = Latency[I] * Decay + static_cast<double>(Counts.Latency[I]);
+}
+
+double Baseline::errorRate() const {
+  return std::clamp((Errors + 0.2) / (Requests + 20), 0.001, 0.8);
+}
+
+std::optional<Baseline::SlowLimit> Baseline::slowLimit() const {
+  if (Requests < LeastRequests)
+    return std::nullopt;
+  double Above = 0;
+  std::size_t Bucket = LatencyBuckets - 1;
+  while (Bucket > 0 && Above + Latency[Bucket] <= 0.05 * Requests) {
+    Above += Latency[Bucket];
+    --Bucket;
+  }
+  return SlowLimit{Bucket,
+                   std::clamp((Above + 0.5) / (Requests + 20), 0.005, 0.1)};
+}
+
+} // namespace amaranth::rollout
--- /dev/null
+++ b/rollout/src/RolloutPolicy.h
@@ -0,0 +1,35 @@
+#ifndef AMARANTH_ROLLOUT_ROLLOUTPOLICY_H
+#define AMARANTH_ROLLOUT_ROLLOUTPOLICY_H
+
+#include "amaranth/rollout/RolloutEvidence.h"
+#include "amaranth/rollout/RolloutPlan.h"
+#include "amaranth/rollout/RolloutState.h"
+
+#include <cstdint>
+#include <string>
+
+namespace amaranth::rollout::detail {
+
+/// What the policy wants; the state machine checks that the phase allows it.
+enum class Move : std::uint8_t {
+  Wait,
+  StepTo,
+  Recheck,
+  Watch,
+  Finish,
+  RollBack
+};
+
+struct Verdict {
+  Move Wanted = Move::Wait;
+  std::uint32_t Share = 0;
+  std::uint32_t Step = 0;
+  std::string Reason;
+};
+
+Verdict judge(base::WallTime Now, const RolloutPlan &Plan,
+              const RolloutState &State, const EvidenceSummary &Evidence);
+
+} // namespace amaranth::rollout::detail
+
+#endif
--- /dev/null
+++ b/rollout/src/TwoSample.h
@@ -0,0 +1,51 @@
+#ifndef AMARANTH_ROLLOUT_TWOSAMPLE_H
+#define AMARANTH_ROLLOUT_TWOSAMPLE_H
+
+#include "amaranth/rollout/EvidenceWindow.h"
+
+#include <cstddef>
+
+namespace amaranth::rollout::detail {
+
+/// Outcomes of requests as scores from 0 to 1: `Ones` have score 1, `Zeros`
+/// score 0 and `Parts` score `Part`.
+struct Scores {
+  double Ones = 0;
+  double Zeros = 0;
+  double Parts = 0;
+  double Part = 0;
+
+  double total() const { return Ones + Zeros + Parts; }
+};
+
+Scores errorScores(const EvidenceCounts &Counts);
+
+/// Scores of the latencies above the upper edge of bucket `Limit` times
+/// `Ratio`. In the bucket that contains this value a request counts by the
+/// part of the bucket above it, on the logarithmic scale of the buckets.
+Scores latencyScores(const EvidenceCounts &Counts, std::size_t Limit,
+                     double Ratio);
+
+/// The rates of an alternative hypothesis.
+struct Rates {
+  double Old = 0;
+  double New = 0;
+};
+
+/// The point of {New <= Old + Tolerance} that is closest to `Alternative` in
+/// relative entropy, for the given numbers of requests. Requires
+/// 0 < Old < Old + Tolerance < New < 1.
+Rates project(const Rates &Alternative, double Tolerance, double OldCount,
+              double NewCount);
+
+/// Log of the e-value of the block against the null hypothesis that the mean
+/// score of the new version is at most that of the old one + `Tolerance`.
+double logEValue(const Scores &Old, const Scores &New, const Rates &Alternative,
+                 double Tolerance);
+
+/// Log likelihood ratio of the scores, `Rate` against `NullRate`.
+double logRatio(const Scores &Values, double Rate, double NullRate);
+
+} // namespace amaranth::rollout::detail
+
+#endif
--- /dev/null
+++ b/rollout/test/Requests.h
@@ -0,0 +1,53 @@
+#ifndef AMARANTH_ROLLOUT_TEST_REQUESTS_H
+#define AMARANTH_ROLLOUT_TEST_REQUESTS_H
+
+#include "amaranth/rollout/EvidenceWindow.h"
+
+#include <cmath>
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace amaranth::rollout::test {
+
+/// Behaviour of one version on one route.
+struct Behaviour {
+  double ErrorRate = 0.01;
+  /// Median latency in ms; log-normal with sigma 0.5.
+  double Median = 20;
+};
+
+/// Draws the windows of a service with one route `/r0` unless told otherwise.
+class Requests {
+public:
+  explicit Requests(std::uint64_t Seed) : Random(Seed) {}
+
+  void fill(EvidenceWindow &Window, const std::string &Route, double Rate,
+            double NewShare, const Behaviour &Old, const Behaviour &New) {
+    RouteWindow &Target = Window.Routes[base::RouteName(Route)];
+    int Count = std::poisson_distribution<int>(Rate)(Random);
+    for (int I = 0; I < Count; ++I) {
+      bool ToNew = std::bernoulli_distribution(NewShare)(Random);
+      const Behaviour &How = ToNew ? New : Old;
+      double Took =
+          How.Median * std::exp(std::normal_distribution<>(0, 0.5)(Random));
+      (ToNew ? Target.New : Target.Old)
+          .add(std::bernoulli_distribution(How.ErrorRate)(Random),
+               base::Millis(std::lround(Took)));
+    }
+  }
+
+  EvidenceWindow window(base::WallTime Start, double Rate, double NewShare,
+                        const Behaviour &Old, const Behaviour &New) {
+    EvidenceWindow Result;
+    Result.Start = Start;
+    fill(Result, "/r0", Rate, NewShare, Old, New);
+    return Result;
+  }
+
+  std::mt19937_64 Random;
+};
+
+} // namespace amaranth::rollout::test
+
+#endif
--- /dev/null
+++ b/rollout/test/RolloutMachine_test.cpp
@@ -0,0 +1,209 @@
+#include "Requests.h"
+#include "amaranth/base/Invariant.h"
+#include "amaranth/rollout/RolloutMachine.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <random>
+
+namespace amaranth::rollout {
+
+using base::Millis;
+using base::WallTime;
+
+class RolloutMachineTest {
+protected:
+  RolloutMachineTest() {
+    Plan.Service = base::ServiceName("plati");
+    Plan.From = base::VersionName("v1");
+    Plan.To = base::VersionName("v2");
+    Plan.Start = WallTime(1'000'000);
+    Plan.Deadline = Plan.Start + Millis::seconds(1200);
+    Now = Plan.Start;
+    restartController();
+  }
+
+  void restartController() {
+    Evidence = std::make_unique<RolloutEvidence>(Plan);
+  }
+
+  /// One second: a window, then a decision that is committed at once.
+  std::optional<Decision> second(const EvidenceWindow &Window) {
+    Evidence->follow(State);
+    Evidence->add(Window);
+    Now = Now + WindowLength;
+    auto Result = decide(Now, Plan, State, Evidence->summary());
+    if (Result)
+      State = {Result->Next, Result->Share, Result->Step, State.Epoch + 1, Now};
+    return Result;
+  }
+
+  EvidenceWindow window(double Rate, const test::Behaviour &Old,
+                        const test::Behaviour &New) {
+    return Source.window(Now, Rate, double(State.Share) / FullShare, Old, New);
+  }
+
+  RolloutPlan Plan;
+  RolloutState State;
+  WallTime Now;
+  std::unique_ptr<RolloutEvidence> Evidence;
+  test::Requests Source{11};
+};
+
+TEST_CASE_METHOD(RolloutMachineTest,
+                 "RolloutMachine good version takes all steps and is done") {
+  std::vector<std::uint32_t> Shares;
+  while (!isFinal(State.Current) && Now < Plan.Deadline)
+    if (auto Next = second(window(30, {}, {})))
+      Shares.push_back(Next->Share);
+  CHECK(State.Current == Phase::Done);
+  CHECK(Shares == std::vector<std::uint32_t>{10'000, 50'000, 200'000, 500'000,
+                                             FullShare, FullShare, FullShare});
+}
+
+TEST_CASE_METHOD(RolloutMachineTest,
+                 "RolloutMachine bad version is rolled back at a small share") {
+  std::uint32_t Highest = 0;
+  while (!isFinal(State.Current) && Now < Plan.Deadline) {
+    second(window(30, {}, {0.5}));
+    Highest = std::max(Highest, State.Share);
+  }
+  CHECK(State.Current == Phase::RolledBack);
+  CHECK(State.Share == 0);
+  CHECK(Highest <= 10'000);
+}
+
+// Guards against a fail-over that raises the share on evidence that the new
+// controller did not see.
+TEST_CASE_METHOD(RolloutMachineTest,
+                 "RolloutMachine without own evidence never steps up") {
+  State = {Phase::Stepping, 10'000, 1, 5, Plan.Start};
+  Evidence->follow(State);
+  for (int T = 1; T < 1195; ++T)
+    REQUIRE(!decide(Plan.Start + Millis::seconds(T), Plan, State,
+                    Evidence->summary()));
+  auto Last = decide(Plan.finalTime(), Plan, State, Evidence->summary());
+  REQUIRE(Last);
+  CHECK(Last->Next == Phase::RolledBack);
+}
+
+TEST_CASE_METHOD(RolloutMachineTest,
+                 "RolloutMachine little traffic ends by the risk") {
+  Plan.RiskLevel = GENERATE(Risk::Normal, Risk::High);
+  restartController();
+  std::uint32_t Highest = 0;
+  while (!isFinal(State.Current) && Now < Plan.Deadline) {
+    second(window(0.05, {0}, {0}));
+    Highest = std::max(Highest, State.Share);
+  }
+  bool Normal = Plan.RiskLevel == Risk::Normal;
+  CHECK(State.Current == (Normal ? Phase::Done : Phase::RolledBack));
+  CHECK(Highest == (Normal ? FullShare : Plan.Steps.front()));
+}
+
+// Guards against blaming the new version for an outage while it has all the
+// traffic and there is nothing to compare it with.
+TEST_CASE_METHOD(
+    RolloutMachineTest,
+    "RolloutMachine shared outage at any time does not roll back") {
+  int Begin = GENERATE(30, 200, 400, 560, 700);
+  int T = 0;
+  while (!isFinal(State.Current) && Now < Plan.Deadline) {
+    ++T;
+    test::Behaviour Both{T >= Begin && T < Begin + 60 ? 0.8 : 0.01};
+    second(window(30, Both, Both));
+  }
+  INFO("outage at " << Begin << " s, ended at " << T << " s");
+  CHECK(State.Current == Phase::Done);
+}
+
+TEST_CASE_METHOD(RolloutMachineTest,
+                 "RolloutMachine failure in the watch phase rolls back soon") {
+  int FaultSeconds = 0;
+  while (!isFinal(State.Current) && Now < Plan.Deadline) {
+    bool Fault = State.Current == Phase::Watching || FaultSeconds > 0;
+    FaultSeconds += Fault ? 1 : 0;
+    second(window(30, {}, {Fault ? 0.5 : 0.01}));
+  }
+  CHECK(State.Current == Phase::RolledBack);
+  INFO("rolled back after " << FaultSeconds << " s");
+  CHECK(FaultSeconds <= 15);
+}
+
+// Guards against a jump into a load at which the version was never seen.
+TEST_CASE_METHOD(RolloutMachineTest,
+                 "RolloutMachine load near capacity grows in small steps") {
+  Plan.Steps = {100'000, FullShare};
+  std::uint32_t Last = 0;
+  while (!isFinal(State.Current) && Now < Plan.Deadline) {
+    EvidenceWindow Window = window(100, {0.01, 100}, {0.01, 100});
+    Window.NewSlots = 20;
+    auto Next = second(Window);
+    // 2.5 times the rate seen; its peak lies above the mean by noise.
+    if (Next && Last > 0)
+      CHECK(Next->Share <= 3 * Last);
+    if (Next)
+      Last = Next->Share;
+  }
+  CHECK(State.Current == Phase::Done);
+}
+
+// The promise of the package: whatever is seen and whenever controllers are
+// replaced, the rollout ends by its deadline and the end stands.
+TEST_CASE_METHOD(RolloutMachineTest,
+                 "RolloutMachine any evidence and restarts end by deadline") {
+  std::uint64_t Checks = base::invariantChecks();
+  for (std::uint64_t Seed = 1; Seed <= 150; ++Seed) {
+    INFO("seed " << Seed);
+    Source = test::Requests(Seed);
+    auto Draw = [this](double Low, double High) {
+      return std::uniform_real_distribution<>(Low, High)(Source.Random);
+    };
+    Plan.Deadline = Plan.Start + Millis::seconds(std::lround(Draw(60, 400)));
+    Plan.RiskLevel = Draw(0, 1) < 0.5 ? Risk::High : Risk::Normal;
+    Plan.Steps = Draw(0, 1) < 0.2 ? std::vector<std::uint32_t>{FullShare}
+                                  : RolloutPlan().Steps;
+    State = {};
+    Now = Plan.Start;
+    restartController();
+    test::Behaviour Old;
+    test::Behaviour New;
+    double Rate = 10;
+    std::uint64_t Seen = 0;
+    while (Now < Plan.Deadline) {
+      if (Draw(0, 1) < 0.02) {
+        restartController();
+        Seen = 0;
+      }
+      if (Draw(0, 1) < 0.02) {
+        Old = {Draw(0, 0.2), Draw(1, 100)};
+        New = Draw(0, 1) < 0.7 ? Old : test::Behaviour{Draw(0, 1), 50};
+        Rate = Draw(0, 60);
+      }
+      RolloutState Before = State;
+      if (Draw(0, 1) < 0.1) {
+        // A look without a new window.
+        Evidence->follow(State);
+        Now = Now + WindowLength;
+        auto Next = decide(Now, Plan, State, Evidence->summary());
+        if (Next)
+          State = {Next->Next, Next->Share, Next->Step, State.Epoch + 1, Now};
+      } else {
+        ++Seen;
+        second(window(Rate, Old, New));
+      }
+      if (isFinal(Before.Current))
+        REQUIRE(State.Epoch == Before.Epoch);
+      if (State.Epoch != Before.Epoch) {
+        if (State.Share > Before.Share && Before.Current != Phase::Waiting)
+          REQUIRE(Seen >= 10);
+        Seen = 0;
+      }
+    }
+    REQUIRE(isFinal(State.Current));
+  }
+  CHECK(base::invariantChecks() > Checks + 10'000);
+}
+
+} // namespace amaranth::rollout
--- /dev/null
+++ b/rollout/test/SequentialTest_test.cpp
@@ -0,0 +1,140 @@
+#include "Requests.h"
+#include "TwoSample.h"
+#include "amaranth/rollout/SequentialTest.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <functional>
+
+namespace amaranth::rollout {
+
+namespace {
+
+using test::Behaviour;
+using test::Requests;
+
+/// How both versions behave in second `T`.
+using Course = std::function<std::pair<Behaviour, Behaviour>(int T)>;
+
+/// Seconds until rejection, or -1.
+int secondsToReject(std::uint64_t Seed, double Alpha, double Share, int Length,
+                    const Course &Behave) {
+  SequentialTest Test({.Alpha = Alpha, .Horizon = double(Length)});
+  Requests Source(Seed);
+  for (int T = 0; T < Length; ++T) {
+    auto [Old, New] = Behave(T);
+    Test.add(Source.window({}, 20, Share, Old, New), {});
+    if (Test.rejected())
+      return T + 1;
+  }
+  return -1;
+}
+
+int rejections(double Alpha, double Share, int Runs, const Course &Behave) {
+  int Count = 0;
+  for (int Seed = 0; Seed < Runs; ++Seed)
+    Count += secondsToReject(Seed, Alpha, Share, 300, Behave) > 0 ? 1 : 0;
+  return Count;
+}
+
+} // namespace
+
+// Guards against an e-value whose expectation exceeds 1 somewhere on the null
+// hypothesis, which would void the bound on false roll-backs. Exact sum over
+// all outcomes, also for very unequal counts.
+TEST_CASE("logEValue any null rate and count has expectation at most 1") {
+  auto Binomial = [](int Count, int Ones, double Rate) {
+    return std::exp(std::lgamma(Count + 1) - std::lgamma(Ones + 1) -
+                    std::lgamma(Count - Ones + 1) + Ones * std::log(Rate) +
+                    (Count - Ones) * std::log(1 - Rate));
+  };
+  for (auto [OldCount, NewCount] :
+       {std::pair{1, 1}, {30, 1}, {1, 30}, {7, 7}, {50, 2}})
+    for (double Tolerance : {0.01, 0.1})
+      for (double OldRate : {0.001, 0.01, 0.1, 0.5, 0.85}) {
+        double Sum = 0;
+        for (int Old = 0; Old <= OldCount; ++Old)
+          for (int New = 0; New <= NewCount; ++New)
+            Sum += Binomial(OldCount, Old, OldRate) *
+                   Binomial(NewCount, New, OldRate + Tolerance) *
+                   std::exp(
+                       detail::logEValue({double(Old), double(OldCount - Old)},
+                                         {double(New), double(NewCount - New)},
+                                         {0.01, 0.4}, Tolerance));
+        INFO(OldCount << " old, " << NewCount << " new, rate " << OldRate);
+        CHECK(Sum <= 1 + 1e-6);
+      }
+}
+
+// Guards against false roll-backs at the limit of the guards: the bound must
+// hold for new = old + guard, at every share, with looks each second.
+TEST_CASE("SequentialTest null at the guard rejects at most alpha") {
+  double Share = GENERATE(0.01, 0.5);
+  int Count = rejections(0.05, Share, 300, [](int) {
+    return std::pair{Behaviour{0.02}, Behaviour{0.03, 30}};
+  });
+  INFO("rejections of 300 at alpha 0.05: " << Count);
+  CHECK(Count <= 15);
+}
+
+// Guards against roll-backs when a zone or a shared dependency fails.
+TEST_CASE("SequentialTest outage of both versions rejects at most alpha") {
+  double Share = GENERATE(0.01, 0.2);
+  int Count = rejections(0.05, Share, 300, [](int T) {
+    Behaviour Now = T > 60 && T < 120 ? Behaviour{0.7, 400} : Behaviour{};
+    return std::pair{Now, Now};
+  });
+  INFO("rejections of 300 at alpha 0.05: " << Count);
+  CHECK(Count <= 15);
+}
+
+// Guards against a test that a long good time makes blind, and one that needs
+// long for a total failure.
+TEST_CASE("SequentialTest late failure is rejected within seconds") {
+  for (int Seed = 0; Seed < 20; ++Seed) {
+    int Time = secondsToReject(Seed, 0.001, 0.5, 1000, [](int T) {
+      return std::pair{Behaviour{}, Behaviour{T >= 900 ? 0.9 : 0.01}};
+    });
+    INFO("seed " << Seed << " rejected at " << Time);
+    CHECK(Time > 900);
+    CHECK(Time <= 910);
+  }
+}
+
+TEST_CASE("SequentialTest slower version is rejected") {
+  for (int Seed = 0; Seed < 20; ++Seed) {
+    int Time = secondsToReject(Seed, 0.001, 0.2, 600, [](int) {
+      return std::pair{Behaviour{0.01, 20}, Behaviour{0.01, 80}};
+    });
+    INFO("seed " << Seed << " rejected at " << Time);
+    CHECK(Time > 0);
+    CHECK(Time <= 60);
+  }
+}
+
+// Guards against a fault on a minor route that the other routes hide, and
+// against a rejection that does not name it.
+TEST_CASE("SequentialTest failure on one route is rejected and named") {
+  SequentialTest Test({.Horizon = 600});
+  Requests Source(7);
+  for (int T = 0; T < 600 && !Test.rejected(); ++T) {
+    EvidenceWindow Window;
+    Source.fill(Window, "/big", 40, 0.2, {}, {});
+    Source.fill(Window, "/small", 2, 0.2, {}, {0.6});
+    Test.add(Window, {});
+  }
+  CHECK(Test.rejection() == "more errors than the old version on route /small");
+}
+
+// Guards against roll-backs by slow first requests after a step.
+TEST_CASE("SequentialTest cold start within the allowance is no evidence") {
+  SequentialTest Test({.Horizon = 600});
+  Requests Source(3);
+  for (int T = 0; T < 20; ++T)
+    Test.add(Source.window({}, 40, 0.2, {0.01, 20}, {0.03, 70}), {0.05, 4});
+  INFO("evidence " << Test.logEvidence());
+  CHECK(Test.logEvidence() < std::log(20.0));
+}
+
+} // namespace amaranth::rollout
