--- /dev/null
+++ b/rollout/bench/Main.cpp
@@ -0,0 +1,177 @@
+#include "Simulation.h"
+
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace amaranth::rollout::bench {
+namespace {
+
+constexpr const char *Usage = R"(Measures version rollouts on simulated traffic.
+
+Usage:
+  amaranth-bench-rollout [--runs=N] [--seed=N] [--scenario=TEXT] [--threads=N]
+                         [--json=FILE] [--reasons]
+  amaranth-bench-rollout --list
+  amaranth-bench-rollout --help
+
+Options:
+  --runs=N         Runs of each scenario [default: 200].
+  --seed=N         Seed of the first run; the same seed gives the same table
+                   [default: 1].
+  --scenario=TEXT  Only scenarios with TEXT in their name.
+  --threads=N      Threads [default: 2].
+  --json=FILE      Also write the results as JSON.
+  --reasons        Also print the reasons of unwanted results.
+  --list           Print the names of the scenarios.
+
+Goals, set before the first measurement:
+  good versions rolled back           at most 1 %
+  good versions done in time          at least 99 %
+  bad versions rolled back            at least 99 %, when the fault is larger
+                                      than the guards
+  requests hit by a bad version       at most 1 % of the service's requests
+                                      from the fault to the deadline (mean)
+
+Columns: runs; done and back (rolled back) in % of the runs; for bad versions
+shown (runs in which the fault showed), caught (rolled back, % of shown), hits
+(requests failed or slowed by the fault: mean and 95th percentile), hit %
+(mean and 95th percentile of hits / requests from the fault to the deadline)
+and seconds from the fault to share zero (mean and 95th percentile).
+)";
+
+/// A bad version whose fault is larger than the guards of the default plan.
+bool meetsGoals(const Totals &Sum) {
+  if (!Sum.What.bad())
+    return Sum.RolledBack * 100 <= Sum.Runs && Sum.Done * 100 >= Sum.Runs * 99;
+  return Sum.Caught * 100 >= Sum.FaultShown * 99 && mean(Sum.HitShare) <= 0.01;
+}
+
+double percent(int Part, int Whole) {
+  return Whole == 0 ? 0 : 100.0 * Part / Whole;
+}
+
+void printTable(const std::vector<Totals> &All) {
+  std::printf("%-20s %5s %6s %6s %6s %6s %7s %7s %6s %6s %6s %6s %s\n",
+              "scenario", "runs", "done%", "back%", "shown", "caught", "hits",
+              "p95", "hit%", "p95%", "zero", "p95", "goal");
+  for (const Totals &Sum : All) {
+    std::printf("%-20s %5d %6.1f %6.1f ", Sum.What.Name.c_str(), Sum.Runs,
+                percent(Sum.Done, Sum.Runs), percent(Sum.RolledBack, Sum.Runs));
+    if (Sum.What.bad())
+      std::printf("%6d %6.1f %7.1f %7.1f %6.2f %6.2f %6.1f %6.1f ",
+                  Sum.FaultShown, percent(Sum.Caught, Sum.FaultShown),
+                  mean(Sum.Hits), percentile(Sum.Hits, 0.95),
+                  100 * mean(Sum.HitShare),
+                  100 * percentile(Sum.HitShare, 0.95), mean(Sum.SecondsToZero),
+                  percentile(Sum.SecondsToZero, 0.95));
+    else
+      std::printf("%6s %6s %7s %7s %6s %6s %6s %6s ", "-", "-", "-", "-", "-",
+                  "-", "-", "-");
+    std::printf("%s\n", meetsGoals(Sum) ? "met" : "MISSED");
+  }
+}
+
+void writeJson(const std::string &File, const std::vector<Totals> &All) {
+  std::ofstream Out(File);
+  Out << "[\n";
+  for (std::size_t I = 0; I < All.size(); ++I) {
+    const Totals &Sum = All[I];
+    Out << R"(  {"scenario": ")" << Sum.What.Name << R"(", "runs": )"
+        << Sum.Runs << R"(, "done": )" << Sum.Done << R"(, "rolled_back": )"
+        << Sum.RolledBack << R"(, "fault_shown": )" << Sum.FaultShown
+        << R"(, "caught": )" << Sum.Caught << R"(, "hits_mean": )"
+        << mean(Sum.Hits) << R"(, "hits_p95": )" << percentile(Sum.Hits, 0.95)
+        << R"(, "hit_share_mean": )" << mean(Sum.HitShare)
+        << R"(, "hit_share_p95": )" << percentile(Sum.HitShare, 0.95)
+        << R"(, "seconds_to_zero_mean": )" << mean(Sum.SecondsToZero)
+        << R"(, "seconds_to_zero_p95": )" << percentile(Sum.SecondsToZero, 0.95)
+        << R"(, "goals_met": )" << (meetsGoals(Sum) ? "true" : "false") << "}"
+        << (I + 1 < All.size() ? ",\n" : "\n");
+  }
+  Out << "]\n";
+  if (!Out.flush())
+    throw std::runtime_error("cannot write " + File);
+}
+
+std::vector<RunResult> runAll(const Scenario &What, int Runs,
+                              std::uint64_t Seed, unsigned Threads) {
+  std::vector<RunResult> Results(static_cast<std::size_t>(Runs));
+  std::atomic<std::size_t> Next{0};
+  auto Work = [&] {
+    for (std::size_t I = Next++; I < Results.size(); I = Next++)
+      Results[I] = simulate(What, Seed * 1'000'003 + I);
+  };
+  std::vector<std::thread> Workers;
+  for (unsigned I = 0; I < Threads; ++I)
+    Workers.emplace_back(Work);
+  for (std::thread &Worker : Workers)
+    Worker.join();
+  return Results;
+}
+
+void printReasons(const Scenario &What, const std::vector<RunResult> &Results) {
+  std::map<std::string, int> Reasons;
+  for (const RunResult &Run : Results)
+    if (What.bad() ? Run.FaultShown && !Run.RolledBack : !Run.Done)
+      ++Reasons[Run.Reason];
+  for (const auto &[Reason, Count] : Reasons)
+    std::printf("  %s: %d x %s\n", What.Name.c_str(), Count, Reason.c_str());
+}
+
+int run(int Count, char **Values) {
+  std::vector<std::string> Given(Values + 1, Values + Count);
+  auto Options = docopt::docopt(Usage, Given, true);
+  bool List = Options["--list"].asBool();
+  int Runs = static_cast<int>(Options["--runs"].asLong());
+  long Seed = Options["--seed"].asLong();
+  long Threads = std::clamp(Options["--threads"].asLong(), 1L, 64L);
+  if (Runs < 1 || Seed < 0)
+    throw std::runtime_error("--runs must be at least 1 and --seed at least 0");
+  std::string Wanted =
+      Options["--scenario"] ? Options["--scenario"].asString() : "";
+  std::vector<Totals> All;
+  for (const Scenario &What : allScenarios()) {
+    if (List)
+      std::puts(What.Name.c_str());
+    if (List || What.Name.find(Wanted) == std::string::npos)
+      continue;
+    auto Results = runAll(What, Runs, static_cast<std::uint64_t>(Seed),
+                          static_cast<unsigned>(Threads));
+    Totals Sum;
+    Sum.What = What;
+    for (const RunResult &Run : Results)
+      Sum.add(Run);
+    All.push_back(std::move(Sum));
+    if (Options["--reasons"].asBool())
+      printReasons(What, Results);
+  }
+  if (List)
+    return 0;
+  std::printf("seed %ld, %d runs\n", Seed, Runs);
+  printTable(All);
+  if (Options["--json"])
+    writeJson(Options["--json"].asString(), All);
+  return 0;
+}
+
+} // namespace
+} // namespace amaranth::rollout::bench
+
+int main(int Count, char **Values) {
+  try {
+    return amaranth::rollout::bench::run(Count, Values);
+  } catch (const std::exception &Fault) {
+    std::cerr << "amaranth-bench-rollout: " << Fault.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/rollout/bench/Simulation.h
@@ -0,0 +1,56 @@
+#ifndef AMARANTH_ROLLOUT_BENCH_SIMULATION_H
+#define AMARANTH_ROLLOUT_BENCH_SIMULATION_H
+
+#include "Scenario.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace amaranth::rollout::bench {
+
+/// Result of one simulated rollout.
+struct RunResult {
+  bool Done = false;
+  bool RolledBack = false;
+  /// Reason of the last decision.
+  std::string Reason;
+  /// The fault showed while the new version had traffic.
+  bool FaultShown = false;
+  /// From the first second with the fault to the deadline.
+  std::uint64_t RequestsSinceFault = 0;
+  std::uint64_t Hit = 0;
+  /// Seconds with the fault until the new version had no traffic.
+  double SecondsToZero = 0;
+  int EndedAt = 0;
+  int Total = 0;
+};
+
+/// One rollout with a drawn deadline of 10 to 60 minutes. Evidence reaches
+/// the controller 1 s after the end of its second, and a decision is in force
+/// 1 s after it was made. In one run of five the controller is replaced once,
+/// without a leader for 3 s.
+RunResult simulate(const Scenario &What, std::uint64_t Seed);
+
+/// Sums over the runs of one scenario.
+struct Totals {
+  Scenario What;
+  int Runs = 0;
+  int Done = 0;
+  int RolledBack = 0;
+  int FaultShown = 0;
+  /// Rolled back after the fault showed.
+  int Caught = 0;
+  std::vector<double> HitShare;
+  std::vector<double> Hits;
+  std::vector<double> SecondsToZero;
+
+  void add(const RunResult &Run);
+};
+
+double mean(const std::vector<double> &Values);
+double percentile(std::vector<double> Values, double Part);
+
+} // namespace amaranth::rollout::bench
+
+#endif
