--- a/rollout/include/amaranth/rollout/RolloutEvidence.h
+++ b/rollout/include/amaranth/rollout/RolloutEvidence.h
@@ -37,8 +37,9 @@
   bool Recheck = false;
   /// Requests per second of the service, over the last 30 windows.
   double ServiceRate = 0;
-  /// Highest rate at which the new version was seen for 20 windows, in
-  /// requests per second.
+  /// Highest load that the new version was seen under for 10 windows, in
+  /// requests per second: its share of the service's rate, which is less
+  /// noisy than the count of its own requests.
   double ProvenRate = 0;
   /// Mean latency of the new version in seconds, over the last 30 windows.
   double MeanLatency = 0;
@@ -71,6 +72,7 @@
   };
   Allowance allowance(base::WallTime Start) const;
   void count(const EvidenceWindow &Window);
+  double serviceRate() const;
 
   SequentialTest Test;
   ReferenceAlarm Reference;
--- a/rollout/src/RolloutEvidence.cpp
+++ b/rollout/src/RolloutEvidence.cpp
@@ -18,7 +18,8 @@
 constexpr Allowance ColdAllowance{0.05, 4};
 
 constexpr std::size_t RecentWindows = 30;
-constexpr std::size_t ProvenWindows = 20;
+/// Windows at a share after which its load counts as seen.
+constexpr std::uint64_t ProvenWindows = 10;
 
 /// Sum of latencies in seconds, from the middles of the buckets.
 double latencySum(const EvidenceCounts &Counts) {
@@ -93,12 +94,16 @@
   Last.push_back(Sum);
   if (Last.size() > RecentWindows)
     Last.pop_front();
-  if (Last.size() < ProvenWindows)
-    return;
-  double New = 0;
-  for (std::size_t I = Last.size() - ProvenWindows; I < Last.size(); ++I)
-    New += static_cast<double>(Last[I].New);
-  ProvenRate = std::max(ProvenRate, New / ProvenWindows);
+  if (StepWindows >= ProvenWindows)
+    ProvenRate = std::max(ProvenRate, serviceRate() * Followed.Share /
+                                          static_cast<double>(FullShare));
+}
+
+double RolloutEvidence::serviceRate() const {
+  double Requests = 0;
+  for (const Recent &Entry : Last)
+    Requests += static_cast<double>(Entry.Requests);
+  return Last.empty() ? 0 : Requests / static_cast<double>(Last.size());
 }
 
 EvidenceSummary RolloutEvidence::summary() const {
@@ -112,6 +117,7 @@
   Result.LogEvidence = Test.logEvidence();
   Result.Alarm = Reference.alarm();
   Result.Recheck = Recheck;
+  Result.ServiceRate = serviceRate();
   double New = 0;
   double Latency = 0;
   for (const Recent &Entry : Last) {
