--- a/protocol/include/amaranth/protocol/Frame.h
+++ b/protocol/include/amaranth/protocol/Frame.h
@@ -33,6 +33,8 @@
   ProposeReply = 110,
   NodesAlive = 111,
   EvidenceForward = 112,
+  MemberRequest = 113,
+  MemberReply = 114,
 
   // Distribution between a node and its control process.
   Subscribe = 200,
--- /dev/null
+++ b/replication/src/Follower.cpp
@@ -0,0 +1,212 @@
+#include "ReplicaCore.h"
+#include "amaranth/base/Invariant.h"
+
+#include <boost/asio/detached.hpp>
+
+namespace asio = boost::asio;
+
+namespace amaranth::replication {
+
+namespace {
+
+using protocol::MessageType;
+
+/// Requests of one connection that are being answered. A healthy peer has
+/// far fewer; further requests are dropped and time out at the sender.
+constexpr std::size_t MaxOpenRequests = 4096;
+
+MessageType replyType(MessageType Request) {
+  switch (Request) {
+  case MessageType::PreVoteRequest:
+  case MessageType::VoteRequest:
+    return MessageType::VoteReply;
+  case MessageType::AppendRequest:
+    return MessageType::AppendReply;
+  case MessageType::SnapshotChunk:
+    return MessageType::SnapshotReply;
+  case MessageType::ReadIndexRequest:
+    return MessageType::ReadIndexReply;
+  case MessageType::ProposeRequest:
+    return MessageType::ProposeReply;
+  case MessageType::MemberRequest:
+    return MessageType::MemberReply;
+  case MessageType::NodesAlive:
+    return MessageType::NodesAlive;
+  default:
+    throw base::ProtocolError("unexpected message type between replicas");
+  }
+}
+
+} // namespace
+
+asio::awaitable<void>
+ReplicaCore::serve(std::shared_ptr<protocol::Channel> Link) {
+  auto Keep = shared_from_this();
+  auto Open = std::make_shared<std::size_t>(0);
+  while (!Stopped) {
+    protocol::Frame Next = co_await Link->receive();
+    MessageType Reply = replyType(Next.Type);
+    if (*Open >= MaxOpenRequests)
+      continue;
+    ++*Open;
+    spawn([Keep, Link, Open, Reply,
+           Next = std::move(Next)]() -> asio::awaitable<void> {
+      base::Bytes Answer = co_await Keep->handle(Next.Type, Next.Payload);
+      --*Open;
+      Link->post(Reply, Next.Stream, std::move(Answer));
+    });
+  }
+  Link->close("the replica stops");
+}
+
+asio::awaitable<base::Bytes> ReplicaCore::handle(MessageType Type,
+                                                 base::Bytes Request) {
+  auto Keep = shared_from_this();
+  base::Bytes Reply;
+  if (Stopped)
+    co_return Reply;
+  try {
+    Reply = co_await dispatch(Type, Request);
+  } catch (const base::ProtocolError &Error) {
+    Logger->warn("malformed request type={} error=\"{}\"",
+                 static_cast<unsigned>(Type), Error.what());
+  }
+  co_return Reply;
+}
+
+asio::awaitable<base::Bytes> ReplicaCore::dispatch(MessageType Type,
+                                                   base::ByteView Request) {
+  switch (Type) {
+  case MessageType::PreVoteRequest:
+    return onVote(decode<wire::VoteRequestT>(Request), true);
+  case MessageType::VoteRequest:
+    return onVote(decode<wire::VoteRequestT>(Request), false);
+  case MessageType::AppendRequest:
+    return onAppend(decode<wire::AppendRequestT>(Request));
+  case MessageType::SnapshotChunk:
+    return onSnapshot(decode<wire::SnapshotChunkT>(Request));
+  case MessageType::ReadIndexRequest:
+    return onRead(decode<wire::ReadIndexRequestT>(Request));
+  case MessageType::ProposeRequest:
+    return onPropose(decode<wire::ProposeRequestT>(Request));
+  case MessageType::MemberRequest:
+    return onMember(decode<wire::MemberRequestT>(Request));
+  case MessageType::NodesAlive:
+    return onPost(decode<wire::PostT>(Request));
+  default:
+    throw base::ProtocolError("unexpected message type between replicas");
+  }
+}
+
+asio::awaitable<base::Bytes> ReplicaCore::onPost(wire::PostT Request) {
+  if (!admit(Request))
+    co_return base::Bytes();
+  if (Leading == Mode::Leader && OnMessage)
+    OnMessage(base::ReplicaId(Request.from), Request.message);
+  // Any data: an empty reply would refuse the message.
+  co_return base::Bytes(1);
+}
+
+asio::awaitable<base::Bytes> ReplicaCore::onVote(wire::VoteRequestT Request,
+                                                 bool Pre) {
+  if (!admit(Request))
+    co_return base::Bytes();
+  wire::VoteReplyT Reply;
+  bool Complete = std::pair(Request.last_term, Request.last_index) >=
+                  std::pair(Log.lastTerm(), Log.last());
+  if (leaderIsRecent()) {
+    // A replica that was removed or cut off must not depose the leader.
+    Reply.granted = false;
+  } else if (Pre) {
+    Reply.granted = Request.term > term() && Complete;
+  } else {
+    observeTerm(Request.term);
+    std::uint64_t Given = Vote.VotedFor.value();
+    Reply.granted = Request.term == term() && Complete &&
+                    (Given == 0 || Given == Request.from);
+    if (Reply.granted && Given == 0)
+      setVote(Request.term, Request.from);
+    if (Reply.granted)
+      ElectionBase = Time.now();
+  }
+  Reply.term = term();
+  co_await waitSynced(Disk, Disk.written());
+  co_return encode(Reply);
+}
+
+void ReplicaCore::heardLeader(std::uint64_t From) {
+  AMARANTH_INVARIANT(Leading != Mode::Leader &&
+                         (!Leader || Leader->value() == From),
+                     "there is one leader per term");
+  Leading = Mode::Follower;
+  LeaderHeard = ElectionBase = Time.now();
+  if (Leader)
+    return;
+  Leader = base::ReplicaId(From);
+  Changed.notifyAll();
+}
+
+bool ReplicaCore::appendConflictFree(wire::AppendRequestT &Request,
+                                     std::uint64_t &Next) {
+  std::uint64_t Previous = Request.prev_index;
+  if (Previous > Log.last()) {
+    Next = Log.last() + 1;
+    return false;
+  }
+  if (Previous > Commit && Log.termAt(Previous) != Request.prev_term) {
+    Next = std::max(Log.firstOfTerm(Previous), Commit + 1);
+    return false;
+  }
+  // Up to the commit index the logs agree by construction.
+  AMARANTH_INVARIANT(Previous < Log.base() || Previous > Commit ||
+                         Log.termAt(Previous) == Request.prev_term,
+                     "committed entries never change");
+  std::vector<EntryRef> New;
+  for (auto &Item : Request.entries) {
+    if (Item->index <= Log.base())
+      continue;
+    if (Item->index <= Log.last() && New.empty()) {
+      if (Log.termAt(Item->index) == Item->term)
+        continue;
+      truncateFrom(Item->index);
+    }
+    auto Entry = std::make_shared<LogEntry>();
+    Entry->Index = base::LogIndex(Item->index);
+    Entry->EntryTerm = base::Term(Item->term);
+    Entry->Time = base::WallTime(Item->time);
+    Entry->Kind = static_cast<EntryKind>(Item->kind);
+    Entry->Payload = std::move(Item->payload);
+    New.push_back(std::move(Entry));
+  }
+  if (!New.empty())
+    storeEntries(std::move(New));
+  return true;
+}
+
+asio::awaitable<base::Bytes>
+ReplicaCore::onAppend(wire::AppendRequestT Request) {
+  if (!admitLeader(Request))
+    co_return base::Bytes();
+  wire::AppendReplyT Reply;
+  if (Request.term >= term()) {
+    observeTerm(Request.term);
+    heardLeader(Request.from);
+    Reply.match = Request.prev_index + Request.entries.size();
+    Reply.ok = appendConflictFree(Request, Reply.next);
+  }
+  if (Reply.ok) {
+    if (!CurrentWhen)
+      CurrentWhen.emplace(Time.now() - base::Millis(Request.since_current),
+                          Request.commit);
+    commitTo(std::min(Request.commit, Reply.match));
+    noteCurrent();
+  }
+  Reply.term = term();
+  // The leader counts the reply, so everything it covers must be durable.
+  co_await waitSynced(Disk, Disk.written());
+  if (term() != Reply.term)
+    co_return base::Bytes();
+  co_return encode(Reply);
+}
+
+} // namespace amaranth::replication
--- /dev/null
+++ b/replication/src/Formation.cpp
@@ -0,0 +1,138 @@
+#include "ReplicaCore.h"
+#include "amaranth/base/Digest.h"
+#include "amaranth/base/Invariant.h"
+
+#include <algorithm>
+#include <set>
+
+namespace asio = boost::asio;
+
+namespace amaranth::replication {
+
+// How a cluster comes into being. The initial voter with the lowest address
+// chooses the cluster id. It does so only after all initial voters answered
+// that they belong to no cluster, and it writes the first entry only after
+// all of them have stored that id. From then on each of them blocks another
+// formation, so that a lost disk cannot lead to a second cluster.
+
+asio::awaitable<void> ReplicaCore::formationLoop() {
+  while (!Stopped && History.empty()) {
+    co_await formOrJoin();
+    if (!Stopped && History.empty())
+      co_await Time.sleepFor(Settings.HeartbeatInterval * 2);
+  }
+}
+
+asio::awaitable<void> ReplicaCore::formOrJoin() {
+  const std::vector<std::string> &Voters = Settings.InitialVoters;
+  std::set<std::string> Known(Voters.begin(), Voters.end());
+  Known.insert(Settings.KnownPeers.begin(), Settings.KnownPeers.end());
+  std::map<std::string, std::uint64_t> Blank;
+  for (const std::string &Address : Known) {
+    if (Address == Settings.Address) {
+      Blank[Address] = self();
+      continue;
+    }
+    wire::MemberRequestT Question;
+    Question.from = self();
+    base::Bytes Raw = encode(Question);
+    auto Found = co_await ask<wire::MemberReplyT>(
+        Address, protocol::MessageType::MemberRequest, std::move(Raw));
+    if (Stopped || !History.empty())
+      co_return;
+    if (!Found)
+      continue;
+    if (Found->formed) {
+      co_await join(Address, std::move(*Found));
+      co_return;
+    }
+    if (Found->cluster == 0 || Found->cluster == Identity.Cluster)
+      Blank[Address] = Found->id;
+  }
+  bool Forms =
+      !Voters.empty() &&
+      *std::min_element(Voters.begin(), Voters.end()) == Settings.Address;
+  bool All = std::all_of(
+      Voters.begin(), Voters.end(),
+      [&Blank](const std::string &Address) { return Blank.contains(Address); });
+  // A cluster id that this replica did not choose itself means that it
+  // belongs to an existing cluster.
+  if (Forms && All && (Identity.Cluster == 0 || Identity.Forming))
+    co_await form(std::move(Blank));
+}
+
+asio::awaitable<void> ReplicaCore::join(std::string Via,
+                                        wire::MemberReplyT Found) {
+  if (Identity.Cluster != 0 && Identity.Cluster != Found.cluster)
+    co_return;
+  wire::MemberRequestT Request;
+  Request.cluster = Found.cluster;
+  Request.from = self();
+  Request.action = wire::MemberAction::Join;
+  Request.subject = self();
+  Request.subject_address = Settings.Address;
+  if (!Found.leader_address.empty())
+    Via = Found.leader_address;
+  base::Bytes Raw = encode(Request);
+  auto Reply = co_await ask<wire::MemberReplyT>(
+      Via, protocol::MessageType::MemberRequest, std::move(Raw));
+  if (Reply && Reply->outcome == wire::Outcome::Refused)
+    Logger->warn("not admitted as a learner reason=\"{}\"", Reply->message);
+}
+
+asio::awaitable<void>
+ReplicaCore::form(std::map<std::string, std::uint64_t> Ids) {
+  while (Identity.Cluster == 0)
+    Identity.Cluster = base::randomU64();
+  Identity.Forming = true;
+  co_await waitSynced(Disk, Disk.write(Identity));
+  Membership First;
+  for (const std::string &Address : Settings.InitialVoters) {
+    base::ReplicaId Id(Ids.at(Address));
+    First.Members.push_back({Id, Address, true});
+    if (Id == Identity.Id)
+      continue;
+    auto Request = request<wire::MemberRequestT>(Id);
+    Request.action = wire::MemberAction::AdoptCluster;
+    base::Bytes Raw = encode(Request);
+    auto Reply = co_await ask<wire::MemberReplyT>(
+        Address, protocol::MessageType::MemberRequest, std::move(Raw));
+    if (!Reply || Reply->outcome != wire::Outcome::Done || Stopped)
+      co_return;
+  }
+  if (!History.empty())
+    co_return;
+  AMARANTH_INVARIANT(Log.last() == 0, "a cluster is formed on an empty log");
+  auto Entry = std::make_shared<LogEntry>();
+  Entry->Index = base::LogIndex(1);
+  Entry->EntryTerm = base::Term(1);
+  Entry->Time = Time.wallNow();
+  Entry->Kind = EntryKind::Membership;
+  Entry->Payload = First.encode();
+  if (term() == 0)
+    setVote(1, 0);
+  storeEntries({Entry});
+  Identity.Forming = false;
+  co_await waitSynced(Disk, Disk.write(Identity));
+  Logger->info("cluster formed cluster={:x} voters={}", Identity.Cluster,
+               First.voters());
+}
+
+asio::awaitable<base::Bytes>
+ReplicaCore::onAdopt(wire::MemberRequestT Request) {
+  bool Free = History.empty() && Log.last() == 0 && !Identity.Forming &&
+              (Identity.Cluster == 0 || Identity.Cluster == Request.cluster);
+  if (Request.to != self() || Request.cluster == 0 || !Free)
+    co_return base::Bytes();
+  if (Identity.Cluster == 0) {
+    Identity.Cluster = Request.cluster;
+    Disk.write(Identity);
+  }
+  wire::MemberReplyT Reply;
+  Reply.id = self();
+  Reply.cluster = Identity.Cluster;
+  co_await waitSynced(Disk, Disk.written());
+  co_return encode(Reply);
+}
+
+} // namespace amaranth::replication
--- /dev/null
+++ b/replication/src/Members.cpp
@@ -0,0 +1,192 @@
+#include "ReplicaCore.h"
+#include "amaranth/base/Invariant.h"
+#include "amaranth/base/Timeout.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace amaranth::replication {
+
+namespace {
+
+/// Bounds the peer tasks of a leader; the design has 12 processes.
+constexpr std::size_t MaxMembers = 24;
+
+void eraseMember(Membership &From, base::ReplicaId Id) {
+  std::erase_if(From.Members,
+                [Id](const Member &Each) { return Each.Id == Id; });
+}
+
+/// Adds a learner in place of an earlier one at the same address, whose
+/// process lost its disk before it became a voter.
+void putLearner(Membership &Into, base::ReplicaId Id,
+                const std::string &Address) {
+  std::erase_if(Into.Members, [&](const Member &Each) {
+    return !Each.Voter && Each.Address == Address;
+  });
+  if (Into.Members.size() >= MaxMembers)
+    throw Refused(fmt::format("there are already {} members", MaxMembers));
+  Into.Members.push_back({Id, Address, false});
+}
+
+} // namespace
+
+bool ReplicaCore::mayChangeMembers() const {
+  // Two changes under way at once could have disjoint majorities, and so
+  // could a change under a leader that has not committed in its term.
+  return Leading == Mode::Leader && Commit >= TermStart && !History.empty() &&
+         History.back().first <= Commit;
+}
+
+void ReplicaCore::checkPromotable(base::ReplicaId Id) const {
+  const Member *Found = membership().find(Id);
+  if (!Found)
+    throw Refused(fmt::format("replica {} is no member", Id.value()));
+  if (Found->Voter)
+    return;
+  auto Peer = Peers.find(Id);
+  std::uint64_t Match = Peer == Peers.end() ? 0 : Peer->second->Match;
+  if (Match + Settings.PromoteWithin < Log.last())
+    throw Refused(fmt::format("replica {} is {} entries behind; at most {} "
+                              "are allowed for a promotion",
+                              Id.value(), Log.last() - Match,
+                              Settings.PromoteWithin));
+}
+
+Membership ReplicaCore::changed(const wire::MemberRequestT &Request) const {
+  base::ReplicaId Id(Request.subject);
+  base::ReplicaId Lost(Request.lost);
+  Membership New = membership();
+  switch (Request.action) {
+  case wire::MemberAction::Join:
+  case wire::MemberAction::AddLearner:
+    if (Id.value() == 0 || Request.subject_address.empty())
+      throw Refused("a learner needs an id and an address");
+    if (!New.find(Id))
+      putLearner(New, Id, Request.subject_address);
+    break;
+  case wire::MemberAction::Promote:
+    checkPromotable(Id);
+    New.find(Id)->Voter = true;
+    break;
+  case wire::MemberAction::Remove:
+    if (Id == Identity.Id)
+      throw Refused("the leader cannot be removed");
+    if (New.isVoter(Id) && New.voters() == 1)
+      throw Refused("the last voter cannot be removed");
+    eraseMember(New, Id);
+    break;
+  case wire::MemberAction::ReplaceVoter:
+    checkPromotable(Id);
+    if (Lost == Identity.Id || Lost == Id)
+      throw Refused("the leader or the replacement cannot be the lost voter");
+    New.find(Id)->Voter = true;
+    if (New.isVoter(Lost))
+      New.Removing = Lost;
+    break;
+  default:
+    throw Refused("unknown membership change");
+  }
+  return New;
+}
+
+void ReplicaCore::continueReplacement() {
+  base::ReplicaId Lost = membership().Removing;
+  if (Lost.value() == 0 || !mayChangeMembers())
+    return;
+  if (Lost == Identity.Id) {
+    // The voter named as lost is back and leads. Another leader removes it.
+    Logger->warn("named as lost, stepping down id={:x}", self());
+    becomeFollower();
+    return;
+  }
+  Membership New = membership();
+  eraseMember(New, Lost);
+  New.Removing = base::ReplicaId();
+  Logger->info("removing the lost voter id={:x}", Lost.value());
+  appendLocal(EntryKind::Membership, New.encode());
+}
+
+asio::awaitable<void> ReplicaCore::changeHere(wire::MemberRequestT Request,
+                                              base::Millis Timeout) {
+  if (Stopped || Leading != Mode::Leader)
+    throw NotLeader("this replica is not the leader");
+  if (!mayChangeMembers() || membership().Removing.value() != 0)
+    throw Refused("another membership change is not finished yet");
+  Membership New = changed(Request);
+  if (New.Members == membership().Members &&
+      New.Removing == membership().Removing)
+    co_return;
+  std::uint64_t Index = appendLocal(EntryKind::Membership, New.encode());
+  co_await awaitEntry(Index, Timeout);
+}
+
+asio::awaitable<void> ReplicaCore::changeMembers(wire::MemberRequestT Request,
+                                                 base::Millis Timeout) {
+  auto Keep = shared_from_this();
+  if (Leading == Mode::Leader) {
+    co_await changeHere(std::move(Request), Timeout);
+    co_return;
+  }
+  std::string Address = leaderAddress();
+  Request.cluster = Identity.Cluster;
+  Request.from = self();
+  Request.to = Leader->value();
+  Request.timeout_ms = Timeout.count();
+  base::Bytes Raw = encode(Request);
+  std::string Unreachable;
+  try {
+    Raw = co_await Net.call(Address, protocol::MessageType::MemberRequest,
+                            std::move(Raw), Timeout);
+  } catch (const protocol::ChannelClosed &Error) {
+    Unreachable = Error.what();
+  }
+  if (!Unreachable.empty() || Raw.empty())
+    throw NotLeader("the leader cannot be reached: " + Unreachable);
+  auto Reply = decode<wire::MemberReplyT>(Raw);
+  if (Reply.outcome == wire::Outcome::NotLeader)
+    throw NotLeader(Reply.message);
+  if (Reply.outcome == wire::Outcome::Unknown)
+    throw base::TimeoutError(Reply.message);
+  if (Reply.outcome == wire::Outcome::Refused)
+    throw Refused(Reply.message);
+}
+
+asio::awaitable<base::Bytes>
+ReplicaCore::onMember(wire::MemberRequestT Request) {
+  wire::MemberReplyT Reply;
+  if (Request.action == wire::MemberAction::AdoptCluster)
+    co_return co_await onAdopt(std::move(Request));
+  bool Known = Request.cluster == Identity.Cluster && Identity.Cluster != 0;
+  if (Request.action != wire::MemberAction::Identify && !Known)
+    co_return base::Bytes();
+  if (Request.to != 0 && Request.to != self())
+    co_return base::Bytes();
+  if (Request.action != wire::MemberAction::Identify) {
+    try {
+      co_await changeHere(std::move(Request), Settings.CallTimeout);
+    } catch (const NotLeader &Error) {
+      Reply.outcome = wire::Outcome::NotLeader;
+      Reply.message = Error.what();
+    } catch (const base::TimeoutError &Error) {
+      Reply.outcome = wire::Outcome::Unknown;
+      Reply.message = Error.what();
+    } catch (const Refused &Error) {
+      Reply.outcome = wire::Outcome::Refused;
+      Reply.message = Error.what();
+    }
+  }
+  Reply.id = self();
+  Reply.cluster = Identity.Cluster;
+  Reply.formed = !History.empty();
+  if (Leader) {
+    Reply.leader = Leader->value();
+    Reply.leader_address = addressOf(*Leader);
+  }
+  co_return encode(Reply);
+}
+
+} // namespace amaranth::replication
--- /dev/null
+++ b/replication/src/Replica.cpp
@@ -0,0 +1,313 @@
+#include "amaranth/replication/Replica.h"
+
+#include "ReplicaCore.h"
+#include "amaranth/base/Digest.h"
+#include "amaranth/base/Invariant.h"
+
+#include <fmt/format.h>
+
+namespace asio = boost::asio;
+
+namespace amaranth::replication {
+
+namespace {
+
+/// `sinceCurrent` of a replica that never was current.
+constexpr base::Millis NeverCurrent = base::Millis::seconds(365LL * 86'400);
+
+} // namespace
+
+ReplicaCore::ReplicaCore(Storage &Disk, StateMachine &State, Transport &Net,
+                         ReplicaSettings Options, base::Clock &Time,
+                         const asio::any_io_executor &Executor)
+    : Disk(Disk), State(State), Net(Net), Settings(std::move(Options)),
+      Time(Time), Executor(Executor), Logger(base::logger("replication")),
+      Random(Settings.Seed != 0 ? Settings.Seed : base::randomU64()),
+      ElectionBase(Time.now()), Work(Executor), Quorum(Executor),
+      Changed(Executor), Stopping(Executor) {
+  Recovered Found = Disk.recover();
+  Identity = Found.Identity;
+  Vote = Found.Vote;
+  if (Found.Snapshot) {
+    const StoredSnapshot &Base = *Found.Snapshot;
+    Log = MemoryLog(Base.Index.value(), Base.IndexTerm.value());
+    History.emplace_back(Log.base(), Membership::decode(Base.Membership));
+    State.restore(Base.State);
+    Commit = SnapshotIndex = Log.base();
+    CommitTime = Base.Time;
+  }
+  for (EntryRef &Entry : Found.Entries) {
+    if (Entry->Kind == EntryKind::Membership)
+      History.emplace_back(Entry->Index.value(),
+                           Membership::decode(Entry->Payload));
+    Log.append(std::move(Entry));
+  }
+  Durable = Log.last();
+  // The entries of a new term may have been synced before its vote file.
+  if (Log.lastTerm() > term())
+    Vote = {base::Term(Log.lastTerm()), base::ReplicaId()};
+  Logger->info("recovered id={:x} cluster={:x} term={} first={} last={}",
+               self(), Identity.Cluster, term(), Log.base() + 1, Log.last());
+}
+
+asio::awaitable<void> ReplicaCore::run() {
+  auto Keep = shared_from_this();
+  spawn([Keep]() { return Keep->syncLoop(); });
+  spawn([Keep]() { return Keep->electionLoop(); });
+  spawn([Keep]() { return Keep->formationLoop(); });
+  while (!Stopped)
+    co_await Stopping.wait();
+  if (Failure)
+    std::rethrow_exception(Failure);
+}
+
+void ReplicaCore::stop() {
+  if (Stopped)
+    return;
+  Stopped = true;
+  becomeFollower();
+  for (auto &[Index, Each] : Waiters) {
+    Each->Aborted = true;
+    Each->Changed.notifyAll();
+  }
+  Stopping.notifyAll();
+}
+
+void ReplicaCore::fail(std::exception_ptr Error) {
+  if (!Failure)
+    Failure = std::move(Error);
+  stop();
+}
+
+asio::awaitable<void> ReplicaCore::syncLoop() {
+  while (!Stopped) {
+    if (std::exception_ptr Error = Disk.failure())
+      std::rethrow_exception(Error);
+    while (!Syncing.empty() && Syncing.front().first <= Disk.synced()) {
+      Durable = std::max(Durable, Syncing.front().second);
+      Syncing.pop_front();
+    }
+    if (Leading == Mode::Leader)
+      advanceCommit();
+    co_await Disk.progress().wait();
+  }
+}
+
+void ReplicaCore::setVote(std::uint64_t Term, std::uint64_t VotedFor) {
+  AMARANTH_INVARIANT(Term >= term(), "the term of a replica never falls");
+  AMARANTH_INVARIANT(Term > term() || Vote.VotedFor.value() == 0 ||
+                         Vote.VotedFor.value() == VotedFor,
+                     "a replica votes once per term");
+  Vote = {base::Term(Term), base::ReplicaId(VotedFor)};
+  Disk.write(Vote);
+}
+
+void ReplicaCore::observeTerm(std::uint64_t Term) {
+  if (Term <= term())
+    return;
+  setVote(Term, 0);
+  becomeFollower();
+}
+
+void ReplicaCore::becomeFollower() {
+  if (Leading == Mode::Leader) {
+    Logger->info("leadership ended id={:x} term={}", self(), term());
+    CurrentAt = majorityHeard();
+    ElectionBase = Time.now();
+  }
+  Leading = Mode::Follower;
+  Leader.reset();
+  for (auto &[Id, Peer] : Peers)
+    Peer->Gone = true;
+  Peers.clear();
+  Work.notifyAll();
+  Quorum.notifyAll();
+  Changed.notifyAll();
+}
+
+void ReplicaCore::storeEntries(std::vector<EntryRef> Entries) {
+  for (const EntryRef &Entry : Entries) {
+    Log.append(Entry);
+    if (Entry->Kind == EntryKind::Membership)
+      History.emplace_back(Entry->Index.value(),
+                           Membership::decode(Entry->Payload));
+  }
+  std::uint64_t Number = Disk.write(AppendEntries{std::move(Entries)});
+  Syncing.emplace_back(Number, Log.last());
+}
+
+void ReplicaCore::truncateFrom(std::uint64_t Index) {
+  AMARANTH_INVARIANT(Index > Commit, "committed entries never change");
+  AMARANTH_INVARIANT(Leading != Mode::Leader,
+                     "a leader never overwrites its log");
+  Log.truncateFrom(Index);
+  Disk.write(TruncateFrom{base::LogIndex(Index)});
+  Durable = std::min(Durable, Index - 1);
+  for (auto &[Number, Last] : Syncing)
+    Last = std::min(Last, Index - 1);
+  while (!History.empty() && History.back().first >= Index)
+    History.pop_back();
+}
+
+void ReplicaCore::commitTo(std::uint64_t Index) {
+  if (Index <= Commit)
+    return;
+  AMARANTH_INVARIANT(Index <= Log.last(), "a commit needs its entry");
+  while (Commit < Index)
+    applyOne(*Log.at(Commit + 1));
+  noteCurrent();
+  if (Commit - SnapshotIndex >= Settings.CompactEntries)
+    compact();
+  if (Leading == Mode::Leader) {
+    Work.notifyAll();
+    continueReplacement();
+  }
+  Changed.notifyAll();
+}
+
+void ReplicaCore::applyOne(const LogEntry &Entry) {
+  AMARANTH_INVARIANT(Entry.Index.value() == Commit + 1,
+                     "entries are applied once and in order");
+  AMARANTH_INVARIANT(Entry.Time >= CommitTime, "entry time never falls");
+  Commit = Entry.Index.value();
+  CommitTime = Entry.Time;
+  base::Bytes Result;
+  if (Entry.Kind == EntryKind::Command)
+    Result =
+        State.apply({Entry.Index, Entry.EntryTerm, Entry.Time, Entry.Payload});
+  auto [Begin, End] = Waiters.equal_range(Commit);
+  for (auto It = Begin; It != End; ++It) {
+    Waiter &Each = *It->second;
+    if (Each.EntryTerm == Entry.EntryTerm.value())
+      Each.Result = Result;
+    else
+      Each.Replaced = true;
+    Each.Changed.notifyAll();
+  }
+}
+
+const Membership &ReplicaCore::membership() const {
+  static const Membership None;
+  return History.empty() ? None : History.back().second;
+}
+
+std::string ReplicaCore::addressOf(base::ReplicaId Id) const {
+  const Member *Found = membership().find(Id);
+  return Found ? Found->Address : std::string();
+}
+
+void ReplicaCore::noteCurrent() {
+  if (!CurrentWhen || Commit < CurrentWhen->second)
+    return;
+  CurrentAt =
+      std::max(CurrentAt.value_or(CurrentWhen->first), CurrentWhen->first);
+  CurrentWhen.reset();
+}
+
+base::Millis ReplicaCore::sinceCurrent() const {
+  if (Leading == Mode::Leader)
+    return Time.now() - majorityHeard();
+  return CurrentAt ? Time.now() - *CurrentAt : NeverCurrent;
+}
+
+Replica::Replica(Storage &Disk, StateMachine &State, Transport &Net,
+                 ReplicaSettings Settings, base::Clock &Time,
+                 const asio::any_io_executor &Executor)
+    : Core(std::make_shared<ReplicaCore>(Disk, State, Net, std::move(Settings),
+                                         Time, Executor)) {}
+
+Replica::~Replica() { Core->stop(); }
+
+asio::awaitable<void> Replica::run() { return Core->run(); }
+void Replica::stop() { Core->stop(); }
+asio::awaitable<void> Replica::serve(std::shared_ptr<protocol::Channel> Link) {
+  return Core->serve(std::move(Link));
+}
+asio::awaitable<base::Bytes> Replica::handle(protocol::MessageType Type,
+                                             base::Bytes Request) {
+  return Core->handle(Type, std::move(Request));
+}
+void Replica::onMessage(MessageHandler Handler) {
+  Core->OnMessage = std::move(Handler);
+}
+asio::awaitable<base::Bytes> Replica::propose(base::Bytes Command,
+                                              base::Millis Timeout) {
+  return Core->propose(std::move(Command), Timeout);
+}
+asio::awaitable<base::LogIndex> Replica::readIndex(base::Millis Timeout) {
+  return Core->readIndex(Timeout);
+}
+
+static wire::MemberRequestT change(wire::MemberAction Action,
+                                   base::ReplicaId Id) {
+  wire::MemberRequestT Request;
+  Request.action = Action;
+  Request.subject = Id.value();
+  return Request;
+}
+
+asio::awaitable<void> Replica::addLearner(base::ReplicaId Id,
+                                          std::string Address,
+                                          base::Millis Timeout) {
+  wire::MemberRequestT Request = change(wire::MemberAction::AddLearner, Id);
+  Request.subject_address = std::move(Address);
+  return Core->changeMembers(std::move(Request), Timeout);
+}
+asio::awaitable<void> Replica::promote(base::ReplicaId Id,
+                                       base::Millis Timeout) {
+  return Core->changeMembers(change(wire::MemberAction::Promote, Id), Timeout);
+}
+asio::awaitable<void> Replica::remove(base::ReplicaId Id,
+                                      base::Millis Timeout) {
+  return Core->changeMembers(change(wire::MemberAction::Remove, Id), Timeout);
+}
+asio::awaitable<void> Replica::replaceVoter(base::ReplicaId Lost,
+                                            base::ReplicaId Replacement,
+                                            base::Millis Timeout) {
+  wire::MemberRequestT Request =
+      change(wire::MemberAction::ReplaceVoter, Replacement);
+  Request.lost = Lost.value();
+  return Core->changeMembers(std::move(Request), Timeout);
+}
+
+bool Replica::isLeader() const { return Core->Leading == Mode::Leader; }
+std::optional<base::ReplicaId> Replica::leader() const { return Core->Leader; }
+base::ReplicaId Replica::self() const { return Core->Identity.Id; }
+base::Term Replica::term() const { return Core->Vote.CurrentTerm; }
+base::LogIndex Replica::appliedIndex() const {
+  return base::LogIndex(Core->Commit);
+}
+base::LogIndex Replica::commitIndex() const {
+  return base::LogIndex(Core->Commit);
+}
+base::Millis Replica::sinceCurrent() const { return Core->sinceCurrent(); }
+base::Signal &Replica::changed() { return Core->Changed; }
+void Replica::postToLeader(base::Bytes Message) {
+  Core->postToLeader(std::move(Message));
+}
+std::uint64_t Replica::clusterId() const { return Core->Identity.Cluster; }
+base::LogIndex Replica::logStart() const {
+  return base::LogIndex(Core->Log.base() + 1);
+}
+
+std::vector<MemberStatus> Replica::members() const {
+  std::vector<MemberStatus> Result;
+  for (const Member &Each : Core->membership().Members) {
+    MemberStatus Status;
+    Status.Id = Each.Id;
+    Status.Address = Each.Address;
+    Status.Voter = Each.Voter;
+    if (Each.Id == self())
+      Status.Match = base::LogIndex(Core->Durable);
+    auto Found = Core->Peers.find(Each.Id);
+    if (Found != Core->Peers.end()) {
+      Status.Match = base::LogIndex(Found->second->Match);
+      if (Found->second->Heard)
+        Status.SinceHeard = Core->Time.now() - Found->second->LastAck;
+    }
+    Result.push_back(std::move(Status));
+  }
+  return Result;
+}
+
+} // namespace amaranth::replication
--- /dev/null
+++ b/replication/test/SimulatedDisk.cpp
@@ -0,0 +1,90 @@
+#include "SimulatedDisk.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace asio = boost::asio;
+
+namespace amaranth::replication::testing {
+
+void DiskImage::apply(const StorageWrite &Write) {
+  if (const auto *Append = std::get_if<AppendEntries>(&Write))
+    Entries.insert(Entries.end(), Append->Entries.begin(),
+                   Append->Entries.end());
+  if (const auto *Truncate = std::get_if<TruncateFrom>(&Write))
+    std::erase_if(Entries, [Truncate](const EntryRef &Entry) {
+      return Entry->Index >= Truncate->First;
+    });
+  if (const auto *NewVote = std::get_if<StoredVote>(&Write))
+    Vote = *NewVote;
+  if (const auto *NewIdentity = std::get_if<StoredIdentity>(&Write))
+    Identity = *NewIdentity;
+  if (const auto *Save = std::get_if<SaveSnapshot>(&Write)) {
+    Snapshot = Save->Snapshot;
+    std::erase_if(Entries, [Save](const EntryRef &Entry) {
+      return Save->DiscardLog || Entry->Index <= Save->Snapshot->Index;
+    });
+  }
+}
+
+SimulatedDisk::SimulatedDisk(DiskImage &Image, base::Clock &Time,
+                             const asio::any_io_executor &Executor,
+                             std::uint64_t Seed)
+    : Inner(std::make_shared<State>(Image, Time, Executor, Seed)) {
+  asio::co_spawn(Executor, syncLoop(Inner), asio::detached);
+}
+
+Recovered SimulatedDisk::recover() {
+  DiskImage &Image = Inner->Image;
+  while (Image.Identity.Id.value() == 0)
+    Image.Identity.Id = base::ReplicaId(Inner->Random());
+  return {Image.Identity, Image.Vote, Image.Snapshot, Image.Entries};
+}
+
+std::uint64_t SimulatedDisk::write(StorageWrite Write) {
+  if (!Inner->Crashed) {
+    Inner->Queue.push_back(std::move(Write));
+    Inner->Queued.notifyAll();
+  }
+  return ++Inner->Written;
+}
+
+asio::awaitable<void> SimulatedDisk::syncLoop(std::shared_ptr<State> Inner) {
+  while (!Inner->Crashed) {
+    if (Inner->Queue.empty()) {
+      co_await Inner->Queued.wait();
+      continue;
+    }
+    std::size_t Batch = Inner->Queue.size();
+    bool Slow = Inner->Random() % 50 == 0;
+    auto Delay = static_cast<std::int64_t>(Inner->Random() % (Slow ? 400 : 8));
+    co_await Inner->Time.sleepFor(base::Millis(1 + Delay));
+    while (Inner->Held && !Inner->Crashed)
+      co_await Inner->Time.sleepFor(base::Millis(10));
+    if (Inner->Crashed)
+      co_return;
+    for (std::size_t I = 0; I < Batch; ++I) {
+      Inner->Image.apply(Inner->Queue.front());
+      Inner->Queue.pop_front();
+    }
+    Inner->Synced += Batch;
+    Inner->Progress.notifyAll();
+  }
+}
+
+void SimulatedDisk::crash() {
+  Inner->Crashed = true;
+  std::size_t Kept = Inner->Random() % (Inner->Queue.size() + 1);
+  for (std::size_t I = 0; I < Kept; ++I)
+    Inner->Image.apply(Inner->Queue[I]);
+  // An append may have reached the disk in part.
+  if (Kept < Inner->Queue.size())
+    if (auto *Cut = std::get_if<AppendEntries>(&Inner->Queue[Kept])) {
+      Cut->Entries.resize(Inner->Random() % Cut->Entries.size());
+      Inner->Image.apply(*Cut);
+    }
+  Inner->Queue.clear();
+  Inner->Queued.notifyAll();
+}
+
+} // namespace amaranth::replication::testing
--- /dev/null
+++ b/replication/test/SimulatedDisk.h
@@ -0,0 +1,67 @@
+#ifndef AMARANTH_REPLICATION_TEST_SIMULATEDDISK_H
+#define AMARANTH_REPLICATION_TEST_SIMULATEDDISK_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/replication/Storage.h"
+
+#include <deque>
+#include <random>
+
+namespace amaranth::replication::testing {
+
+/// What is durable; survives the crash of a process, not the loss of a disk.
+struct DiskImage {
+  StoredIdentity Identity;
+  StoredVote Vote;
+  SnapshotRef Snapshot;
+  std::vector<EntryRef> Entries;
+
+  void apply(const StorageWrite &Write);
+};
+
+/// Storage in memory whose writes become durable after a delay.
+class SimulatedDisk final : public Storage {
+public:
+  SimulatedDisk(DiskImage &Image, base::Clock &Time,
+                const boost::asio::any_io_executor &Executor,
+                std::uint64_t Seed);
+
+  Recovered recover() override;
+  std::uint64_t write(StorageWrite Write) override;
+  std::uint64_t written() const override { return Inner->Written; }
+  std::uint64_t synced() const override { return Inner->Synced; }
+  std::exception_ptr failure() const override { return nullptr; }
+  base::Signal &progress() override { return Inner->Progress; }
+
+  /// A random part of the writes that were not synced is kept, in order; the
+  /// rest is lost. Later writes are ignored.
+  void crash();
+  /// Nothing becomes durable while true.
+  void hold(bool Held) { Inner->Held = Held; }
+
+private:
+  struct State {
+    State(DiskImage &Image, base::Clock &Time,
+          const boost::asio::any_io_executor &Executor, std::uint64_t Seed)
+        : Image(Image), Time(Time), Random(Seed), Queued(Executor),
+          Progress(Executor) {}
+
+    DiskImage &Image;
+    base::Clock &Time;
+    std::mt19937_64 Random;
+    std::deque<StorageWrite> Queue;
+    std::uint64_t Written = 0;
+    std::uint64_t Synced = 0;
+    bool Crashed = false;
+    bool Held = false;
+    base::Signal Queued;
+    base::Signal Progress;
+  };
+  static boost::asio::awaitable<void> syncLoop(std::shared_ptr<State> Inner);
+
+  std::shared_ptr<State> Inner;
+};
+
+} // namespace amaranth::replication::testing
+
+#endif
