--- /dev/null
+++ b/replication/test/ReplicaTcp_test.cpp
@@ -0,0 +1,151 @@
+#include "Cluster.h"
+#include "amaranth/base/Log.h"
+#include "amaranth/protocol/Connection.h"
+#include "amaranth/replication/LogStorage.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+
+namespace asio = boost::asio;
+namespace fs = std::filesystem;
+
+namespace amaranth::replication::testing {
+
+/// Three replicas with real files and connections, put together as a control
+/// process does it.
+class ReplicaTcpTest {
+protected:
+  struct Part {
+    std::unique_ptr<LogStorage> Disk;
+    std::unique_ptr<protocol::Listener> Accept;
+    std::unique_ptr<protocol::TcpDialer> Dialer;
+    std::unique_ptr<ChannelTransport> Net;
+    std::unique_ptr<RecordingMachine> Machine;
+    std::unique_ptr<Replica> Log;
+  };
+
+  ReplicaTcpTest() {
+    base::setUpLogging("error");
+    std::string Template = fs::temp_directory_path() / "amaranth-tcp-XXXXXX";
+    REQUIRE(::mkdtemp(Template.data()));
+    Folder = Template;
+    for (int I = 0; I < 3; ++I)
+      listen(I);
+    for (int I = 0; I < 3; ++I)
+      start(I);
+  }
+  ~ReplicaTcpTest() {
+    for (Part &Each : Parts) {
+      Each.Log->stop();
+      Each.Accept->stop();
+      Each.Net.reset();
+    }
+    for (int I = 0; I < 100; ++I)
+      step();
+    fs::remove_all(Folder);
+  }
+
+  void listen(int Index) {
+    Part &Each = Parts[Index];
+    auto Executor = Context.get_executor();
+    Each.Disk =
+        std::make_unique<LogStorage>(Folder / std::to_string(Index), Executor);
+    protocol::Identity Self{protocol::Role::Control,
+                            std::to_string(Each.Disk->id().value()),
+                            base::AvailabilityZone("z")};
+    protocol::SharedKeys Keys{{protocol::Role::Control, "secret"}};
+    Each.Accept = std::make_unique<protocol::Listener>(
+        Executor, base::Address{"127.0.0.1", 0}, Self, Keys, Time);
+    Each.Dialer = std::make_unique<protocol::TcpDialer>(Self, Keys, Time);
+    Each.Net = std::make_unique<ChannelTransport>(*Each.Dialer, Time, Executor);
+    Settings.InitialVoters.push_back(Each.Accept->local().text());
+  }
+
+  void start(int Index) {
+    Part &Each = Parts[Index];
+    auto Executor = Context.get_executor();
+    Settings.Address = Settings.InitialVoters[Index];
+    Each.Machine = std::make_unique<RecordingMachine>(Shared);
+    Each.Log = std::make_unique<Replica>(*Each.Disk, *Each.Machine, *Each.Net,
+                                         Settings, Time, Executor);
+    asio::co_spawn(Executor, Each.Log->run(), asio::detached);
+    asio::co_spawn(
+        Executor,
+        Each.Accept->serve(
+            [Log = Each.Log.get()](std::shared_ptr<protocol::Channel> Link)
+                -> asio::awaitable<void> { co_await Log->serve(Link); }),
+        asio::detached);
+  }
+
+  /// Simulated time follows the polls, so that sockets and disks keep up.
+  void step() {
+    Context.restart();
+    Context.run_for(std::chrono::milliseconds(1));
+    Time.advance(base::Millis(5));
+  }
+
+  /// The limit only ends a test that would hang.
+  bool runUntil(const std::function<bool()> &Done) {
+    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!Done() && std::chrono::steady_clock::now() < End)
+      step();
+    return Done();
+  }
+
+  int leader() {
+    for (int I = 0; I < 3; ++I)
+      if (Parts[I].Log->isLeader())
+        return I;
+    return -1;
+  }
+
+  asio::awaitable<void> propose(int Index, std::string Command) {
+    base::ByteView Raw = base::asBytes(Command);
+    base::Bytes Copy(Raw.begin(), Raw.end());
+    try {
+      co_await Parts[Index].Log->propose(std::move(Copy), base::Millis(3000));
+      ++Committed;
+    } catch (const base::Error &) {
+      ++Failed;
+    }
+  }
+
+  asio::io_context Context;
+  base::ManualClock Time;
+  fs::path Folder;
+  ReplicaSettings Settings;
+  History Shared;
+  std::array<Part, 3> Parts;
+  int Committed = 0;
+  int Failed = 0;
+};
+
+// Guards against a mismatch of requests and replies on shared connections.
+TEST_CASE_METHOD(ReplicaTcpTest,
+                 "Replica over TCP commits proposals of every process") {
+  REQUIRE(runUntil([&] { return leader() >= 0; }));
+  REQUIRE(runUntil([&] {
+    return std::all_of(Parts.begin(), Parts.end(), [](const Part &Each) {
+      return Each.Log->leader().has_value();
+    });
+  }));
+  for (int I = 0; I < 300; ++I)
+    asio::co_spawn(Context, propose(I % 3, "c" + std::to_string(I)),
+                   asio::detached);
+  REQUIRE(runUntil([&] { return Committed + Failed == 300; }));
+  CHECK(Committed == 300);
+  CHECK(runUntil([&] {
+    return Parts[0].Machine->Applied.size() == 300 &&
+           Parts[1].Machine->Applied.size() == 300 &&
+           Parts[2].Machine->Applied.size() == 300;
+  }));
+  // Group commit: far fewer syncs than commands.
+  CHECK(Parts[leader()].Disk->syncs() < 200);
+}
+
+} // namespace amaranth::replication::testing
