Let a replica that no leader contacts ask for admission again

A late Join request of an earlier process at the same address took the place of the running learner, which then stayed behind for good. A replica that heard no leader for three election timeouts now asks again.

--- a/replication/src/Formation.cpp
+++ b/replication/src/Formation.cpp
@@ -16,13 +16,21 @@
 // formation, so that a lost disk cannot lead to a second cluster.
 
 asio::awaitable<void> ReplicaCore::formationLoop() {
-  while (!Stopped && History.empty()) {
-    co_await formOrJoin();
-    if (!Stopped && History.empty())
-      co_await Time.sleepFor(Settings.HeartbeatInterval * 2);
+  while (!Stopped) {
+    if (History.empty() || isForgotten())
+      co_await formOrJoin();
+    co_await Time.sleepFor(Settings.HeartbeatInterval * 2);
   }
 }
 
+bool ReplicaCore::isForgotten() const {
+  // A late request of an earlier process at this address may have taken the
+  // place of this learner, or it was removed while it was down.
+  return Leading != Mode::Leader &&
+         Time.now() - LeaderHeard.value_or(base::TimePoint()) >
+             Settings.ElectionTimeoutMax * 3;
+}
+
 asio::awaitable<void> ReplicaCore::formOrJoin() {
   const std::vector<std::string> &Voters = Settings.InitialVoters;
   std::set<std::string> Known(Voters.begin(), Voters.end());
@@ -38,7 +46,7 @@
     base::Bytes Raw = encode(Question);
     auto Found = co_await ask<wire::MemberReplyT>(
         Address, protocol::MessageType::MemberRequest, std::move(Raw));
-    if (Stopped || !History.empty())
+    if (Stopped)
       co_return;
     if (!Found)
       continue;
@@ -57,7 +65,8 @@
       [&Blank](const std::string &Address) { return Blank.contains(Address); });
   // A cluster id that this replica did not choose itself means that it
   // belongs to an existing cluster.
-  if (Forms && All && (Identity.Cluster == 0 || Identity.Forming))
+  if (History.empty() && Forms && All &&
+      (Identity.Cluster == 0 || Identity.Forming))
     co_await form(std::move(Blank));
 }
 
--- a/replication/src/ReplicaCore.h
+++ b/replication/src/ReplicaCore.h
@@ -187,6 +187,8 @@
 
   // Formation.cpp.
   boost::asio::awaitable<void> formationLoop();
+  /// A member that no leader has contacted for a while.
+  bool isForgotten() const;
   boost::asio::awaitable<void> formOrJoin();
   boost::asio::awaitable<void> join(std::string Via, wire::MemberReplyT Found);
   boost::asio::awaitable<void> form(std::map<std::string, std::uint64_t> Ids);
