--- /dev/null
+++ b/document/include/amaranth/document/MeshDelta.h
@@ -0,0 +1,72 @@
+#ifndef AMARANTH_DOCUMENT_MESHDELTA_H
+#define AMARANTH_DOCUMENT_MESHDELTA_H
+
+#include "amaranth/base/Error.h"
+#include "amaranth/document/MeshSnapshot.h"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace amaranth::document {
+
+/// A delta that does not start at the snapshot it was applied to, or whose
+/// result differs from what the sender has.
+class DeltaMismatch : public base::Error {
+public:
+  using base::Error::Error;
+};
+
+/// Keys of entries that differ between two snapshots.
+struct MeshKeys {
+  std::set<base::RouteName> Routes;
+  std::set<base::ServiceName> Services;
+  std::set<base::EndpointId> Endpoints;
+  std::set<std::uint64_t> Quarantine;
+
+  std::size_t size() const;
+  void merge(const MeshKeys &Other);
+};
+
+/// Changes that turn one snapshot into another.
+struct MeshDelta {
+  base::DocumentVersion FromDocument;
+  base::StateIndex FromState;
+  base::DocumentVersion ToDocument;
+  base::StateIndex ToState;
+  /// `MeshSnapshot::digest` of the result.
+  std::uint64_t Digest = 0;
+  std::vector<Route> Routes;
+  std::vector<Service> Services;
+  std::vector<Endpoint> Endpoints;
+  std::vector<QuarantineEntry> Quarantine;
+  std::vector<base::RouteName> RemovedRoutes;
+  std::vector<base::ServiceName> RemovedServices;
+  std::vector<base::EndpointId> RemovedEndpoints;
+  std::vector<std::uint64_t> RemovedQuarantine;
+};
+
+/// Keys of all entries that were added, changed or removed.
+MeshKeys changedKeys(const MeshSnapshot &From, const MeshSnapshot &To);
+
+/// A delta to `To` that replaces or removes the entries named by `Keys`;
+/// `Digest` is the digest of `To`. The from-versions are left to the caller.
+MeshDelta deltaOf(const MeshKeys &Keys, const MeshSnapshot &To,
+                  std::uint64_t Digest);
+
+/// The delta between two snapshots.
+MeshDelta difference(const MeshSnapshot &From, const MeshSnapshot &To);
+
+/// Applies a delta to a copy of `Base`. Throws `DeltaMismatch` when the delta
+/// starts at other versions or the result has another digest.
+std::shared_ptr<const MeshSnapshot> applyDelta(const MeshSnapshot &Base,
+                                               const MeshDelta &Delta);
+
+/// The part of a snapshot that concerns the given services.
+MeshSnapshot filterServices(const MeshSnapshot &Whole,
+                            const std::set<base::ServiceName> &Services);
+
+} // namespace amaranth::document
+
+#endif
--- /dev/null
+++ b/document/include/amaranth/document/SnapshotCodec.h
@@ -0,0 +1,58 @@
+#ifndef AMARANTH_DOCUMENT_SNAPSHOTCODEC_H
+#define AMARANTH_DOCUMENT_SNAPSHOTCODEC_H
+
+#include "amaranth/base/Bytes.h"
+#include "amaranth/document/MeshDelta.h"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace amaranth::document {
+
+/// Largest accepted size of an encoded snapshot in bytes.
+inline constexpr std::size_t MaxSnapshotBytes = 32U << 20U;
+/// Largest accepted number of entries of one kind in a snapshot or delta.
+inline constexpr std::size_t MaxSnapshotEntries = 100'000;
+/// Largest data of one piece of a snapshot; below the frame limit of 1 MiB.
+inline constexpr std::size_t SnapshotPieceBytes = 512U << 10U;
+
+/// Binary forms. The decoders verify structure, sizes and digests, and throw
+/// `base::ProtocolError`.
+base::Bytes encodeSnapshot(const MeshSnapshot &Value, std::uint64_t Digest);
+std::shared_ptr<const MeshSnapshot> decodeSnapshot(base::ByteView Data);
+base::Bytes encodeDelta(const MeshDelta &Value);
+MeshDelta decodeDelta(base::ByteView Data);
+/// An `EndpointUpdate` message.
+base::Bytes encodeEndpoint(const Endpoint &Value);
+Endpoint decodeEndpoint(base::ByteView Data);
+
+/// Encodes a snapshot as messages that each fit into a frame.
+std::vector<base::Bytes> encodePieces(const MeshSnapshot &Value,
+                                      std::uint64_t Digest);
+
+/// Collects the pieces of one snapshot at a time. They must arrive in order;
+/// the first piece of another snapshot discards the pieces so far.
+class PieceCollector {
+public:
+  /// The snapshot when `Data` was its last piece, otherwise null. Throws
+  /// `base::ProtocolError` and forgets all pieces on any fault.
+  std::shared_ptr<const MeshSnapshot> add(base::ByteView Data);
+
+  /// State index of the snapshot of the last piece, for reports.
+  base::StateIndex state() const { return State; }
+  void reset();
+
+private:
+  std::shared_ptr<const MeshSnapshot> addChecked(base::ByteView Data);
+
+  base::StateIndex State;
+  std::uint32_t Next = 0;
+  std::uint32_t Count = 0;
+  std::uint32_t TotalBytes = 0;
+  base::Bytes Buffer;
+};
+
+} // namespace amaranth::document
+
+#endif
--- /dev/null
+++ b/document/src/MeshDelta.cpp
@@ -0,0 +1,145 @@
+#include "amaranth/document/MeshDelta.h"
+
+#include <fmt/format.h>
+
+namespace amaranth::document {
+
+namespace {
+
+template <typename Key, typename Value>
+void collectChanges(const std::map<Key, Value> &From,
+                    const std::map<Key, Value> &To, std::set<Key> &Into) {
+  auto Old = From.begin();
+  auto New = To.begin();
+  while (Old != From.end() || New != To.end()) {
+    if (New == To.end() || (Old != From.end() && Old->first < New->first)) {
+      Into.insert(Old++->first);
+      continue;
+    }
+    if (Old == From.end() || New->first < Old->first) {
+      Into.insert(New++->first);
+      continue;
+    }
+    if (Old->second != New->second)
+      Into.insert(New->first);
+    ++Old;
+    ++New;
+  }
+}
+
+template <typename Key, typename Value>
+void splitKeys(const std::set<Key> &Keys, const std::map<Key, Value> &Current,
+               std::vector<Value> &Present, std::vector<Key> &Removed) {
+  for (const Key &Name : Keys) {
+    auto Found = Current.find(Name);
+    if (Found == Current.end())
+      Removed.push_back(Name);
+    else
+      Present.push_back(Found->second);
+  }
+}
+
+template <typename Key, typename Value, typename KeyOf>
+void replaceEntries(std::map<Key, Value> &Into,
+                    const std::vector<Value> &Present,
+                    const std::vector<Key> &Removed, KeyOf Name) {
+  for (const Key &Gone : Removed)
+    Into.erase(Gone);
+  for (const Value &Entry : Present)
+    Into.insert_or_assign(Name(Entry), Entry);
+}
+
+const auto NameOf = [](const auto &Entry) { return Entry.Name; };
+const auto IdOf = [](const Endpoint &Entry) { return Entry.Id; };
+const auto FingerprintOf = [](const QuarantineEntry &Entry) {
+  return Entry.Fingerprint;
+};
+
+} // namespace
+
+std::size_t MeshKeys::size() const {
+  return Routes.size() + Services.size() + Endpoints.size() + Quarantine.size();
+}
+
+void MeshKeys::merge(const MeshKeys &Other) {
+  Routes.insert(Other.Routes.begin(), Other.Routes.end());
+  Services.insert(Other.Services.begin(), Other.Services.end());
+  Endpoints.insert(Other.Endpoints.begin(), Other.Endpoints.end());
+  Quarantine.insert(Other.Quarantine.begin(), Other.Quarantine.end());
+}
+
+MeshKeys changedKeys(const MeshSnapshot &From, const MeshSnapshot &To) {
+  MeshKeys Keys;
+  collectChanges(From.Routes, To.Routes, Keys.Routes);
+  collectChanges(From.Services, To.Services, Keys.Services);
+  collectChanges(From.Endpoints, To.Endpoints, Keys.Endpoints);
+  collectChanges(From.Quarantine, To.Quarantine, Keys.Quarantine);
+  return Keys;
+}
+
+MeshDelta deltaOf(const MeshKeys &Keys, const MeshSnapshot &To,
+                  std::uint64_t Digest) {
+  MeshDelta Delta;
+  Delta.ToDocument = To.Document;
+  Delta.ToState = To.State;
+  Delta.Digest = Digest;
+  splitKeys(Keys.Routes, To.Routes, Delta.Routes, Delta.RemovedRoutes);
+  splitKeys(Keys.Services, To.Services, Delta.Services, Delta.RemovedServices);
+  splitKeys(Keys.Endpoints, To.Endpoints, Delta.Endpoints,
+            Delta.RemovedEndpoints);
+  splitKeys(Keys.Quarantine, To.Quarantine, Delta.Quarantine,
+            Delta.RemovedQuarantine);
+  return Delta;
+}
+
+MeshDelta difference(const MeshSnapshot &From, const MeshSnapshot &To) {
+  MeshDelta Delta = deltaOf(changedKeys(From, To), To, To.digest());
+  Delta.FromDocument = From.Document;
+  Delta.FromState = From.State;
+  return Delta;
+}
+
+std::shared_ptr<const MeshSnapshot> applyDelta(const MeshSnapshot &Base,
+                                               const MeshDelta &Delta) {
+  if (Delta.FromDocument != Base.Document || Delta.FromState != Base.State)
+    throw DeltaMismatch(fmt::format(
+        "delta starts at document {} state {}, the snapshot has {} and {}",
+        Delta.FromDocument.value(), Delta.FromState.value(),
+        Base.Document.value(), Base.State.value()));
+  auto Result = std::make_shared<MeshSnapshot>(Base);
+  Result->Document = Delta.ToDocument;
+  Result->State = Delta.ToState;
+  replaceEntries(Result->Routes, Delta.Routes, Delta.RemovedRoutes, NameOf);
+  replaceEntries(Result->Services, Delta.Services, Delta.RemovedServices,
+                 NameOf);
+  replaceEntries(Result->Endpoints, Delta.Endpoints, Delta.RemovedEndpoints,
+                 IdOf);
+  replaceEntries(Result->Quarantine, Delta.Quarantine, Delta.RemovedQuarantine,
+                 FingerprintOf);
+  if (Result->digest() != Delta.Digest)
+    throw DeltaMismatch(fmt::format("delta to state {} gives another digest",
+                                    Delta.ToState.value()));
+  return Result;
+}
+
+MeshSnapshot filterServices(const MeshSnapshot &Whole,
+                            const std::set<base::ServiceName> &Services) {
+  MeshSnapshot Part;
+  Part.Document = Whole.Document;
+  Part.State = Whole.State;
+  for (const auto &[Name, Entry] : Whole.Routes)
+    if (Services.contains(Entry.Service))
+      Part.Routes.emplace_hint(Part.Routes.end(), Name, Entry);
+  for (const auto &[Name, Entry] : Whole.Services)
+    if (Services.contains(Name))
+      Part.Services.emplace_hint(Part.Services.end(), Name, Entry);
+  for (const auto &[Id, Entry] : Whole.Endpoints)
+    if (Services.contains(Entry.Service))
+      Part.Endpoints.emplace_hint(Part.Endpoints.end(), Id, Entry);
+  for (const auto &[Fingerprint, Entry] : Whole.Quarantine)
+    if (Services.contains(Entry.Service))
+      Part.Quarantine.emplace_hint(Part.Quarantine.end(), Fingerprint, Entry);
+  return Part;
+}
+
+} // namespace amaranth::document
--- /dev/null
+++ b/document/src/SnapshotCodec.cpp
@@ -0,0 +1,336 @@
+#include "amaranth/document/SnapshotCodec.h"
+
+#include "amaranth/protocol/Frame.h"
+#include "follow_generated.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace amaranth::document {
+
+namespace wire = protocol::wire;
+using Builder = flatbuffers::FlatBufferBuilder;
+
+namespace {
+
+template <typename Entries>
+using Offsets = std::vector<flatbuffers::Offset<Entries>>;
+
+flatbuffers::Offset<wire::Route> write(Builder &Out, const Route &Value) {
+  auto Name = Out.CreateString(Value.Name.value());
+  auto Prefix = Out.CreateString(Value.PathPrefix);
+  auto Target = Out.CreateSharedString(Value.Service.value());
+  return wire::CreateRoute(Out, Name, Prefix, Target, Value.Timeout.count(),
+                           Value.RequireIdempotencyKey);
+}
+
+flatbuffers::Offset<wire::Service> write(Builder &Out, const Service &Value) {
+  Offsets<wire::VersionShare> Versions;
+  for (const VersionShare &Entry : Value.Versions)
+    Versions.push_back(wire::CreateVersionShare(
+        Out, Out.CreateSharedString(Entry.Version.value()), Entry.Share,
+        Entry.Barred));
+  flatbuffers::Offset<wire::ActiveRollout> Rollout;
+  if (Value.HasRollout) {
+    const ActiveRollout &Active = Value.Rollout;
+    auto From = Out.CreateSharedString(Active.From.value());
+    auto To = Out.CreateSharedString(Active.To.value());
+    Rollout = wire::CreateActiveRollout(Out, From, To, Active.Section.value(),
+                                        Active.Epoch, Active.MaxErrorIncrease,
+                                        Active.MaxLatencyRatio);
+  }
+  auto Name = Out.CreateSharedString(Value.Name.value());
+  return wire::CreateService(Out, Name, Out.CreateVector(Versions), Rollout);
+}
+
+flatbuffers::Offset<wire::Endpoint> write(Builder &Out, const Endpoint &Value) {
+  auto Id = Out.CreateString(Value.Id.value());
+  auto Node = Out.CreateString(Value.Node.value());
+  auto Ip = Out.CreateSharedString(Value.NodeAddress.Ip);
+  auto Target = Out.CreateSharedString(Value.Service.value());
+  auto Version = Out.CreateSharedString(Value.Version.value());
+  auto Zone = Out.CreateSharedString(Value.Zone.value());
+  return wire::CreateEndpoint(
+      Out, Id, Node, Ip, Value.NodeAddress.Port, Target, Version, Zone,
+      Value.Slots, static_cast<std::uint8_t>(Value.State), Value.Incarnation,
+      Value.Sequence, Value.ReadySince);
+}
+
+flatbuffers::Offset<wire::QuarantineEntry> write(Builder &Out,
+                                                 const QuarantineEntry &Value) {
+  auto Target = Out.CreateSharedString(Value.Service.value());
+  return wire::CreateQuarantineEntry(Out, Value.Fingerprint, Target,
+                                     Value.Convicted, Value.Until.count());
+}
+
+Route read(const wire::Route &In) {
+  return {base::RouteName(In.name()->str()), In.path_prefix()->str(),
+          base::ServiceName(In.service()->str()), base::Millis(In.timeout_ms()),
+          In.require_idempotency_key()};
+}
+
+Service read(const wire::Service &In) {
+  Service Value;
+  Value.Name = base::ServiceName(In.name()->str());
+  for (const wire::VersionShare *Entry : *In.versions())
+    Value.Versions.push_back({base::VersionName(Entry->version()->str()),
+                              Entry->share(), Entry->barred()});
+  const wire::ActiveRollout *Rollout = In.rollout();
+  Value.HasRollout = Rollout != nullptr;
+  if (Rollout)
+    Value.Rollout = {base::VersionName(Rollout->from()->str()),
+                     base::VersionName(Rollout->to()->str()),
+                     base::Revision(Rollout->section()),
+                     Rollout->epoch(),
+                     Rollout->max_error_increase(),
+                     Rollout->max_latency_ratio()};
+  return Value;
+}
+
+Endpoint read(const wire::Endpoint &In) {
+  if (In.state() < static_cast<std::uint8_t>(EndpointState::Starting) ||
+      In.state() > static_cast<std::uint8_t>(EndpointState::Unreachable))
+    throw base::ProtocolError(fmt::format("endpoint {} has unknown state {}",
+                                          In.id()->str(), In.state()));
+  Endpoint Value;
+  Value.Id = base::EndpointId(In.id()->str());
+  Value.Node = base::NodeId(In.node()->str());
+  Value.NodeAddress = {In.ip()->str(), In.port()};
+  Value.Service = base::ServiceName(In.service()->str());
+  Value.Version = base::VersionName(In.version()->str());
+  Value.Zone = base::AvailabilityZone(In.availability_zone()->str());
+  Value.Slots = In.slots();
+  Value.State = static_cast<EndpointState>(In.state());
+  Value.Incarnation = In.incarnation();
+  Value.Sequence = In.sequence();
+  Value.ReadySince = In.ready_since();
+  return Value;
+}
+
+QuarantineEntry read(const wire::QuarantineEntry &In) {
+  return {In.fingerprint(), base::ServiceName(In.service()->str()),
+          In.convicted(), base::WallTime(In.until())};
+}
+
+template <typename Container> void checkCount(const Container *Entries) {
+  if (Entries && Entries->size() > MaxSnapshotEntries)
+    throw base::ProtocolError(fmt::format("{} entries, the limit is {}",
+                                          Entries->size(), MaxSnapshotEntries));
+}
+
+/// Writes the values of a map or vector as a vector of tables.
+template <typename Wire, typename Key, typename Value>
+auto writeAll(Builder &Out, const std::map<Key, Value> &Entries) {
+  Offsets<Wire> Written;
+  for (const auto &[Name, Entry] : Entries)
+    Written.push_back(write(Out, Entry));
+  return Out.CreateVector(Written);
+}
+
+template <typename Wire, typename Value>
+flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Wire>>>
+writeAll(Builder &Out, const std::vector<Value> &Entries) {
+  if (Entries.empty())
+    return 0;
+  Offsets<Wire> Written;
+  for (const Value &Entry : Entries)
+    Written.push_back(write(Out, Entry));
+  return Out.CreateVector(Written);
+}
+
+template <typename Id>
+flatbuffers::Offset<
+    flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>>
+writeNames(Builder &Out, const std::vector<Id> &Names) {
+  if (Names.empty())
+    return 0;
+  Offsets<flatbuffers::String> Written;
+  for (const Id &Name : Names)
+    Written.push_back(Out.CreateString(Name.value()));
+  return Out.CreateVector(Written);
+}
+
+template <typename Wire, typename Value>
+void readAll(const Wire *In, std::vector<Value> &Into) {
+  checkCount(In);
+  if (!In)
+    return;
+  for (const auto *Entry : *In)
+    Into.push_back(read(*Entry));
+}
+
+template <typename Wire, typename Id>
+void readNames(const Wire *In, std::vector<Id> &Into) {
+  checkCount(In);
+  if (!In)
+    return;
+  for (const auto *Name : *In)
+    Into.emplace_back(Name->str());
+}
+
+/// Reads into a map; a key that occurs twice is an error.
+template <typename Wire, typename Key, typename Value, typename KeyOf>
+void readMap(const Wire *In, std::map<Key, Value> &Into, KeyOf Name) {
+  checkCount(In);
+  for (const auto *Entry : *In) {
+    Value Decoded = read(*Entry);
+    Key Id = Name(Decoded);
+    if (!Into.emplace(std::move(Id), std::move(Decoded)).second)
+      throw base::ProtocolError("an entry occurs twice in a snapshot");
+  }
+}
+
+const auto NameOf = [](const auto &Entry) { return Entry.Name; };
+const auto IdOf = [](const Endpoint &Entry) { return Entry.Id; };
+const auto FingerprintOf = [](const QuarantineEntry &Entry) {
+  return Entry.Fingerprint;
+};
+
+} // namespace
+
+base::Bytes encodeSnapshot(const MeshSnapshot &Value, std::uint64_t Digest) {
+  Builder Out;
+  auto Routes = writeAll<wire::Route>(Out, Value.Routes);
+  auto Services = writeAll<wire::Service>(Out, Value.Services);
+  auto Endpoints = writeAll<wire::Endpoint>(Out, Value.Endpoints);
+  auto Quarantine = writeAll<wire::QuarantineEntry>(Out, Value.Quarantine);
+  Out.Finish(wire::CreateSnapshot(Out, Value.Document.value(),
+                                  Value.State.value(), Digest, Routes, Services,
+                                  Endpoints, Quarantine));
+  return protocol::takeBuffer(Out);
+}
+
+std::shared_ptr<const MeshSnapshot> decodeSnapshot(base::ByteView Data) {
+  if (Data.size() > MaxSnapshotBytes)
+    throw base::ProtocolError(fmt::format("snapshot of {} bytes, limit {}",
+                                          Data.size(), MaxSnapshotBytes));
+  const auto &In = protocol::readTable<wire::Snapshot>(Data);
+  auto Value = std::make_shared<MeshSnapshot>();
+  Value->Document = base::DocumentVersion(In.document());
+  Value->State = base::StateIndex(In.state());
+  readMap(In.routes(), Value->Routes, NameOf);
+  readMap(In.services(), Value->Services, NameOf);
+  readMap(In.endpoints(), Value->Endpoints, IdOf);
+  readMap(In.quarantine(), Value->Quarantine, FingerprintOf);
+  if (Value->digest() != In.digest())
+    throw base::ProtocolError(
+        fmt::format("snapshot of state {} has another digest", In.state()));
+  return Value;
+}
+
+base::Bytes encodeDelta(const MeshDelta &Value) {
+  Builder Out;
+  auto Routes = writeAll<wire::Route>(Out, Value.Routes);
+  auto Services = writeAll<wire::Service>(Out, Value.Services);
+  auto Endpoints = writeAll<wire::Endpoint>(Out, Value.Endpoints);
+  auto Quarantine = writeAll<wire::QuarantineEntry>(Out, Value.Quarantine);
+  auto GoneRoutes = writeNames(Out, Value.RemovedRoutes);
+  auto GoneServices = writeNames(Out, Value.RemovedServices);
+  auto GoneEndpoints = writeNames(Out, Value.RemovedEndpoints);
+  flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>> GoneQuarantine;
+  if (!Value.RemovedQuarantine.empty())
+    GoneQuarantine = Out.CreateVector(Value.RemovedQuarantine);
+  Out.Finish(wire::CreateDelta(
+      Out, Value.FromDocument.value(), Value.FromState.value(),
+      Value.ToDocument.value(), Value.ToState.value(), Value.Digest, Routes,
+      Services, Endpoints, Quarantine, GoneRoutes, GoneServices, GoneEndpoints,
+      GoneQuarantine));
+  return protocol::takeBuffer(Out);
+}
+
+MeshDelta decodeDelta(base::ByteView Data) {
+  const auto &In = protocol::readTable<wire::Delta>(Data);
+  MeshDelta Value;
+  Value.FromDocument = base::DocumentVersion(In.from_document());
+  Value.FromState = base::StateIndex(In.from_state());
+  Value.ToDocument = base::DocumentVersion(In.to_document());
+  Value.ToState = base::StateIndex(In.to_state());
+  Value.Digest = In.digest();
+  readAll(In.routes(), Value.Routes);
+  readAll(In.services(), Value.Services);
+  readAll(In.endpoints(), Value.Endpoints);
+  readAll(In.quarantine(), Value.Quarantine);
+  readNames(In.removed_routes(), Value.RemovedRoutes);
+  readNames(In.removed_services(), Value.RemovedServices);
+  readNames(In.removed_endpoints(), Value.RemovedEndpoints);
+  checkCount(In.removed_quarantine());
+  if (In.removed_quarantine())
+    Value.RemovedQuarantine.assign(In.removed_quarantine()->begin(),
+                                   In.removed_quarantine()->end());
+  return Value;
+}
+
+base::Bytes encodeEndpoint(const Endpoint &Value) {
+  Builder Out;
+  auto Entry = write(Out, Value);
+  Out.Finish(wire::CreateEndpointUpdate(Out, Entry));
+  return protocol::takeBuffer(Out);
+}
+
+Endpoint decodeEndpoint(base::ByteView Data) {
+  return read(*protocol::readTable<wire::EndpointUpdate>(Data).endpoint());
+}
+
+std::vector<base::Bytes> encodePieces(const MeshSnapshot &Value,
+                                      std::uint64_t Digest) {
+  base::Bytes Whole = encodeSnapshot(Value, Digest);
+  std::size_t Count =
+      (Whole.size() + SnapshotPieceBytes - 1) / SnapshotPieceBytes;
+  std::vector<base::Bytes> Pieces;
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::size_t Start = I * SnapshotPieceBytes;
+    std::size_t Size = std::min(SnapshotPieceBytes, Whole.size() - Start);
+    Builder Out(Size + 128);
+    auto Data = Out.CreateVector(Whole.data() + Start, Size);
+    Out.Finish(wire::CreateSnapshotPiece(
+        Out, Value.State.value(), static_cast<std::uint32_t>(I),
+        static_cast<std::uint32_t>(Count),
+        static_cast<std::uint32_t>(Whole.size()), Data));
+    Pieces.push_back(protocol::takeBuffer(Out));
+  }
+  return Pieces;
+}
+
+void PieceCollector::reset() {
+  Next = 0;
+  Buffer.clear();
+}
+
+std::shared_ptr<const MeshSnapshot> PieceCollector::add(base::ByteView Data) {
+  try {
+    return addChecked(Data);
+  } catch (const base::ProtocolError &) {
+    reset();
+    throw;
+  }
+}
+
+std::shared_ptr<const MeshSnapshot>
+PieceCollector::addChecked(base::ByteView Data) {
+  const auto &In = protocol::readTable<wire::SnapshotPiece>(Data);
+  if (In.index() == 0) {
+    reset();
+    State = base::StateIndex(In.state());
+    Count = In.count();
+    TotalBytes = In.total_bytes();
+    if (TotalBytes > MaxSnapshotBytes)
+      throw base::ProtocolError(fmt::format("snapshot of {} bytes, limit {}",
+                                            TotalBytes, MaxSnapshotBytes));
+  }
+  if (In.index() != Next || In.count() != Count ||
+      In.total_bytes() != TotalBytes || In.state() != State.value() ||
+      Buffer.size() + In.data()->size() > TotalBytes)
+    throw base::ProtocolError(fmt::format(
+        "piece {} of a snapshot does not follow piece {}", In.index(), Next));
+  Buffer.insert(Buffer.end(), In.data()->begin(), In.data()->end());
+  if (++Next < Count)
+    return nullptr;
+  if (Buffer.size() != TotalBytes)
+    throw base::ProtocolError("snapshot is shorter than announced");
+  auto Value = decodeSnapshot(Buffer);
+  reset();
+  return Value;
+}
+
+} // namespace amaranth::document
--- /dev/null
+++ b/document/test/SnapshotCodec_test.cpp
@@ -0,0 +1,203 @@
+#include "amaranth/document/SnapshotCodec.h"
+#include "amaranth/protocol/Frame.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <iostream>
+#include <random>
+
+namespace amaranth::document {
+
+class SnapshotCodecTest {
+protected:
+  SnapshotCodecTest() { fill(3, 4, 6); }
+
+  void fill(int Services, int Routes, int Endpoints) {
+    Mesh = {};
+    Mesh.Document = base::DocumentVersion(7);
+    Mesh.State = base::StateIndex(9);
+    for (int I = 0; I < Services; ++I)
+      putService(I, 1);
+    for (int I = 0; I < Routes; ++I)
+      putRoute(I, I % Services, 1000);
+    for (int I = 0; I < Endpoints; ++I)
+      putEndpoint(I, I % Services, 1);
+    Mesh.Quarantine[5] = {5, serviceName(0), true, base::WallTime(99)};
+  }
+
+  static base::ServiceName serviceName(int I) {
+    return base::ServiceName(fmt::format("service-{:04}", I));
+  }
+  void putService(int I, std::uint64_t Epoch) {
+    Service Entry;
+    Entry.Name = serviceName(I);
+    Entry.Versions = {{base::VersionName("v1"), FullShare - 10'000, false},
+                      {base::VersionName("v2"), 10'000, false}};
+    Entry.HasRollout = I % 2 == 0;
+    if (Entry.HasRollout)
+      Entry.Rollout = {base::VersionName("v1"),
+                       base::VersionName("v2"),
+                       base::Revision(3),
+                       Epoch,
+                       0.02,
+                       1.25};
+    Mesh.Services[Entry.Name] = Entry;
+  }
+  void putRoute(int I, int Target, std::int64_t Timeout) {
+    Route Entry{base::RouteName(fmt::format("route-{:04}", I)),
+                fmt::format("/archive/section/{:04}", I), serviceName(Target),
+                base::Millis(Timeout), I % 3 == 0};
+    Mesh.Routes[Entry.Name] = Entry;
+  }
+  void putEndpoint(int I, int Target, std::uint64_t Sequence) {
+    Endpoint Entry;
+    Entry.Id = base::EndpointId(fmt::format("upstream-{:04}", I));
+    Entry.Node = base::NodeId(fmt::format("node-{:04}", I));
+    Entry.NodeAddress = {fmt::format("10.1.{}.{}", I / 250, I % 250), 7001};
+    Entry.Service = serviceName(Target);
+    Entry.Version = base::VersionName("v1");
+    Entry.Zone = base::AvailabilityZone(fmt::format("sve-mitt-{}", I % 9));
+    Entry.Slots = 12;
+    Entry.State = EndpointState::Ready;
+    Entry.Incarnation = 1'700'000'000'000;
+    Entry.Sequence = Sequence;
+    Entry.ReadySince = 1'700'000'000'000 + I;
+    Mesh.Endpoints[Entry.Id] = Entry;
+  }
+  /// One random change of any kind.
+  void change(std::mt19937_64 &Random) {
+    auto Pick = [&](int Bound) { return static_cast<int>(Random() % Bound); };
+    switch (Pick(5)) {
+    case 0:
+      return putService(Pick(8), Random());
+    case 1:
+      return putRoute(Pick(10), Pick(3), Pick(1000));
+    case 2:
+      return putEndpoint(Pick(12), Pick(3), Random());
+    case 3:
+      Mesh.Endpoints.erase(
+          base::EndpointId(fmt::format("upstream-{:04}", Pick(12))));
+      return;
+    default:
+      std::uint64_t Fingerprint = Random() % 4;
+      Mesh.Quarantine[Fingerprint] = {Fingerprint, serviceName(0), false,
+                                      base::WallTime(Pick(9))};
+    }
+  }
+
+  std::shared_ptr<const MeshSnapshot> collect(std::vector<base::Bytes> Pieces) {
+    PieceCollector Collector;
+    std::shared_ptr<const MeshSnapshot> Result;
+    for (const base::Bytes &Piece : Pieces)
+      Result = Collector.add(Piece);
+    return Result;
+  }
+
+  MeshSnapshot Mesh;
+};
+
+TEST_CASE_METHOD(SnapshotCodecTest, "snapshot at the target size fits pieces") {
+  fill(260, 1000, 1800);
+  auto Pieces = encodePieces(Mesh, Mesh.digest());
+  std::size_t Total = 0;
+  for (const base::Bytes &Piece : Pieces) {
+    CHECK(Piece.size() < protocol::MaxPayloadBytes);
+    Total += Piece.size();
+  }
+  std::cout << "snapshot of 1800 endpoints, 260 services, 1000 routes: "
+            << Total << " bytes in " << Pieces.size() << " pieces\n";
+  CHECK(*collect(Pieces) == Mesh);
+}
+
+TEST_CASE_METHOD(SnapshotCodecTest,
+                 "snapshot in many pieces needs their order") {
+  fill(260, 4000, 9000);
+  auto Pieces = encodePieces(Mesh, Mesh.digest());
+  REQUIRE(Pieces.size() > 2);
+  CHECK(*collect(Pieces) == Mesh);
+  std::swap(Pieces[0], Pieces[1]);
+  CHECK_THROWS_AS(collect(Pieces), base::ProtocolError);
+  std::swap(Pieces[0], Pieces[1]);
+  Pieces.erase(Pieces.begin() + 1);
+  CHECK_THROWS_AS(collect(Pieces), base::ProtocolError);
+}
+
+// Guards against a snapshot or delta that was damaged on the way and would be
+// applied with other content.
+TEST_CASE_METHOD(SnapshotCodecTest, "snapshot with any damaged byte differs") {
+  base::Bytes Good = encodeSnapshot(Mesh, Mesh.digest());
+  std::size_t Refused = 0;
+  for (std::size_t I = 0; I < Good.size(); ++I) {
+    base::Bytes Bad = Good;
+    Bad[I] ^= 0x41;
+    try {
+      MeshSnapshot Decoded = *decodeSnapshot(Bad);
+      // `State` and padding are not covered by the digest.
+      Decoded.State = Mesh.State;
+      CHECK(Decoded == Mesh);
+    } catch (const base::ProtocolError &) {
+      ++Refused;
+    }
+  }
+  CHECK(Refused > Good.size() / 2);
+}
+
+TEST_CASE_METHOD(SnapshotCodecTest, "delta with another base is refused") {
+  MeshSnapshot Old = Mesh;
+  putRoute(1, 2, 5);
+  Mesh.State = base::StateIndex(10);
+  MeshDelta Delta = difference(Old, Mesh);
+  CHECK(*applyDelta(Old, Delta) == Mesh);
+  MeshSnapshot OtherState = Old;
+  OtherState.State = base::StateIndex(8);
+  CHECK_THROWS_AS(applyDelta(OtherState, Delta), DeltaMismatch);
+  MeshSnapshot OtherContent = Old;
+  OtherContent.Endpoints.erase(OtherContent.Endpoints.begin());
+  CHECK_THROWS_AS(applyDelta(OtherContent, Delta), DeltaMismatch);
+  Delta.Digest ^= 1;
+  CHECK_THROWS_AS(applyDelta(Old, Delta), DeltaMismatch);
+}
+
+TEST_CASE_METHOD(SnapshotCodecTest,
+                 "delta of random changes gives the target") {
+  std::uint64_t Seed = 20'240'611;
+  INFO("seed " << Seed);
+  std::mt19937_64 Random(Seed);
+  for (int Run = 0; Run < 300; ++Run) {
+    MeshSnapshot Old = Mesh;
+    for (auto Count = Random() % 6; Count > 0; --Count)
+      change(Random);
+    Mesh.State = base::StateIndex(Mesh.State.value() + 1);
+    MeshDelta Delta = decodeDelta(encodeDelta(difference(Old, Mesh)));
+    REQUIRE(*applyDelta(Old, Delta) == Mesh);
+  }
+}
+
+TEST_CASE_METHOD(SnapshotCodecTest, "delta of one endpoint is small") {
+  fill(260, 1000, 1800);
+  MeshSnapshot Old = Mesh;
+  putEndpoint(900, 3, 2);
+  Mesh.State = base::StateIndex(10);
+  std::size_t Size = encodeDelta(difference(Old, Mesh)).size();
+  std::cout << "delta of one endpoint: " << Size << " bytes\n";
+  CHECK(Size < 512);
+}
+
+TEST_CASE_METHOD(SnapshotCodecTest,
+                 "filter keeps the entries of its services") {
+  MeshSnapshot Part = filterServices(Mesh, {serviceName(1)});
+  CHECK(Part.Services.size() == 1);
+  CHECK(Part.Endpoints.size() == 2);
+  CHECK(Part.Quarantine.empty());
+  CHECK(Part.faults().empty());
+}
+
+TEST_CASE_METHOD(SnapshotCodecTest, "endpoint with unknown state is refused") {
+  Endpoint Entry = Mesh.Endpoints.begin()->second;
+  CHECK(decodeEndpoint(encodeEndpoint(Entry)) == Entry);
+  Entry.State = static_cast<EndpointState>(9);
+  CHECK_THROWS_AS(decodeEndpoint(encodeEndpoint(Entry)), base::ProtocolError);
+}
+
+} // namespace amaranth::document
