--- /dev/null
+++ b/control/distribution.cmake
@@ -0,0 +1,11 @@
+# The server side of distribution to nodes. A library of its own, because the
+# follower uses its messages without the replicated state.
+amaranth_library(distribution
+  SOURCES src/EvidenceTable.cpp src/FollowMessages.cpp src/LeaseTable.cpp
+    src/LeaderDuties.cpp src/MeshHistory.cpp src/NodeCalls.cpp src/NodeService.cpp
+    src/NodeSession.cpp src/NodeStatistics.cpp
+  DEPENDS amaranth_control amaranth_rollout amaranth_document
+    amaranth_protocol prometheus-cpp::core)
+
+amaranth_test(distribution
+  SOURCES test/DistributionTables_test.cpp)
--- a/control/include/amaranth/control/EvidenceTable.h
+++ b/control/include/amaranth/control/EvidenceTable.h
@@ -42,8 +42,7 @@
   Counts since(const base::ServiceName &Service, base::TimePoint Since) const;
 
   /// All counts of one rollout since this process leads.
-  Counts totals(const base::ServiceName &Service,
-                base::Revision Section) const;
+  Counts totals(const base::ServiceName &Service, base::Revision Section) const;
 
 private:
   void prune(const document::MeshSnapshot &Mesh, base::TimePoint Now);
--- a/control/include/amaranth/control/MeshHistory.h
+++ b/control/include/amaranth/control/MeshHistory.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTH_CONTROL_MESHHISTORY_H
 #define AMARANTH_CONTROL_MESHHISTORY_H
 
+#include "amaranth/base/Bytes.h"
 #include "amaranth/document/MeshDelta.h"
 
 #include <deque>
--- /dev/null
+++ b/control/src/LeaderDuties.h
@@ -0,0 +1,58 @@
+#ifndef AMARANTH_CONTROL_SRC_LEADERDUTIES_H
+#define AMARANTH_CONTROL_SRC_LEADERDUTIES_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/control/EvidenceTable.h"
+#include "amaranth/control/FollowMessages.h"
+#include "amaranth/control/LeaseTable.h"
+#include "amaranth/replication/ReplicatedLog.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace amaranth::control::detail {
+
+/// Brings the nodes heard and the evidence to the leader, and on the leader
+/// expires the endpoints of silent nodes.
+class LeaderDuties : public std::enable_shared_from_this<LeaderDuties> {
+public:
+  LeaderDuties(base::Clock &Time, replication::ReplicatedLog &Log,
+               base::Millis ProposeTimeout)
+      : Time(Time), Log(Log), ProposeTimeout(ProposeTimeout) {}
+
+  /// Adds a node's report to the next message to the leader.
+  void addEvidence(const rollout::EvidenceReport &Report);
+
+  /// To be called each second with the nodes connected here.
+  void tick(const boost::asio::any_io_executor &Executor,
+            std::vector<base::NodeId> Heard,
+            const document::MeshSnapshot &Mesh);
+
+  /// A report of another control process. Throws `base::ProtocolError`.
+  void receive(base::ByteView Message, const document::MeshSnapshot &Mesh);
+
+  const LeaseTable &leases() const { return Leases; }
+  const EvidenceTable &evidence() const { return Evidence; }
+
+private:
+  void followTerm();
+  void take(const LeaderReport &Report, const document::MeshSnapshot &Mesh);
+  void forward(std::vector<base::NodeId> Heard,
+               const document::MeshSnapshot &Mesh);
+  boost::asio::awaitable<void> expire(ExpireEndpoints Request);
+
+  base::Clock &Time;
+  replication::ReplicatedLog &Log;
+  base::Millis ProposeTimeout;
+  LeaseTable Leases;
+  EvidenceTable Evidence;
+  rollout::EvidenceReport Collected;
+  /// Term in which this process leads; empty when it does not.
+  std::optional<base::Term> Leading;
+  bool Expiring = false;
+};
+
+} // namespace amaranth::control::detail
+
+#endif
--- /dev/null
+++ b/control/src/MeshHistory.cpp
@@ -0,0 +1,111 @@
+#include "amaranth/control/MeshHistory.h"
+
+#include "amaranth/base/Invariant.h"
+#include "amaranth/document/SnapshotCodec.h"
+
+namespace amaranth::control {
+
+namespace {
+
+/// A larger delta costs nearly as much as a snapshot and might exceed a frame.
+constexpr std::size_t MaxDeltaBytes = 512U << 10U;
+/// Bounds the memory for nodes whose states all differ, as after an outage.
+constexpr std::size_t MaxCachedDeltas = 64;
+/// Bounds the memory for distinct subscriptions.
+constexpr std::size_t MaxCachedViews = 64;
+
+} // namespace
+
+bool MeshHistory::add(std::shared_ptr<const document::MeshSnapshot> Newest) {
+  if (!Newest || Newest == Current)
+    return false;
+  if (Current && Newest->State <= Current->State)
+    return false;
+  if (Current) {
+    AMARANTH_INVARIANT(Newest->Document >= Current->Document,
+                       "the document version of the control state fell");
+    Steps.push_back({Current->State, document::changedKeys(*Current, *Newest)});
+  }
+  Current = std::move(Newest);
+  while (!Steps.empty() &&
+         Current->State.value() - Steps.front().From.value() > MaxEntriesBehind)
+    Steps.pop_front();
+  Views.clear();
+  Deltas.clear();
+  return true;
+}
+
+MeshHistory::View &MeshHistory::viewOf(const Filter &Services) {
+  if (auto Found = Views.find(Services); Found != Views.end())
+    return Found->second;
+  if (Views.size() >= MaxCachedViews)
+    Views.clear();
+  View Fresh;
+  Fresh.Mesh = Current;
+  if (!Services.empty())
+    Fresh.Mesh = std::make_shared<const document::MeshSnapshot>(
+        document::filterServices(*Current, Services));
+  Fresh.Digest = Fresh.Mesh->digest();
+  return Views.emplace(Services, std::move(Fresh)).first->second;
+}
+
+std::uint64_t MeshHistory::digest(const Filter &Services) {
+  return viewOf(Services).Digest;
+}
+
+std::optional<document::MeshKeys>
+MeshHistory::changedSince(base::StateIndex State) const {
+  // Processes may take snapshots at different indexes of the same log. The
+  // step that covers `State` begins at or before it; the digest in the delta
+  // shows at the node whether the bases agree.
+  if (State == Current->State)
+    return document::MeshKeys();
+  if (Steps.empty() || State < Steps.front().From)
+    return std::nullopt;
+  document::MeshKeys Keys;
+  for (auto It = Steps.rbegin(); It != Steps.rend(); ++It) {
+    Keys.merge(It->Changed);
+    if (It->From <= State)
+      break;
+  }
+  return Keys;
+}
+
+MeshHistory::Encoded MeshHistory::deltaFrom(base::DocumentVersion Document,
+                                            base::StateIndex State,
+                                            const Filter &Services) {
+  if (!Current || State > Current->State ||
+      Current->State.value() - State.value() > MaxEntriesBehind)
+    return nullptr;
+  DeltaKey Key{Document.value(), State.value(), Services};
+  if (auto Found = Deltas.find(Key); Found != Deltas.end())
+    return Found->second;
+  auto Changed = changedSince(State);
+  if (!Changed)
+    return nullptr;
+  const View &Target = viewOf(Services);
+  document::MeshDelta Delta =
+      document::deltaOf(*Changed, *Target.Mesh, Target.Digest);
+  Delta.FromDocument = Document;
+  Delta.FromState = State;
+  auto Bytes =
+      std::make_shared<const base::Bytes>(document::encodeDelta(Delta));
+  ++DeltasEncoded;
+  if (Bytes->size() > MaxDeltaBytes)
+    Bytes = nullptr;
+  if (Deltas.size() >= MaxCachedDeltas)
+    Deltas.clear();
+  Deltas.emplace(std::move(Key), Bytes);
+  return Bytes;
+}
+
+std::shared_ptr<const std::vector<base::Bytes>>
+MeshHistory::pieces(const Filter &Services) {
+  View &Target = viewOf(Services);
+  if (!Target.Pieces)
+    Target.Pieces = std::make_shared<const std::vector<base::Bytes>>(
+        document::encodePieces(*Target.Mesh, Target.Digest));
+  return Target.Pieces;
+}
+
+} // namespace amaranth::control
--- /dev/null
+++ b/control/src/NodeStatistics.cpp
@@ -0,0 +1,163 @@
+#include "NodeStatistics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace amaranth::control::detail {
+
+namespace {
+
+constexpr std::size_t MaxVersions = 1000;
+constexpr base::Millis RecordRetention = base::Millis::seconds(600);
+/// The bound on convergence is 18 s; the last buckets show by how much a
+/// version missed it.
+const prometheus::Histogram::BucketBoundaries ConvergenceBuckets = {
+    50, 100, 200, 500, 1000, 2000, 5000, 10'000, 18'000, 60'000};
+
+prometheus::Counter &counter(prometheus::Registry &Metrics, const char *Name,
+                             const char *Help) {
+  return prometheus::BuildCounter().Name(Name).Help(Help).Register(Metrics).Add(
+      {});
+}
+
+} // namespace
+
+NodeStatistics::NodeStatistics(base::Clock &Time, prometheus::Registry &Metrics)
+    : Time(Time), Bytes(&counter(Metrics, "amaranth_control_bytes_total",
+                                 "Bytes sent to nodes")),
+      Snapshots(&counter(Metrics, "amaranth_control_snapshots_total",
+                         "Snapshots sent to nodes")),
+      Deltas(&counter(Metrics, "amaranth_control_deltas_total",
+                      "Deltas sent to nodes")),
+      RetryAfters(&counter(Metrics, "amaranth_control_retry_after_total",
+                           "Nodes told to come back later")),
+      Refusals(&counter(Metrics, "amaranth_control_refused_updates_total",
+                        "Updates that nodes refused")),
+      NodeCount(&prometheus::BuildGauge()
+                     .Name("amaranth_control_nodes")
+                     .Help("Connected nodes")
+                     .Register(Metrics)
+                     .Add({})),
+      Convergence(&prometheus::BuildHistogram()
+                       .Name("amaranth_control_convergence_ms")
+                       .Help("Time from commit to the last acknowledgement")
+                       .Register(Metrics)
+                       .Add({}, ConvergenceBuckets)) {}
+
+std::uint64_t NodeStatistics::connected(const protocol::Identity &Node) {
+  Record &Entry = Records[base::NodeId(Node.Id)];
+  if (Entry.Status.Connected)
+    leaveVersion(Entry.Status.Document);
+  else
+    NodeCount->Increment();
+  Entry.Status.Node = base::NodeId(Node.Id);
+  Entry.Status.Zone = Node.Zone;
+  Entry.Status.Connected = true;
+  Entry.Status.Document = {};
+  Entry.Status.State = {};
+  Entry.LastHeard = Time.now();
+  Entry.Connection = ++Connections;
+  return Entry.Connection;
+}
+
+void NodeStatistics::disconnected(const base::NodeId &Node,
+                                  std::uint64_t Connection) {
+  Record &Entry = Records[Node];
+  if (Entry.Connection != Connection)
+    return;
+  Entry.Status.Connected = false;
+  leaveVersion(Entry.Status.Document);
+  NodeCount->Decrement();
+  updateConvergence();
+}
+
+void NodeStatistics::heard(const base::NodeId &Node) {
+  Records[Node].LastHeard = Time.now();
+}
+
+void NodeStatistics::acknowledged(const base::NodeId &Node,
+                                  base::DocumentVersion Document,
+                                  base::StateIndex State) {
+  NodeStatus &Status = Records[Node].Status;
+  leaveVersion(Status.Document);
+  Status.Document = Document;
+  Status.State = State;
+  if (Document.value() != 0)
+    ++Acknowledged[Document];
+  updateConvergence();
+}
+
+void NodeStatistics::refused(const base::NodeId &Node,
+                             const std::string &Reason) {
+  NodeStatus &Status = Records[Node].Status;
+  ++Status.Failures;
+  Status.LastFailure = Reason;
+  Refusals->Increment();
+}
+
+void NodeStatistics::sent(const base::NodeId &Node, std::uint64_t Count) {
+  Records[Node].Status.BytesSent += Count;
+  Bytes->Increment(static_cast<double>(Count));
+}
+
+void NodeStatistics::countSnapshot() { Snapshots->Increment(); }
+void NodeStatistics::countDelta() { Deltas->Increment(); }
+void NodeStatistics::countRetryAfter() { RetryAfters->Increment(); }
+
+void NodeStatistics::committed(base::DocumentVersion Document) {
+  if (!Versions.empty() && Versions.back().Document >= Document)
+    return;
+  Versions.push_back({Document, Time.now(), std::nullopt});
+  if (Versions.size() > MaxVersions)
+    Versions.pop_front();
+}
+
+void NodeStatistics::leaveVersion(base::DocumentVersion Document) {
+  auto Found = Acknowledged.find(Document);
+  if (Found != Acknowledged.end() && --Found->second == 0)
+    Acknowledged.erase(Found);
+}
+
+void NodeStatistics::updateConvergence() {
+  if (Acknowledged.empty())
+    return;
+  base::DocumentVersion Oldest = Acknowledged.begin()->first;
+  for (auto It = Versions.rbegin(); It != Versions.rend(); ++It) {
+    if (It->Document > Oldest)
+      continue;
+    if (It->Took)
+      return;
+    It->Took = Time.now() - It->SeenAt;
+    Convergence->Observe(static_cast<double>(It->Took->count()));
+  }
+}
+
+std::vector<NodeStatus> NodeStatistics::nodes(base::StateIndex Newest) const {
+  std::vector<NodeStatus> All;
+  for (const auto &[Node, Entry] : Records) {
+    NodeStatus Status = Entry.Status;
+    if (Newest > Status.State)
+      Status.EntriesBehind = Newest.value() - Status.State.value();
+    Status.SinceHeard = Time.now() - Entry.LastHeard;
+    All.push_back(std::move(Status));
+  }
+  return All;
+}
+
+std::vector<VersionConvergence> NodeStatistics::convergence() const {
+  std::vector<VersionConvergence> All;
+  for (const Version &Entry : Versions)
+    All.push_back({Entry.Document, Entry.Took});
+  return All;
+}
+
+void NodeStatistics::prune() {
+  std::erase_if(Records, [&](const auto &Entry) {
+    return !Entry.second.Status.Connected &&
+           Time.now() - Entry.second.LastHeard > RecordRetention;
+  });
+}
+
+} // namespace amaranth::control::detail
--- /dev/null
+++ b/control/src/NodeStatistics.h
@@ -0,0 +1,77 @@
+#ifndef AMARANTH_CONTROL_SRC_NODESTATISTICS_H
+#define AMARANTH_CONTROL_SRC_NODESTATISTICS_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/control/NodeService.h"
+
+#include <deque>
+#include <map>
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+} // namespace prometheus
+
+namespace amaranth::control::detail {
+
+/// What operators see of the nodes: status, convergence, metrics.
+class NodeStatistics {
+public:
+  NodeStatistics(base::Clock &Time, prometheus::Registry &Metrics);
+
+  /// Returns a number for `disconnected`, which tells the connections of one
+  /// node apart: an older one may end after the newer one was accepted.
+  std::uint64_t connected(const protocol::Identity &Node);
+  void disconnected(const base::NodeId &Node, std::uint64_t Connection);
+  void heard(const base::NodeId &Node);
+  /// The node has these versions in force.
+  void acknowledged(const base::NodeId &Node, base::DocumentVersion Document,
+                    base::StateIndex State);
+  void refused(const base::NodeId &Node, const std::string &Reason);
+  void sent(const base::NodeId &Node, std::uint64_t Bytes);
+  void countSnapshot();
+  void countDelta();
+  void countRetryAfter();
+
+  /// A snapshot with this document version is the newest one here.
+  void committed(base::DocumentVersion Document);
+
+  std::vector<NodeStatus> nodes(base::StateIndex Newest) const;
+  std::vector<VersionConvergence> convergence() const;
+  /// Forgets nodes that are gone for ten minutes.
+  void prune();
+
+private:
+  struct Record {
+    NodeStatus Status;
+    base::TimePoint LastHeard;
+    std::uint64_t Connection = 0;
+  };
+  struct Version {
+    base::DocumentVersion Document;
+    base::TimePoint SeenAt;
+    std::optional<base::Millis> Took;
+  };
+
+  void leaveVersion(base::DocumentVersion Document);
+  void updateConvergence();
+
+  base::Clock &Time;
+  std::uint64_t Connections = 0;
+  std::map<base::NodeId, Record> Records;
+  /// Number of connected nodes by acknowledged document version.
+  std::map<base::DocumentVersion, std::size_t> Acknowledged;
+  std::deque<Version> Versions;
+  prometheus::Counter *Bytes;
+  prometheus::Counter *Snapshots;
+  prometheus::Counter *Deltas;
+  prometheus::Counter *RetryAfters;
+  prometheus::Counter *Refusals;
+  prometheus::Gauge *NodeCount;
+  prometheus::Histogram *Convergence;
+};
+
+} // namespace amaranth::control::detail
+
+#endif
--- /dev/null
+++ b/control/test/DistributionTables_test.cpp
@@ -0,0 +1,96 @@
+#include "amaranth/base/Error.h"
+#include "amaranth/control/EvidenceTable.h"
+#include "amaranth/control/FollowMessages.h"
+#include "amaranth/control/LeaseTable.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+namespace amaranth::control {
+
+class DistributionTablesTest {
+protected:
+  void putEndpoints(int Count) {
+    for (int I = 0; I < Count; ++I) {
+      document::Endpoint Entry;
+      Entry.Id = base::EndpointId(fmt::format("u{:04}", I));
+      Entry.Node = node(I);
+      Entry.State = document::EndpointState::Ready;
+      Mesh.Endpoints[Entry.Id] = Entry;
+    }
+  }
+  static base::NodeId node(int I) {
+    return base::NodeId(fmt::format("n{:04}", I));
+  }
+  static base::TimePoint at(std::int64_t Ms) { return base::TimePoint(Ms); }
+
+  document::MeshSnapshot Mesh;
+  LeaseTable Leases;
+  EvidenceTable Evidence;
+};
+
+// Guards against a new leader that expires every endpoint because it has not
+// heard any node yet.
+TEST_CASE_METHOD(DistributionTablesTest,
+                 "LeaseTable of a new leader grants a full lease") {
+  putEndpoints(3);
+  Leases.reset(at(100'000));
+  CHECK(Leases.expired(Mesh, at(107'999)).Items.empty());
+  Leases.heard(node(1), at(104'000));
+  auto Expired = Leases.expired(Mesh, at(108'000)).Items;
+  REQUIRE(Expired.size() == 2);
+  CHECK(Expired[0].Id.value() == "u0000");
+  CHECK(Leases.expired(Mesh, at(112'000)).Items.size() == 3);
+}
+
+TEST_CASE_METHOD(DistributionTablesTest,
+                 "LeaseTable expires at most 200 and skips unreachable ones") {
+  putEndpoints(500);
+  Leases.reset(at(0));
+  auto First = Leases.expired(Mesh, at(8000)).Items;
+  REQUIRE(First.size() == 200);
+  for (const auto &Item : First)
+    Mesh.Endpoints[Item.Id].State = document::EndpointState::Unreachable;
+  CHECK(Leases.expired(Mesh, at(9000)).Items.front().Id.value() == "u0200");
+}
+
+TEST_CASE_METHOD(DistributionTablesTest,
+                 "EvidenceTable sums windows and rollout totals") {
+  base::ServiceName Service("plati");
+  Mesh.Services[Service].HasRollout = true;
+  Mesh.Services[Service].Rollout.Section = base::Revision(4);
+  rollout::EvidenceReport Report;
+  rollout::EvidenceKey Key{Service, base::VersionName("v2"),
+                           base::RouteName("pay")};
+  Report.Counts[Key].add(true, base::Millis(10));
+  Evidence.add(Report, Mesh, at(1200));
+  Evidence.add(Report, Mesh, at(1900));
+  Evidence.add(Report, Mesh, at(2100));
+  CHECK(Evidence.windows().size() == 2);
+  CHECK(Evidence.since(Service, at(1000))[Key].Errors == 3);
+  CHECK(Evidence.since(Service, at(2000))[Key].Errors == 1);
+  CHECK(Evidence.totals(Service, base::Revision(4))[Key].Requests == 3);
+  Evidence.add(Report, Mesh, at(700'000));
+  CHECK(Evidence.windows().size() == 1);
+  Mesh.Services[Service].Rollout.Section = base::Revision(9);
+  Evidence.add(Report, Mesh, at(710'000));
+  CHECK(Evidence.totals(Service, base::Revision(4)).empty());
+}
+
+TEST_CASE_METHOD(DistributionTablesTest,
+                 "LeaderReport is decoded as it was encoded") {
+  LeaderReport Report;
+  Report.Nodes = {node(1), node(2)};
+  rollout::EvidenceKey Key{base::ServiceName("s"), base::VersionName("v"),
+                           base::RouteName("r")};
+  Report.Evidence.Counts[Key].add(false, base::Millis(70));
+  base::Bytes Encoded = encode(Report);
+  LeaderReport Decoded = decodeLeaderReport(Encoded);
+  CHECK(Decoded.Nodes == Report.Nodes);
+  CHECK(Decoded.Evidence.Counts[Key].Latency ==
+        Report.Evidence.Counts[Key].Latency);
+  Encoded.resize(Encoded.size() / 2);
+  CHECK_THROWS_AS(decodeLeaderReport(Encoded), base::ProtocolError);
+}
+
+} // namespace amaranth::control
--- /dev/null
+++ b/follower/src/CallTable.cpp
@@ -0,0 +1,45 @@
+#include "CallTable.h"
+
+#include "amaranth/base/Timeout.h"
+
+namespace asio = boost::asio;
+
+namespace amaranth::follower::detail {
+
+std::uint64_t CallTable::open() {
+  Pending.emplace(++LastId, std::make_shared<Call>(Executor));
+  return LastId;
+}
+
+asio::awaitable<std::optional<control::CallReply>>
+CallTable::wait(std::uint64_t Id, base::Clock &Time, base::TimePoint Deadline) {
+  auto Entry = Pending.at(Id);
+  /// Removes the call also when the waiting coroutine is cancelled.
+  struct Removal {
+    CallTable &Table;
+    std::uint64_t Id;
+    ~Removal() { Table.Pending.erase(Id); }
+  };
+  Removal Remove{*this, Id};
+  while (!Entry->Answer && !Entry->Lost && Time.now() < Deadline)
+    co_await base::withTimeout(Time, Deadline - Time.now(),
+                               Entry->Changed.wait());
+  co_return std::move(Entry->Answer);
+}
+
+void CallTable::finish(std::uint64_t Id, control::CallReply Answer) {
+  auto Found = Pending.find(Id);
+  if (Found == Pending.end())
+    return;
+  Found->second->Answer = std::move(Answer);
+  Found->second->Changed.notifyAll();
+}
+
+void CallTable::failAll() {
+  for (const auto &[Id, Entry] : Pending) {
+    Entry->Lost = true;
+    Entry->Changed.notifyAll();
+  }
+}
+
+} // namespace amaranth::follower::detail
--- /dev/null
+++ b/follower/src/Follower.cpp
@@ -0,0 +1,84 @@
+#include "amaranth/follower/Follower.h"
+
+#include "CallTable.h"
+#include "ControlChooser.h"
+#include "EndpointPublisher.h"
+#include "FollowerImpl.h"
+#include "SnapshotApplier.h"
+#include "amaranth/base/Log.h"
+#include "amaranth/base/Timeout.h"
+#include "amaranth/replication/ReplicatedLog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace asio = boost::asio;
+
+namespace amaranth::follower {
+
+Follower::Follower(FollowerSettings Settings,
+                   const asio::any_io_executor &Executor, base::Clock &Time,
+                   protocol::Dialer &Dial, prometheus::Registry &Metrics)
+    : Shared(std::make_shared<Impl>(std::move(Settings), Executor, Time, Dial,
+                                    Metrics)) {}
+
+Follower::~Follower() { stop(); }
+
+void Follower::start() {
+  auto Run = [this](auto Loop) {
+    asio::co_spawn(
+        Shared->Executor,
+        [Self = Shared, Loop]() -> asio::awaitable<void> {
+          co_await ((*Self).*Loop)();
+        },
+        asio::detached);
+  };
+  Run(&Impl::connectLoop);
+  Run(&Impl::tickLoop);
+}
+
+void Follower::stop() { Shared->stop(); }
+
+std::shared_ptr<const document::MeshSnapshot> Follower::current() const {
+  return Shared->Applier.current();
+}
+
+base::Signal &Follower::changed() { return Shared->SnapshotChanged; }
+
+asio::awaitable<control::CommandResult> Follower::call(control::Command Request,
+                                                       base::Millis Timeout) {
+  auto Self = Shared;
+  base::TimePoint Deadline = Self->Time.now() + Timeout;
+  base::Bytes Encoded = control::encodeCommand(Request);
+  co_await Self->waitConnected(Deadline);
+  if (!Self->isConnected())
+    throw replication::NotLeader("no control process is connected");
+  if (Self->Calls.size() >= Self->Settings.MaxCalls)
+    throw replication::NotLeader("too many calls are in flight");
+  std::uint64_t Id = Self->sendCall(std::move(Encoded), Deadline);
+  auto Answer = co_await Self->Calls.wait(Id, Self->Time, Deadline);
+  if (!Answer)
+    throw base::TimeoutError("no answer from the control process");
+  if (Answer->Status == control::CallStatus::NotApplied)
+    throw replication::NotLeader(Answer->Reason);
+  if (Answer->Status == control::CallStatus::Unknown)
+    throw base::TimeoutError(Answer->Reason);
+  co_return control::decodeResult(Answer->Result);
+}
+
+void Follower::publish(document::Endpoint Entry) {
+  Shared->addService(Entry.Service);
+  Shared->Publisher.publish(std::move(Entry));
+  Shared->sendEndpoints(false);
+}
+
+void Follower::report(const rollout::EvidenceReport &Report) {
+  for (const auto &[Key, Counts] : Report.Counts)
+    if (Shared->Evidence.Counts.size() < control::MaxEvidenceEntries ||
+        Shared->Evidence.Counts.contains(Key))
+      Shared->Evidence.Counts[Key] += Counts;
+}
+
+FollowerStatus Follower::status() const { return Shared->status(); }
+
+} // namespace amaranth::follower
--- /dev/null
+++ b/follower/src/SnapshotApplier.cpp
@@ -0,0 +1,59 @@
+#include "SnapshotApplier.h"
+
+#include "amaranth/base/Invariant.h"
+
+#include <fmt/format.h>
+
+namespace amaranth::follower::detail {
+
+bool SnapshotApplier::takePiece(base::ByteView Data) {
+  std::shared_ptr<const document::MeshSnapshot> Next;
+  try {
+    Next = Pieces.add(Data);
+  } catch (const base::ProtocolError &Failure) {
+    throw UpdateRefused(Pieces.state(), Failure.what());
+  }
+  if (!Next)
+    return false;
+  replace(std::move(Next));
+  return true;
+}
+
+void SnapshotApplier::takeDelta(base::ByteView Data) {
+  base::StateIndex State;
+  std::shared_ptr<const document::MeshSnapshot> Next;
+  try {
+    document::MeshDelta Delta = document::decodeDelta(Data);
+    State = Delta.ToState;
+    if (!Current)
+      throw document::DeltaMismatch("a delta arrived before any snapshot");
+    Next = document::applyDelta(*Current, Delta);
+  } catch (const base::Error &Failure) {
+    throw UpdateRefused(State, Failure.what());
+  }
+  replace(std::move(Next));
+}
+
+void SnapshotApplier::replace(
+    std::shared_ptr<const document::MeshSnapshot> Next) {
+  if (auto Faults = Next->faults(); !Faults.empty())
+    throw UpdateRefused(
+        Next->State,
+        fmt::format("{} faults, the first: {}", Faults.size(), Faults.front()));
+  if (Current &&
+      (Next->Document < Current->Document || Next->State < Current->State))
+    throw UpdateRefused(
+        Next->State,
+        fmt::format("document {} state {} is older than {} and {} in force",
+                    Next->Document.value(), Next->State.value(),
+                    Current->Document.value(), Current->State.value()));
+  AMARANTH_INVARIANT(!Current || (Next->Document >= Current->Document &&
+                                  Next->State >= Current->State),
+                     "a node must never return to an older version");
+  AMARANTH_INVARIANT(Next->faults().empty(),
+                     "a snapshot with faults must never be in force");
+  Digest = Next->digest();
+  Current = std::move(Next);
+}
+
+} // namespace amaranth::follower::detail
--- /dev/null
+++ b/follower/test/Simulation.cpp
@@ -0,0 +1,330 @@
+#include "Simulation.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace amaranth::follower::testing {
+
+DelayedChannel::DelayedChannel(
+    std::shared_ptr<protocol::testing::MemoryChannel> Inner, base::Clock &Time,
+    std::shared_ptr<LinkModel> Model, const asio::any_io_executor &Executor)
+    : Inner(std::move(Inner)), Time(Time), Model(std::move(Model)),
+      Executor(Executor) {}
+
+asio::awaitable<void> DelayedChannel::send(protocol::MessageType Type,
+                                           std::uint64_t Stream,
+                                           base::Bytes Payload) {
+  if (!isOpen())
+    throw protocol::ChannelClosed("closed");
+  post(Type, Stream, std::move(Payload));
+  co_return;
+}
+
+void DelayedChannel::post(protocol::MessageType Type, std::uint64_t Stream,
+                          base::Bytes Payload) {
+  // The real channel throws on an oversized frame.
+  protocol::encodeFrameHeader(Type, Stream, Payload.size());
+  protocol::Frame Message{Type, Stream, std::move(Payload)};
+  if (Tamper)
+    Tamper(Message);
+  if (Model->Silent)
+    return;
+  auto Transfer = base::Millis(
+      static_cast<std::int64_t>(Message.Payload.size() / Model->BytesPerMs));
+  Model->FreeAt = std::max(Model->FreeAt, Time.now()) + Transfer;
+  base::TimePoint Due = Model->FreeAt + Model->Latency;
+  asio::co_spawn(
+      Executor,
+      [To = Inner, &Time = Time, Due, Message]() -> asio::awaitable<void> {
+        co_await Time.sleepUntil(Due);
+        To->post(Message.Type, Message.Stream, Message.Payload);
+      },
+      asio::detached);
+}
+
+asio::awaitable<protocol::Frame> DelayedChannel::receive() {
+  co_return co_await Inner->receive();
+}
+
+asio::awaitable<base::Bytes> FakeLog::propose(base::Bytes Command,
+                                              base::Millis Timeout) {
+  ++Proposals;
+  if (Behaviour == Mode::NotLeader)
+    throw replication::NotLeader("no leader is known");
+  if (Behaviour == Mode::Hang) {
+    co_await Time.sleepFor(Timeout);
+    throw base::TimeoutError("no majority answered");
+  }
+  co_await Time.sleepFor(base::Millis(2));
+  control::CommandResult Result = Apply(control::decodeCommand(Command));
+  if (Behaviour == Mode::CommitAndHang) {
+    co_await Time.sleepFor(Timeout);
+    throw base::TimeoutError("no answer of the leader");
+  }
+  co_return control::encodeResult(Result);
+}
+
+asio::awaitable<base::LogIndex> FakeLog::readIndex(base::Millis Timeout) {
+  if (!Current) {
+    co_await Time.sleepFor(Timeout);
+    throw base::TimeoutError("no majority answered");
+  }
+  co_await Time.sleepFor(base::Millis(1));
+  co_return Applied;
+}
+
+namespace {
+
+class SimulatedDialer final : public protocol::Dialer {
+public:
+  SimulatedDialer(Simulation &Owner, protocol::Identity Self)
+      : Owner(Owner), Self(std::move(Self)) {}
+
+  asio::awaitable<std::shared_ptr<protocol::Channel>>
+  dial(base::Address Peer, base::Millis) override {
+    Simulation::Control &Target = *Owner.Controls.at(Peer.Port);
+    co_await Owner.Time.sleepFor(Target.Links->Latency * 3);
+    if (Target.Down || Target.Links->Silent)
+      throw protocol::ChannelClosed("connection refused");
+    auto Executor = Owner.Context.get_executor();
+    protocol::Identity Server{protocol::Role::Control, "1", {}};
+    auto [Near, Far] =
+        protocol::testing::makeChannelPair(Executor, Self, Server);
+    // The node's own uplink is not shared with the other nodes.
+    auto Uplink = std::make_shared<LinkModel>();
+    Uplink->Latency = Target.Links->Latency;
+    auto Left =
+        std::make_shared<DelayedChannel>(Near, Owner.Time, Uplink, Executor);
+    auto Right = std::make_shared<DelayedChannel>(Far, Owner.Time, Target.Links,
+                                                  Executor);
+    Right->Tamper = [&Target](protocol::Frame &Message) {
+      if (Target.Tamper)
+        Target.Tamper(Message);
+    };
+    Target.Open.push_back(Right);
+    asio::co_spawn(
+        Executor,
+        [Service = Target.Service.get(), Right]() -> asio::awaitable<void> {
+          co_await Service->serve(Right);
+        },
+        asio::detached);
+    co_return Left;
+  }
+
+private:
+  Simulation &Owner;
+  protocol::Identity Self;
+};
+
+} // namespace
+
+Simulation::Simulation(std::size_t Count, std::uint64_t Seed) : Random(Seed) {
+  Newest = std::make_shared<document::MeshSnapshot>();
+  for (std::size_t I = 0; I < Count; ++I) {
+    auto Process = std::make_unique<Control>();
+    Process->Log = std::make_shared<FakeLog>(
+        Context.get_executor(), Time,
+        [this](const control::Command &Request) { return apply(Request); });
+    Process->Log->Leads = I == 0;
+    Process->Mesh = Newest;
+    Process->Metrics = std::make_unique<prometheus::Registry>();
+    control::NodeServiceSettings Settings;
+    Settings.Seed = Seed + I + 1;
+    Process->Service = std::make_unique<control::NodeService>(
+        Settings, Context.get_executor(), Time, *Process->Log,
+        [Owner = Process.get()] { return Owner->Mesh; }, *Process->Metrics);
+    Process->Log->ToLeader = [this](base::Bytes Message) {
+      Controls[0]->Service->receiveReport(Message);
+    };
+    Process->Service->start();
+    Controls.push_back(std::move(Process));
+  }
+  commit(true, [](document::MeshSnapshot &) {});
+}
+
+Simulation::~Simulation() {
+  for (Node &Entry : Nodes)
+    Entry.Follow->stop();
+  for (auto &Process : Controls)
+    Process->Service->stop();
+  // Ends the tasks while everything that they refer to exists.
+  run(base::Millis::seconds(40));
+}
+
+Follower &Simulation::addNode(const std::string &Name,
+                              std::set<base::ServiceName> Services) {
+  FollowerSettings Settings;
+  Settings.Node = base::NodeId(Name);
+  Settings.Zone = base::AvailabilityZone("z");
+  Settings.Services = std::move(Services);
+  Settings.Seed = Random();
+  for (std::size_t I = 0; I < Controls.size(); ++I)
+    Settings.Controls.push_back(
+        {address(I), base::AvailabilityZone(I == 0 ? "z" : "y")});
+  Node Entry;
+  Entry.Dial = std::make_unique<SimulatedDialer>(
+      *this, protocol::Identity{protocol::Role::Node, Name, Settings.Zone});
+  Entry.Metrics = std::make_unique<prometheus::Registry>();
+  Entry.Follow = std::make_unique<Follower>(Settings, Context.get_executor(),
+                                            Time, *Entry.Dial, *Entry.Metrics);
+  Entry.Follow->start();
+  Nodes.push_back(std::move(Entry));
+  return *Nodes.back().Follow;
+}
+
+void Simulation::removeNode(std::size_t Index) {
+  Nodes[Index].Follow->stop();
+  run(base::Millis::seconds(6));
+  Nodes.erase(Nodes.begin() + static_cast<std::ptrdiff_t>(Index));
+}
+
+void Simulation::deliver(Control &Process) {
+  Process.Mesh = Newest;
+  Process.Log->Applied = base::LogIndex(Newest->State.value());
+  Process.Log->changed().notifyAll();
+}
+
+void Simulation::commit(
+    bool Document,
+    const std::function<void(document::MeshSnapshot &)> &Change) {
+  auto Next = std::make_shared<document::MeshSnapshot>(*Newest);
+  Change(*Next);
+  Next->State = base::StateIndex(NextIndex);
+  if (Document)
+    Next->Document = base::DocumentVersion(NextIndex);
+  ++NextIndex;
+  Newest = Next;
+  for (auto &Process : Controls)
+    if (!Process->Lagging)
+      deliver(*Process);
+}
+
+void Simulation::catchUp(Control &Process) {
+  Process.Lagging = false;
+  deliver(Process);
+}
+
+control::CommandResult Simulation::apply(const control::Command &Request) {
+  control::CommandResult Result;
+  Result.Code = control::ResultCode::Accepted;
+  if (const auto *Put = std::get_if<control::PutEndpoint>(&Request)) {
+    auto Known = Newest->Endpoints.find(Put->Entry.Id);
+    if (Known != Newest->Endpoints.end() &&
+        std::pair(Known->second.Incarnation, Known->second.Sequence) >=
+            std::pair(Put->Entry.Incarnation, Put->Entry.Sequence)) {
+      Result.Code = control::ResultCode::Conflict;
+      return Result;
+    }
+    commit(false, [&](document::MeshSnapshot &Mesh) {
+      Mesh.Endpoints[Put->Entry.Id] = Put->Entry;
+    });
+  }
+  if (const auto *Expiry = std::get_if<control::ExpireEndpoints>(&Request))
+    commit(false, [&](document::MeshSnapshot &Mesh) {
+      for (const auto &Item : Expiry->Items)
+        Mesh.Endpoints[Item.Id].State = document::EndpointState::Unreachable;
+    });
+  return Result;
+}
+
+void Simulation::cut(Control &Process, bool Down) {
+  Process.Down = Down;
+  for (const auto &Link : std::exchange(Process.Open, {}))
+    if (auto Open = Link.lock())
+      Open->close("cut");
+}
+
+void Simulation::silence(Control &Process) {
+  Process.Links->Silent = true;
+  SilentSince[&Process] = Time.now();
+}
+
+void Simulation::closeSilent() {
+  for (const auto &[Process, Since] : SilentSince)
+    if (Process->Links->Silent &&
+        Time.now() - Since >= protocol::SilenceTimeout)
+      cut(*Process, Process->Down);
+}
+
+void Simulation::poll() {
+  Context.restart();
+  Context.poll();
+}
+
+void Simulation::run(base::Millis Span) {
+  base::TimePoint End = Time.now() + Span;
+  poll();
+  while (Time.now() < End) {
+    base::TimePoint Next =
+        std::min({End, Time.nextDeadline(), Time.now() + base::Millis(100)});
+    Time.advance(std::max(Next - Time.now(), base::Millis(1)));
+    closeSilent();
+    poll();
+  }
+}
+
+base::Millis Simulation::runUntil(const std::function<bool()> &Done,
+                                  base::Millis Limit) {
+  base::TimePoint Start = Time.now();
+  poll();
+  while (!Done() && Time.now() - Start < Limit)
+    run(base::Millis(1));
+  INFO("simulated ms " << (Time.now() - Start).count());
+  REQUIRE(Done());
+  return Time.now() - Start;
+}
+
+bool Simulation::converged() const {
+  return std::all_of(Nodes.begin(), Nodes.end(), [&](const Node &Entry) {
+    auto Mesh = Entry.Follow->current();
+    return Mesh && Mesh->State == Newest->State;
+  });
+}
+
+document::Endpoint Simulation::endpoint(int Index, const std::string &Node) {
+  document::Endpoint Entry;
+  Entry.Id = base::EndpointId(fmt::format("upstream-{:04}", Index));
+  Entry.Node = base::NodeId(Node);
+  Entry.NodeAddress = {"10.1.0.1", 7001};
+  Entry.Service = base::ServiceName("service-0000");
+  Entry.Version = base::VersionName("v1");
+  Entry.Zone = base::AvailabilityZone("sve-mitt-1");
+  Entry.Slots = 12;
+  Entry.State = document::EndpointState::Ready;
+  Entry.Incarnation = 1'700'000'000'000;
+  Entry.Sequence = 1;
+  return Entry;
+}
+
+void Simulation::fill(int Services, int Routes, int Endpoints) {
+  commit(true, [&](document::MeshSnapshot &Mesh) {
+    auto Name = [](int I) {
+      return base::ServiceName(fmt::format("service-{:04}", I));
+    };
+    for (int I = 0; I < Services; ++I) {
+      document::Service Entry;
+      Entry.Name = Name(I);
+      Entry.Versions = {{base::VersionName("v1"), document::FullShare, false}};
+      Mesh.Services[Entry.Name] = Entry;
+    }
+    for (int I = 0; I < Routes; ++I) {
+      document::Route Entry{base::RouteName(fmt::format("route-{:04}", I)),
+                            fmt::format("/part/{:04}", I), Name(I % Services),
+                            base::Millis(1000), false};
+      Mesh.Routes[Entry.Name] = Entry;
+    }
+    for (int I = 0; I < Endpoints; ++I) {
+      document::Endpoint Entry = endpoint(I, fmt::format("other-{}", I));
+      Entry.Service = Name(I % Services);
+      Mesh.Endpoints[Entry.Id] = Entry;
+    }
+  });
+}
+
+} // namespace amaranth::follower::testing
--- /dev/null
+++ b/follower/test/Simulation.h
@@ -0,0 +1,179 @@
+#ifndef AMARANTH_FOLLOWER_TEST_SIMULATION_H
+#define AMARANTH_FOLLOWER_TEST_SIMULATION_H
+
+#include "MemoryChannel.h"
+#include "amaranth/base/Clock.h"
+#include "amaranth/control/NodeService.h"
+#include "amaranth/follower/Follower.h"
+
+#include <boost/asio/io_context.hpp>
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace amaranth::follower::testing {
+
+/// What the links of one control process share.
+struct LinkModel {
+  base::Millis Latency = base::Millis(1);
+  /// 1 Gbit/s.
+  std::uint64_t BytesPerMs = 125'000;
+  base::TimePoint FreeAt;
+  /// Messages are lost without an error; the links close after the silence
+  /// timeout, as the real channel does.
+  bool Silent = false;
+};
+
+/// One end of a link with latency and a shared bandwidth.
+class DelayedChannel final : public protocol::Channel {
+public:
+  DelayedChannel(std::shared_ptr<protocol::testing::MemoryChannel> Inner,
+                 base::Clock &Time, std::shared_ptr<LinkModel> Model,
+                 const boost::asio::any_io_executor &Executor);
+
+  const protocol::Identity &peer() const override { return Inner->peer(); }
+  boost::asio::awaitable<void> send(protocol::MessageType Type,
+                                    std::uint64_t Stream,
+                                    base::Bytes Payload) override;
+  void post(protocol::MessageType Type, std::uint64_t Stream,
+            base::Bytes Payload) override;
+  boost::asio::awaitable<protocol::Frame> receive() override;
+  void close(const std::string &Reason) override { Inner->close(Reason); }
+  bool isOpen() const override { return Inner->isOpen(); }
+  std::uint64_t bytesSent() const override { return Inner->bytesSent(); }
+  std::uint64_t bytesReceived() const override {
+    return Inner->bytesReceived();
+  }
+
+  /// Changes each frame before it is sent.
+  std::function<void(protocol::Frame &)> Tamper;
+
+private:
+  std::shared_ptr<protocol::testing::MemoryChannel> Inner;
+  base::Clock &Time;
+  std::shared_ptr<LinkModel> Model;
+  boost::asio::any_io_executor Executor;
+};
+
+/// The log of one simulated control process.
+class FakeLog final : public replication::ReplicatedLog {
+public:
+  enum class Mode { Commit, NotLeader, Hang, CommitAndHang };
+  using Commit =
+      std::function<control::CommandResult(const control::Command &)>;
+
+  FakeLog(const boost::asio::any_io_executor &Executor, base::Clock &Time,
+          Commit Apply)
+      : Apply(std::move(Apply)), Time(Time), Changed(Executor) {}
+
+  boost::asio::awaitable<base::Bytes> propose(base::Bytes Command,
+                                              base::Millis Timeout) override;
+  boost::asio::awaitable<base::LogIndex>
+  readIndex(base::Millis Timeout) override;
+  bool isLeader() const override { return Leads; }
+  std::optional<base::ReplicaId> leader() const override { return self(); }
+  base::ReplicaId self() const override { return base::ReplicaId(1); }
+  base::Term term() const override { return CurrentTerm; }
+  base::LogIndex appliedIndex() const override { return Applied; }
+  base::LogIndex commitIndex() const override { return Applied; }
+  base::Millis sinceCurrent() const override { return SinceCurrent; }
+  std::vector<replication::MemberStatus> members() const override { return {}; }
+  base::Signal &changed() override { return Changed; }
+  void postToLeader(base::Bytes Message) override {
+    if (ToLeader)
+      ToLeader(std::move(Message));
+  }
+
+  Mode Behaviour = Mode::Commit;
+  bool Leads = false;
+  /// `readIndex` succeeds.
+  bool Current = true;
+  base::Term CurrentTerm = base::Term(1);
+  base::LogIndex Applied;
+  base::Millis SinceCurrent;
+  std::function<void(base::Bytes)> ToLeader;
+  std::size_t Proposals = 0;
+
+private:
+  Commit Apply;
+  base::Clock &Time;
+  base::Signal Changed;
+};
+
+/// Some control processes and nodes on a manual clock.
+class Simulation {
+public:
+  struct Control {
+    std::shared_ptr<FakeLog> Log;
+    std::shared_ptr<const document::MeshSnapshot> Mesh;
+    std::shared_ptr<LinkModel> Links = std::make_shared<LinkModel>();
+    std::unique_ptr<prometheus::Registry> Metrics;
+    std::unique_ptr<control::NodeService> Service;
+    bool Down = false;
+    /// Commits do not reach this process.
+    bool Lagging = false;
+    std::vector<std::weak_ptr<DelayedChannel>> Open;
+    std::function<void(protocol::Frame &)> Tamper;
+  };
+  struct Node {
+    std::unique_ptr<protocol::Dialer> Dial;
+    std::unique_ptr<prometheus::Registry> Metrics;
+    std::unique_ptr<Follower> Follow;
+  };
+
+  /// The first control process leads.
+  explicit Simulation(std::size_t Controls, std::uint64_t Seed = 1);
+  ~Simulation();
+
+  Follower &addNode(const std::string &Name,
+                    std::set<base::ServiceName> Services = {});
+  void removeNode(std::size_t Index);
+
+  /// Commits a change of the mesh. `Document`: it gets a new document version.
+  void commit(bool Document,
+              const std::function<void(document::MeshSnapshot &)> &Change);
+  /// Gives a lagging process the newest state.
+  void catchUp(Control &Process);
+  /// Ends all connections of a process; `Down`: new ones are refused.
+  void cut(Control &Process, bool Down);
+  void silence(Control &Process);
+
+  void run(base::Millis Span);
+  /// Runs until the condition holds; fails the test after `Limit`. Returns
+  /// the simulated time that it took.
+  base::Millis runUntil(const std::function<bool()> &Done,
+                        base::Millis Limit = base::Millis::seconds(60));
+  /// Whether every node has the newest content in force.
+  bool converged() const;
+  static base::Address address(std::size_t Control) {
+    return {"10.0.0.1", static_cast<std::uint16_t>(Control)};
+  }
+
+  /// Fills the mesh: services, routes and endpoints of other nodes.
+  void fill(int Services, int Routes, int Endpoints);
+  document::Endpoint endpoint(int Index, const std::string &Node);
+
+  boost::asio::io_context Context;
+  base::ManualClock Time;
+  std::mt19937_64 Random;
+  std::uint64_t NextIndex = 1;
+  std::shared_ptr<const document::MeshSnapshot> Newest;
+  std::vector<std::unique_ptr<Control>> Controls;
+  std::vector<Node> Nodes;
+
+private:
+  void poll();
+  control::CommandResult apply(const control::Command &Request);
+  void deliver(Control &Process);
+  void closeSilent();
+
+  std::map<Control *, base::TimePoint> SilentSince;
+};
+
+} // namespace amaranth::follower::testing
+
+#endif
