Connect the rollout controller to the control state

The controller reads running rollouts from the control state and evidence from the node service, and commits decisions through the log. Boost.JSON is compiled once for all programs.

--- /dev/null
+++ b/base/src/JsonImpl.cpp
@@ -0,0 +1,2 @@
+// Compiles Boost.JSON once for all programs.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/control/include/amaranth/control/RolloutAdapter.h
@@ -0,0 +1,48 @@
+#ifndef AMARANTH_CONTROL_ROLLOUTADAPTER_H
+#define AMARANTH_CONTROL_ROLLOUTADAPTER_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/control/ControlState.h"
+#include "amaranth/control/EvidenceTable.h"
+#include "amaranth/replication/ReplicatedLog.h"
+#include "amaranth/rollout/RolloutController.h"
+
+namespace amaranth::control {
+
+/// The rollouts of the control state, as the rollout controller sees them.
+/// The references must outlive it.
+class ReplicatedRolloutStore final : public rollout::RolloutStore {
+public:
+  ReplicatedRolloutStore(replication::ReplicatedLog &Log,
+                         const ControlState &State);
+
+  bool isLeader() const override;
+  base::Term term() const override;
+  std::vector<rollout::RunningRollout> running() const override;
+  boost::asio::awaitable<rollout::DecideResult>
+  decide(rollout::Decision Value) override;
+
+private:
+  replication::ReplicatedLog &Log;
+  const ControlState &State;
+};
+
+/// The evidence that nodes reported to this process while it leads. The
+/// references must outlive it.
+class ReportedEvidence final : public rollout::EvidenceSource {
+public:
+  ReportedEvidence(const EvidenceTable &Table, const ControlState &State,
+                   base::Clock &Time);
+
+  std::vector<rollout::EvidenceWindow>
+  windowsSince(const rollout::RolloutPlan &Plan, base::WallTime Since) override;
+
+private:
+  const EvidenceTable &Table;
+  const ControlState &State;
+  base::Clock &Time;
+};
+
+} // namespace amaranth::control
+
+#endif
--- a/tools/bench/src/JsonImpl.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-// Compiles Boost.JSON once for this program.
-#include <boost/json/src.hpp>
