--- a/control/include/amaranth/control/ControlState.h
+++ b/control/include/amaranth/control/ControlState.h
@@ -66,6 +66,8 @@
 
   base::Bytes apply(const replication::AppliedEntry &Entry) override;
   base::Bytes snapshot() const override;
+  /// Throws `base::ProtocolError` and changes nothing when the snapshot is
+  /// malformed, inconsistent or older than the present state.
   void restore(base::ByteView Snapshot) override;
 
   base::DocumentVersion documentVersion() const;
--- a/control/src/ControlState.cpp
+++ b/control/src/ControlState.cpp
@@ -277,11 +277,14 @@
     throw base::ProtocolError("malformed snapshot of the control state");
   auto Next = std::make_unique<Impl>();
   Next->decode(*flatbuffers::GetRoot<wire::ControlSnapshot>(Snapshot.data()));
-  AMARANTH_INVARIANT(Next->LastIndex >= Self->LastIndex &&
-                         Next->LastTime >= Self->LastTime &&
-                         Next->Book.version() >= Self->Book.version(),
-                     "a snapshot is older than the state it replaces");
+  // Refused rather than asserted: the snapshot may be damaged.
+  if (Next->LastIndex < Self->LastIndex || Next->LastTime < Self->LastTime ||
+      Next->Book.version() < Self->Book.version())
+    throw base::ProtocolError("a snapshot is older than the state it replaces");
+  base::DocumentVersion Before = Self->Book.version();
   Self = std::move(Next);
+  AMARANTH_INVARIANT(Self->Book.version() >= Before,
+                     "the document version fell");
 }
 
 base::DocumentVersion ControlState::documentVersion() const {
--- a/control/test/ControlState_test.cpp
+++ b/control/test/ControlState_test.cpp
@@ -243,6 +243,13 @@
   CHECK(State.mesh()->Quarantine.empty());
 }
 
+TEST_CASE_METHOD(ControlStateTest, "restore older snapshot is refused") {
+  base::Bytes Old = State.snapshot();
+  run(claimOf("a"));
+  CHECK_THROWS_AS(State.restore(Old), base::ProtocolError);
+  CHECK(State.claimCount() == 1);
+}
+
 TEST_CASE_METHOD(ControlStateTest, "apply malformed command is answered") {
   base::Bytes Noise = {1, 2, 3};
   auto Result = decodeResult(State.apply(
