--- /dev/null
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -0,0 +1,86 @@
+#ifndef AMARANTH_DATAPLANE_BALANCER_H
+#define AMARANTH_DATAPLANE_BALANCER_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/dataplane/Messages.h"
+#include "amaranth/dataplane/Metrics.h"
+#include "amaranth/document/MeshSnapshot.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace amaranth::dataplane {
+
+/// Chooses endpoints by zone, load, slow start and this node's experience
+/// with them. Single-threaded.
+class Balancer {
+public:
+  struct Settings {
+    base::AvailabilityZone Zone;
+    /// Load of the zone's endpoints above which other zones are used too.
+    double ZoneLoadLimit = 0.8;
+    /// Time from ready until an endpoint gets its full part.
+    base::Millis SlowStart = base::Millis::seconds(10);
+    /// First ejection; each further one within a minute doubles it.
+    base::Millis Ejection = base::Millis::seconds(5);
+    base::Millis MaxEjection = base::Millis::seconds(60);
+    /// Failures in a row that eject an endpoint.
+    unsigned FailuresToEject = 5;
+  };
+
+  Balancer(Settings Options, base::Clock &Time, Metrics &Counters,
+           std::uint64_t Seed)
+      : Options(std::move(Options)), Time(Time), Counters(Counters),
+        Random(Seed) {}
+
+  /// An endpoint of the version that is not in `Avoid`, or null. Draining and
+  /// starting endpoints are never chosen; unreachable and ejected ones only
+  /// when nothing else is left, which excludes no endpoint in `Avoid`.
+  const document::Endpoint *choose(const document::MeshSnapshot &Mesh,
+                                   const base::ServiceName &Service,
+                                   const base::VersionName &Version,
+                                   const std::set<base::EndpointId> &Avoid);
+
+  void started(const base::EndpointId &Id);
+  void finished(const base::EndpointId &Id);
+  /// Load from a response or refusal.
+  void reported(const base::EndpointId &Id, const Load &Work);
+  void succeeded(const base::EndpointId &Id);
+  /// A failed or broken response. `Certain` failures, such as a refused
+  /// connection, eject at once.
+  void failed(const document::MeshSnapshot &Mesh, const base::EndpointId &Id,
+              bool Certain);
+  bool ejected(const base::EndpointId &Id) const;
+  /// Forgets endpoints that the snapshot does not have any more.
+  void prune(const document::MeshSnapshot &Mesh);
+
+private:
+  struct State {
+    std::uint32_t InFlight = 0;
+    Load Reported;
+    base::TimePoint ReportedAt;
+    unsigned FailuresInRow = 0;
+    unsigned Ejections = 0;
+    base::TimePoint EjectedUntil{0};
+  };
+  using Candidates = std::vector<const document::Endpoint *>;
+
+  double load(const document::Endpoint &Entry) const;
+  double work(const State &Known) const;
+  const document::Endpoint *pick(const Candidates &From);
+  Candidates localOnes(const Candidates &From) const;
+  void eject(const document::MeshSnapshot &Mesh,
+             const document::Endpoint &Entry, State &Known);
+
+  Settings Options;
+  base::Clock &Time;
+  Metrics &Counters;
+  std::mt19937_64 Random;
+  std::map<base::EndpointId, State> States;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/include/amaranth/dataplane/EntryServer.h
@@ -0,0 +1,63 @@
+#ifndef AMARANTH_DATAPLANE_ENTRYSERVER_H
+#define AMARANTH_DATAPLANE_ENTRYSERVER_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/base/Settings.h"
+#include "amaranth/dataplane/Balancer.h"
+#include "amaranth/dataplane/HttpConnection.h"
+#include "amaranth/dataplane/Metrics.h"
+#include "amaranth/dataplane/PeerPool.h"
+#include "amaranth/follower/ControlCalls.h"
+#include "amaranth/follower/SnapshotSource.h"
+
+#include <memory>
+
+namespace amaranth::dataplane {
+
+struct EntrySettings {
+  /// Where callers connect; port 0 takes a free port.
+  base::Address Listen;
+  HttpServer::Limits Http;
+  Balancer::Settings Balance;
+  unsigned MaxAttempts = 3;
+  /// Larger request bodies are refused when their length is announced.
+  std::int64_t MaxBodyBytes = std::int64_t{1} << 30U;
+  /// Seed of the random choices of endpoints and versions.
+  std::uint64_t Seed = 1;
+};
+
+/// Entry point for callers over HTTP/1.1. Single-threaded.
+class EntryServer {
+public:
+  /// Binds at once. Throws `boost::system::system_error` when the address
+  /// cannot be bound. The references must outlive the server and its
+  /// requests.
+  EntryServer(const boost::asio::any_io_executor &Executor,
+              EntrySettings Options, base::Clock &Time,
+              follower::SnapshotSource &Snapshots,
+              follower::ControlCalls &Control, PeerPool &Peers,
+              Metrics &Counters);
+  ~EntryServer();
+
+  base::Address local() const;
+
+  /// Serves callers until `stop`.
+  boost::asio::awaitable<void> serve();
+  /// Reports evidence each second and forgets what the snapshot no longer
+  /// has; runs until cancelled.
+  boost::asio::awaitable<void> run();
+
+  /// Accepts no more callers; requests in flight go on.
+  void stop();
+  /// `stop`, then waits until the last response is complete, at most `Limit`.
+  /// True when no request is left.
+  boost::asio::awaitable<bool> drain(base::Millis Limit);
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Self;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/include/amaranth/dataplane/ExchangeServer.h
@@ -0,0 +1,42 @@
+#ifndef AMARANTH_DATAPLANE_EXCHANGESERVER_H
+#define AMARANTH_DATAPLANE_EXCHANGESERVER_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/dataplane/Gate.h"
+#include "amaranth/protocol/Channel.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace amaranth::dataplane {
+
+/// Serves the exchanges of inner connections from other nodes.
+class ExchangeServer {
+public:
+  /// Exchanges on one connection; more are refused as not run.
+  static constexpr std::size_t MaxExchanges = 4096;
+
+  /// The references must outlive the server and its connections.
+  ExchangeServer(boost::asio::any_io_executor Executor, Gate &Upstream,
+                 base::Clock &Time)
+      : Executor(std::move(Executor)), Upstream(Upstream), Time(Time) {}
+
+  /// Serves `Link`, a connection from a peer with `Role::Node`, until it ends.
+  /// Its exchanges are ended then. Throws `base::ProtocolError` when the peer
+  /// breaks the protocol.
+  boost::asio::awaitable<void> serve(std::shared_ptr<protocol::Channel> Link);
+
+private:
+  struct Connection;
+
+  void open(std::shared_ptr<Connection> Peer, const protocol::Frame &Message);
+
+  boost::asio::any_io_executor Executor;
+  Gate &Upstream;
+  base::Clock &Time;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -0,0 +1,57 @@
+#ifndef AMARANTH_DATAPLANE_METRICS_H
+#define AMARANTH_DATAPLANE_METRICS_H
+
+#include "amaranth/base/Millis.h"
+#include "amaranth/base/StrongId.h"
+#include "amaranth/dataplane/Messages.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace amaranth::dataplane {
+
+/// The package's metrics, registered in a registry that outlives them.
+/// Labels are services of the document and fixed words, never request data.
+class Metrics {
+public:
+  explicit Metrics(prometheus::Registry &Registry);
+
+  /// A request of a caller ended; `Outcome` is `2xx`..`5xx`, `refused` or
+  /// `broken`.
+  void request(const base::ServiceName &Service, const std::string &Outcome,
+               base::Millis Took);
+  /// `Place` is `entry` or `gate`.
+  void refusal(const std::string &Place, const Refusal &Value);
+  void retry(const base::ServiceName &Service);
+  void ejection(const base::ServiceName &Service);
+  /// `Result` is `granted`, `replayed`, `taken`, `conflict`, `unavailable`.
+  void claim(const std::string &Result);
+  void crash();
+  void gateLoad(const Load &Work);
+
+private:
+  template <typename Metric> using Cache = std::map<std::string, Metric *>;
+
+  prometheus::Family<prometheus::Counter> &Requests;
+  prometheus::Family<prometheus::Counter> &Refusals;
+  prometheus::Family<prometheus::Counter> &Retries;
+  prometheus::Family<prometheus::Counter> &Ejections;
+  prometheus::Family<prometheus::Counter> &Claims;
+  prometheus::Family<prometheus::Histogram> &Latency;
+  prometheus::Counter &Crashes;
+  prometheus::Gauge &InFlight;
+  prometheus::Gauge &Queued;
+  prometheus::Gauge &Slots;
+  Cache<prometheus::Counter> RequestCache;
+  Cache<prometheus::Histogram> LatencyCache;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/include/amaranth/dataplane/PeerPool.h
@@ -0,0 +1,86 @@
+#ifndef AMARANTH_DATAPLANE_PEERPOOL_H
+#define AMARANTH_DATAPLANE_PEERPOOL_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/base/Settings.h"
+#include "amaranth/dataplane/ExchangeEnd.h"
+#include "amaranth/protocol/Connection.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace amaranth::dataplane {
+
+/// An exchange as the entry node sees it. Destroying it before its end
+/// cancels it; late messages for it are dropped.
+class ClientExchange {
+public:
+  ClientExchange(const boost::asio::any_io_executor &Executor,
+                 std::shared_ptr<protocol::Channel> Link, std::uint64_t Stream,
+                 base::Clock &Time, std::function<void()> OnDestroyed);
+  ~ClientExchange();
+  ClientExchange(const ClientExchange &) = delete;
+  ClientExchange &operator=(const ClientExchange &) = delete;
+
+  /// Waits for the response head; nothing when `Deadline` passes first.
+  /// Throws `ExchangeEnded` with the refusal when there is none.
+  boost::asio::awaitable<std::optional<ResponseHead>>
+  readHead(base::TimePoint Deadline);
+  /// Tells the peer that the response is not wanted any more.
+  void cancel(const std::string &Why);
+
+  ExchangeEnd Body;
+
+private:
+  friend class PeerPool;
+
+  void deliver(const protocol::Frame &Message);
+
+  base::Clock &Time;
+  std::function<void()> OnDestroyed;
+  std::optional<ResponseHead> Head;
+};
+
+/// One inner connection for each peer node, shared by all exchanges.
+///
+/// Single-threaded.
+class PeerPool {
+public:
+  struct Settings {
+    base::Millis DialTimeout = base::Millis(1000);
+    /// A connection without exchanges is closed after this time.
+    base::Millis IdleTimeout = base::Millis::seconds(60);
+    std::size_t MaxPeers = 4096;
+  };
+
+  /// The references must outlive the pool, and the pool its exchanges.
+  PeerPool(const boost::asio::any_io_executor &Executor, Settings Options,
+           base::Clock &Time, protocol::Dialer &Network);
+  ~PeerPool();
+
+  /// Closes idle connections; runs until cancelled.
+  boost::asio::awaitable<void> run();
+
+  /// Dials when needed and sends `Head` with the time left until `Deadline`.
+  /// Throws `ExchangeEnded` with outcome not-run when the head was never
+  /// queued on a connection. From the moment it is queued, the end of the
+  /// connection gives outcome unknown.
+  boost::asio::awaitable<std::shared_ptr<ClientExchange>>
+  open(base::Address Peer, RequestHead Head, base::TimePoint Deadline);
+
+  std::size_t connections() const;
+  /// Closes all connections.
+  void close();
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Self;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/include/amaranth/dataplane/ServerExchange.h
@@ -0,0 +1,35 @@
+#ifndef AMARANTH_DATAPLANE_SERVEREXCHANGE_H
+#define AMARANTH_DATAPLANE_SERVEREXCHANGE_H
+
+#include "amaranth/dataplane/ExchangeEnd.h"
+
+#include <functional>
+
+namespace amaranth::dataplane {
+
+/// An exchange as the node beside the upstream sees it.
+class ServerExchange {
+public:
+  ServerExchange(const boost::asio::any_io_executor &Executor,
+                 std::shared_ptr<protocol::Channel> Link, std::uint64_t Stream,
+                 RequestHead Request, base::TimePoint Deadline)
+      : Head(std::move(Request)), Deadline(Deadline),
+        Body(Executor, std::move(Link), Stream, ExchangeEnd::Side::Gate) {}
+
+  /// The entry node cancelled, or the connection to it ended.
+  void end(Refusal Why) {
+    Body.end(std::move(Why));
+    if (OnEnd)
+      std::exchange(OnEnd, nullptr)();
+  }
+
+  const RequestHead Head;
+  const base::TimePoint Deadline;
+  ExchangeEnd Body;
+  /// Called once when the exchange is ended from outside.
+  std::function<void()> OnEnd;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/include/amaranth/dataplane/UpstreamClient.h
@@ -0,0 +1,89 @@
+#ifndef AMARANTH_DATAPLANE_UPSTREAMCLIENT_H
+#define AMARANTH_DATAPLANE_UPSTREAMCLIENT_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/base/Settings.h"
+#include "amaranth/dataplane/Messages.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <span>
+
+namespace amaranth::dataplane {
+
+/// A call to the upstream failed.
+class UpstreamError : public base::Error {
+public:
+  /// `Sent` is false only when no byte of the request left this process.
+  UpstreamError(bool Sent, Reason Why, const std::string &Text)
+      : base::Error(Text), Sent(Sent), Why(Why) {}
+
+  bool sent() const { return Sent; }
+  Reason why() const { return Why; }
+
+private:
+  bool Sent;
+  Reason Why;
+};
+
+/// One request to the upstream. One task may write the request body while
+/// another one reads the response. All functions throw `UpstreamError`.
+class UpstreamCall {
+public:
+  virtual ~UpstreamCall() = default;
+
+  virtual boost::asio::awaitable<void> writeBody(base::ByteView Data) = 0;
+  virtual boost::asio::awaitable<void> writeEnd() = 0;
+  /// Informational heads are skipped.
+  virtual boost::asio::awaitable<ResponseHead> readHead() = 0;
+  /// Reads the next part of the response body; 0 at its end. A body that is
+  /// shorter than announced is an error.
+  virtual boost::asio::awaitable<std::size_t>
+  readBody(std::span<std::uint8_t> Into) = 0;
+  /// Closes the connection unless the whole response was read; pending
+  /// operations fail.
+  virtual void abort() = 0;
+};
+
+/// HTTP/1.1 client to the local upstream with a pool of connections.
+///
+/// A connection returns to the pool only after the whole request was written
+/// and the whole response was read. A response that ends only with its
+/// connection is refused, since its completeness cannot be told.
+class UpstreamClient {
+public:
+  struct Settings {
+    base::Millis ConnectTimeout = base::Millis(1000);
+    /// Longest time without a byte from the upstream.
+    base::Millis Silence = base::Millis::seconds(30);
+    std::size_t MaxIdle = 256;
+  };
+
+  /// `Time` must outlive the client and its calls.
+  UpstreamClient(const boost::asio::any_io_executor &Executor, Settings Options,
+                 base::Clock &Time);
+  ~UpstreamClient();
+
+  /// Another address drops the pooled connections.
+  void setAddress(const base::Address &Upstream);
+  /// Connects when needed and writes the head. `BodyLength` decides the
+  /// framing of the body.
+  boost::asio::awaitable<std::shared_ptr<UpstreamCall>>
+  begin(std::string Method, std::string Target, Headers Fields,
+        std::int64_t BodyLength);
+  /// True when a new connection is refused, which means that no process
+  /// listens; false when it is accepted or nothing is known.
+  boost::asio::awaitable<bool> refusesConnections();
+  void dropIdle();
+  std::size_t idle() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Shared;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/include/amaranth/dataplane/VersionGuard.h
@@ -0,0 +1,51 @@
+#ifndef AMARANTH_DATAPLANE_VERSIONGUARD_H
+#define AMARANTH_DATAPLANE_VERSIONGUARD_H
+
+#include "amaranth/document/MeshSnapshot.h"
+#include "amaranth/rollout/Evidence.h"
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace amaranth::dataplane {
+
+/// This node's own evidence about the new version of a running rollout.
+///
+/// A cumulative-sum form of the sequential probability ratio test on the new
+/// version's errors, against the error rate of the old version. It may only
+/// stop traffic early; the decision about the rollout is made by control.
+class VersionGuard {
+public:
+  /// Counts a response. `Entry` is the service's entry in force now.
+  void observe(const document::Service &Entry, const base::VersionName &Version,
+               bool Error);
+  /// True when this node must not send to `Version`.
+  bool stopped(const document::Service &Entry,
+               const base::VersionName &Version) const;
+  /// Forgets services without a rollout.
+  void prune(const document::MeshSnapshot &Mesh);
+
+private:
+  struct Evidence {
+    base::Revision Section;
+    double OldRequests = 0;
+    double OldErrors = 0;
+    double Score = 0;
+    std::uint64_t NewErrors = 0;
+    bool Stopped = false;
+  };
+
+  std::map<base::ServiceName, Evidence> Services;
+};
+
+/// Chooses the version of a request by the shares, leaving out barred and
+/// stopped versions and those in `Avoid`; null when none is left.
+const document::VersionShare *
+chooseVersion(const document::Service &Entry, const VersionGuard &Guard,
+              const std::set<base::VersionName> &Avoid,
+              std::mt19937_64 &Random);
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/src/Balancer.cpp
@@ -0,0 +1,170 @@
+#include "amaranth/dataplane/Balancer.h"
+
+#include "amaranth/base/Invariant.h"
+#include "amaranth/base/Log.h"
+
+#include <algorithm>
+
+using amaranth::document::Endpoint;
+using amaranth::document::EndpointState;
+
+namespace amaranth::dataplane {
+
+namespace {
+
+/// A report loses its weight over this time, so that an endpoint that got no
+/// requests since then is tried again.
+constexpr base::Millis ReportLife = base::Millis::seconds(2);
+/// An endpoint in slow start counts as having at least this part of its slots.
+constexpr double MinSlowStart = 0.1;
+
+} // namespace
+
+double Balancer::work(const State &Known) const {
+  base::Millis Age = Time.now() - Known.ReportedAt;
+  double Weight = 0;
+  if (Age < ReportLife)
+    Weight = 1 - static_cast<double>(Age.count()) / ReportLife.count();
+  return Known.InFlight +
+         Weight * (Known.Reported.InFlight + Known.Reported.Queued);
+}
+
+double Balancer::load(const Endpoint &Entry) const {
+  auto Found = States.find(Entry.Id);
+  double Work = Found == States.end() ? 0 : work(Found->second);
+  double Slots = std::max<std::uint32_t>(1, Entry.Slots);
+  std::int64_t Since = Time.wallNow().count() - Entry.ReadySince;
+  if (Since < Options.SlowStart.count())
+    Slots *= std::clamp(static_cast<double>(Since) / Options.SlowStart.count(),
+                        MinSlowStart, 1.0);
+  // The request to be placed counts, so that an idle endpoint in slow start
+  // loses against an idle warm one.
+  return (Work + 1) / Slots;
+}
+
+const Endpoint *Balancer::pick(const Candidates &From) {
+  if (From.empty())
+    return nullptr;
+  if (From.size() == 1)
+    return From.front();
+  std::uniform_int_distribution<std::size_t> Any(0, From.size() - 1);
+  std::uniform_int_distribution<std::size_t> Other(0, From.size() - 2);
+  std::size_t First = Any(Random);
+  std::size_t Second = Other(Random);
+  if (Second >= First)
+    ++Second;
+  return load(*From[First]) <= load(*From[Second]) ? From[First] : From[Second];
+}
+
+Balancer::Candidates Balancer::localOnes(const Candidates &From) const {
+  Candidates Local;
+  double Work = 0;
+  double Slots = 0;
+  for (const Endpoint *Entry : From) {
+    if (Entry->Zone != Options.Zone)
+      continue;
+    Local.push_back(Entry);
+    auto Found = States.find(Entry->Id);
+    Work += Found == States.end() ? 0 : work(Found->second);
+    Slots += Entry->Slots;
+  }
+  if (Local.empty() || Work > Options.ZoneLoadLimit * Slots)
+    return From;
+  return Local;
+}
+
+const Endpoint *Balancer::choose(const document::MeshSnapshot &Mesh,
+                                 const base::ServiceName &Service,
+                                 const base::VersionName &Version,
+                                 const std::set<base::EndpointId> &Avoid) {
+  Candidates Usable;
+  Candidates Ejected;
+  Candidates Unreachable;
+  for (const auto &[Id, Entry] : Mesh.Endpoints) {
+    if (Entry.Service != Service || Entry.Version != Version ||
+        Avoid.contains(Id))
+      continue;
+    if (Entry.State == EndpointState::Unreachable)
+      Unreachable.push_back(&Entry);
+    else if (Entry.State == EndpointState::Ready)
+      (ejected(Id) ? Ejected : Usable).push_back(&Entry);
+  }
+  const Endpoint *Chosen = pick(localOnes(Usable));
+  if (!Chosen)
+    Chosen = pick(Ejected);
+  if (!Chosen)
+    Chosen = pick(Unreachable);
+  AMARANTH_INVARIANT(!Chosen || (Chosen->State != EndpointState::Draining &&
+                                 Chosen->State != EndpointState::Starting),
+                     "endpoint that takes no work was chosen");
+  return Chosen;
+}
+
+void Balancer::started(const base::EndpointId &Id) { ++States[Id].InFlight; }
+
+void Balancer::finished(const base::EndpointId &Id) {
+  auto Found = States.find(Id);
+  if (Found != States.end() && Found->second.InFlight > 0)
+    --Found->second.InFlight;
+}
+
+void Balancer::reported(const base::EndpointId &Id, const Load &Work) {
+  State &Known = States[Id];
+  Known.Reported = Work;
+  Known.ReportedAt = Time.now();
+}
+
+void Balancer::succeeded(const base::EndpointId &Id) {
+  State &Known = States[Id];
+  Known.FailuresInRow = 0;
+  constexpr base::Millis Forget = base::Millis::seconds(60);
+  if (Known.Ejections != 0 && Time.now() - Known.EjectedUntil > Forget)
+    Known.Ejections = 0;
+}
+
+void Balancer::failed(const document::MeshSnapshot &Mesh,
+                      const base::EndpointId &Id, bool Certain) {
+  State &Known = States[Id];
+  ++Known.FailuresInRow;
+  if (!Certain && Known.FailuresInRow < Options.FailuresToEject)
+    return;
+  auto Entry = Mesh.Endpoints.find(Id);
+  if (Entry != Mesh.Endpoints.end() && !ejected(Id))
+    eject(Mesh, Entry->second, Known);
+}
+
+void Balancer::eject(const document::MeshSnapshot &Mesh, const Endpoint &Entry,
+                     State &Known) {
+  std::size_t Total = 0;
+  std::size_t Out = 0;
+  for (const auto &[Id, Other] : Mesh.Endpoints) {
+    if (Other.Service != Entry.Service || Other.State != EndpointState::Ready)
+      continue;
+    ++Total;
+    Out += ejected(Id) ? 1 : 0;
+  }
+  if ((Out + 1) * 2 > Total)
+    return;
+  Known.FailuresInRow = 0;
+  std::int64_t Factor = std::int64_t{1} << std::min(Known.Ejections, 8U);
+  ++Known.Ejections;
+  Known.EjectedUntil =
+      Time.now() + std::min(Options.Ejection * Factor, Options.MaxEjection);
+  Counters.ejection(Entry.Service);
+  base::logger("dataplane")
+      ->info("endpoint ejected endpoint={} service={}", Entry.Id.value(),
+             Entry.Service.value());
+}
+
+bool Balancer::ejected(const base::EndpointId &Id) const {
+  auto Found = States.find(Id);
+  return Found != States.end() && Time.now() < Found->second.EjectedUntil;
+}
+
+void Balancer::prune(const document::MeshSnapshot &Mesh) {
+  std::erase_if(States, [&](const auto &Entry) {
+    return Entry.second.InFlight == 0 && !Mesh.Endpoints.contains(Entry.first);
+  });
+}
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/src/ClaimClient.cpp
@@ -0,0 +1,105 @@
+#include "amaranth/dataplane/ClaimClient.h"
+
+#include "amaranth/base/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace amaranth::dataplane {
+
+namespace {
+
+/// One call; a lost reply is resent after this time.
+constexpr base::Millis CallTimeout = base::Millis(1000);
+constexpr base::Millis ResendDelay = base::Millis(50);
+/// Background commands give up after this time; the claim then stays taken,
+/// which is safe.
+constexpr base::Millis BackgroundLimit = base::Millis::seconds(30);
+
+ClaimClient::Answer refuse(Outcome What, Reason Why, const char *Text) {
+  ClaimClient::Answer Result;
+  Result.Refused = Refusal{What, Why, Text};
+  return Result;
+}
+
+} // namespace
+
+asio::awaitable<std::optional<control::CommandResult>>
+ClaimClient::commit(control::Command Request, base::Millis Limit) {
+  base::TimePoint End = Time.now() + Limit;
+  while (Time.now() < End) {
+    try {
+      base::Millis Span = std::min(CallTimeout, End - Time.now());
+      co_return co_await Calls.call(Request, Span);
+    } catch (const base::Error &Failure) {
+      base::logger("dataplane")
+          ->debug("call to control failed error=\"{}\"", Failure.what());
+    }
+    co_await Time.sleepFor(ResendDelay);
+  }
+  co_return std::nullopt;
+}
+
+void ClaimClient::commitInBackground(control::Command Request) {
+  asio::co_spawn(
+      Executor,
+      [this, Request = std::move(Request)]() -> asio::awaitable<void> {
+        auto Result = co_await commit(Request, BackgroundLimit);
+        if (!Result)
+          base::logger("dataplane")
+              ->warn("command not committed kind={}", Request.index());
+      },
+      asio::detached);
+}
+
+asio::awaitable<ClaimClient::Answer> ClaimClient::claim(RequestHead Head,
+                                                        base::Millis Limit) {
+  control::Command Request = control::Claim{Head.Service, *Head.IdempotencyKey,
+                                            Head.RequestHash, Head.Attempt};
+  auto Result = co_await commit(Request, Limit);
+  if (!Result) {
+    Counters.claim("unavailable");
+    release(Head);
+    co_return refuse(Outcome::NotRun, Reason::ClaimUnavailable,
+                     "no majority of the control processes answered");
+  }
+  switch (Result->Code) {
+  case control::ResultCode::Accepted:
+    Counters.claim("granted");
+    co_return Answer{};
+  case control::ResultCode::Replay: {
+    Counters.claim("replayed");
+    Answer Replay;
+    Replay.Stored = std::move(Result->Stored);
+    if (!Replay.Stored)
+      co_return refuse(Outcome::Unknown, Reason::ClaimTaken,
+                       "an earlier attempt ended without a stored response");
+    co_return Replay;
+  }
+  case control::ResultCode::Taken:
+    Counters.claim("taken");
+    co_return refuse(Outcome::Unknown, Reason::ClaimTaken,
+                     "another attempt with this key has been started");
+  default:
+    Counters.claim("conflict");
+    co_return refuse(Outcome::NotRun, Reason::KeyConflict,
+                     "the key was used for another request");
+  }
+}
+
+void ClaimClient::finish(const RequestHead &Head,
+                         std::optional<control::StoredResponse> Response) {
+  commitInBackground(control::FinishClaim{Head.Service, *Head.IdempotencyKey,
+                                          Head.Attempt, std::move(Response)});
+}
+
+void ClaimClient::release(const RequestHead &Head) {
+  commitInBackground(
+      control::ReleaseClaim{Head.Service, *Head.IdempotencyKey, Head.Attempt});
+}
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/src/CrashGuard.cpp
@@ -0,0 +1,98 @@
+#include "CrashGuard.h"
+
+#include "amaranth/base/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace amaranth::dataplane {
+
+namespace {
+
+/// A supervisor may restart the upstream before a connection is refused; the
+/// new incarnation is announced within this time.
+constexpr base::Millis BreakMemory = base::Millis::seconds(5);
+
+} // namespace
+
+CrashGuard::CrashGuard(const asio::any_io_executor &Executor, base::Clock &Time,
+                       ClaimClient &Calls, UpstreamClient &Client,
+                       std::function<void()> OnCrash)
+    : Executor(Executor), Time(Time), Calls(Calls), Client(Client),
+      OnCrash(std::move(OnCrash)) {}
+
+CrashGuard::Tracked::Tracked(CrashGuard &Owner, std::uint64_t Fingerprint)
+    : Owner(Owner), Id(Owner.NextId++) {
+  Owner.Running.emplace(Id, Fingerprint);
+}
+
+CrashGuard::Tracked::~Tracked() { Owner.Running.erase(Id); }
+
+std::vector<std::uint64_t> CrashGuard::running() const {
+  std::vector<std::uint64_t> Result;
+  for (const auto &[Id, Fingerprint] : Running)
+    Result.push_back(Fingerprint);
+  std::ranges::sort(Result);
+  Result.erase(std::unique(Result.begin(), Result.end()), Result.end());
+  return Result;
+}
+
+asio::awaitable<bool> CrashGuard::broken(base::ServiceName Service,
+                                         base::EndpointId Upstream,
+                                         std::uint64_t Fingerprint,
+                                         base::Millis Limit) {
+  // All requests that one crash interrupts share one report.
+  if (!Current) {
+    Current = std::make_shared<Check>(Executor);
+    Current->Fingerprints = running();
+    asio::co_spawn(Executor, examine(Current, Service, Upstream, Limit),
+                   asio::detached);
+  }
+  auto Mine = Current;
+  while (!Mine->Done)
+    co_await Mine->Changed.wait();
+  if (!Mine->Crashed)
+    RecentBreaks.emplace(Time.now(), Fingerprint);
+  co_return Mine->Crashed;
+}
+
+asio::awaitable<void> CrashGuard::examine(std::shared_ptr<Check> Mine,
+                                          base::ServiceName Service,
+                                          base::EndpointId Upstream,
+                                          base::Millis Limit) {
+  Mine->Crashed = co_await Client.refusesConnections();
+  if (Mine->Crashed) {
+    base::logger("dataplane")
+        ->warn("upstream crashed endpoint={} suspects={}", Upstream.value(),
+               Mine->Fingerprints.size());
+    OnCrash();
+    control::Command Report =
+        control::ReportCrash{Service, Upstream, Mine->Fingerprints};
+    auto Result = co_await Calls.commit(Report, Limit);
+    if (!Result)
+      Calls.commitInBackground(Report);
+  }
+  Current.reset();
+  Mine->Done = true;
+  Mine->Changed.notifyAll();
+}
+
+void CrashGuard::restarted(const base::ServiceName &Service,
+                           const base::EndpointId &Upstream) {
+  std::vector<std::uint64_t> Fingerprints;
+  for (const auto &[At, Fingerprint] : RecentBreaks)
+    if (Time.now() - At <= BreakMemory)
+      Fingerprints.push_back(Fingerprint);
+  RecentBreaks.clear();
+  if (Fingerprints.empty())
+    return;
+  OnCrash();
+  Calls.commitInBackground(
+      control::ReportCrash{Service, Upstream, std::move(Fingerprints)});
+}
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/src/EntryRefusal.h
@@ -0,0 +1,23 @@
+#ifndef AMARANTH_DATAPLANE_SRC_ENTRYREFUSAL_H
+#define AMARANTH_DATAPLANE_SRC_ENTRYREFUSAL_H
+
+#include "amaranth/dataplane/Messages.h"
+
+namespace amaranth::dataplane {
+
+/// HTTP status of a refusal.
+unsigned statusOf(const Refusal &Why);
+/// Header fields of a refusal.
+Headers refusalFields(const Refusal &Why);
+/// Another endpoint would refuse for the same reason.
+bool isFinal(const Refusal &Why);
+/// The refusal speaks against the endpoint.
+bool isEndpointFault(Reason Why);
+/// The endpoint cannot work at present, so that one failure is enough.
+bool isCertainFault(Reason Why);
+/// The refusal may be a fault of the version that ran the request.
+bool isVersionFault(Reason Why);
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/src/EntryRequest.h
@@ -0,0 +1,83 @@
+#ifndef AMARANTH_DATAPLANE_SRC_ENTRYREQUEST_H
+#define AMARANTH_DATAPLANE_SRC_ENTRYREQUEST_H
+
+#include "EntryContext.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace amaranth::dataplane {
+
+/// One request of a caller, with its attempts.
+class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
+public:
+  EntryRequest(std::shared_ptr<EntryContext> Shared,
+               std::shared_ptr<HttpConnection> Caller, HttpRequest Request)
+      : Shared(std::move(Shared)), Caller(std::move(Caller)),
+        Request(std::move(Request)) {}
+
+  /// Writes a response or a refusal. Throws when the caller is gone.
+  static boost::asio::awaitable<void>
+  serve(std::shared_ptr<EntryRequest> Task) {
+    co_await Task->run();
+  }
+
+private:
+  boost::asio::awaitable<void> run();
+
+  using MaybeRefusal = std::optional<Refusal>;
+  using Mesh = std::shared_ptr<const document::MeshSnapshot>;
+  using Exchange = std::shared_ptr<ClientExchange>;
+
+  /// Route, deadline and limits; nothing is read from the caller.
+  MaybeRefusal prepare();
+  MaybeRefusal readDeadline();
+  boost::asio::awaitable<void> readPrefix();
+  boost::asio::awaitable<MaybeRefusal> attempt();
+  boost::asio::awaitable<MaybeRefusal> exchange(Mesh Current,
+                                                document::Endpoint Target);
+  boost::asio::awaitable<MaybeRefusal> forward(Exchange Running,
+                                               ResponseHead Head);
+  boost::asio::awaitable<void> pump(Exchange To);
+  boost::asio::awaitable<void> refuse(Refusal Why);
+
+  const document::Endpoint *choose(const document::MeshSnapshot &Current);
+  RequestHead headFor(const document::Endpoint &Target) const;
+  bool retryAllowed(const Refusal &Why);
+  bool retryStatus(unsigned Status);
+  bool repeatable() const;
+  bool replayable() const { return PrefixComplete || !ReadBeyondPrefix; }
+  void learn(const document::MeshSnapshot &Current,
+             const document::Endpoint &Target, const Refusal &Why,
+             base::TimePoint Started);
+  void countEvidence(const document::MeshSnapshot &Current,
+                     const document::Endpoint &Target, bool Error,
+                     base::TimePoint Started);
+  void watchCaller(const Exchange &Running);
+
+  std::shared_ptr<EntryContext> Shared;
+  std::shared_ptr<HttpConnection> Caller;
+  HttpRequest Request;
+  document::Route Via;
+  base::TimePoint Arrived;
+  base::TimePoint Deadline;
+  std::optional<std::string> Key;
+  /// The first part of the body, kept for retries and the fingerprint.
+  base::Bytes Prefix;
+  bool PrefixComplete = false;
+  bool ReadBeyondPrefix = false;
+  bool CallerGone = false;
+  std::uint64_t RequestHash = 0;
+  std::uint64_t Fingerprint = 0;
+  unsigned Attempts = 0;
+  /// The evidence of the last attempt was counted with its response head.
+  bool Counted = false;
+  /// Some attempt may have run, so that no later refusal may say not-run.
+  bool MayHaveRun = false;
+  std::set<base::EndpointId> Avoid;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/src/Gate.cpp
@@ -0,0 +1,289 @@
+#include "GateImpl.h"
+#include "amaranth/base/Log.h"
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+using amaranth::document::EndpointState;
+
+namespace amaranth::dataplane {
+
+namespace {
+
+constexpr base::Millis TickInterval = base::Millis(250);
+/// The queue holds this many times the slots. Longer queues only add waiting
+/// time, since callers have deadlines.
+constexpr std::uint32_t QueueFactor = 2;
+constexpr base::Millis BusyRetryAfter = base::Millis(100);
+/// Larger announcements are taken for a mistake.
+constexpr std::uint32_t MaxSlots = 100'000;
+
+UpstreamEvent eventOf(Announcement::State What) {
+  switch (What) {
+  case Announcement::State::Starting:
+    return UpstreamEvent::AnnouncedStarting;
+  case Announcement::State::Ready:
+    return UpstreamEvent::AnnouncedReady;
+  case Announcement::State::Draining:
+    return UpstreamEvent::AnnouncedDraining;
+  case Announcement::State::Stopped:
+    return UpstreamEvent::AnnouncedStopped;
+  }
+  return UpstreamEvent::Silent;
+}
+
+EndpointState published(UpstreamState State, bool NodeDraining) {
+  switch (State) {
+  case UpstreamState::Starting:
+    return NodeDraining ? EndpointState::Draining : EndpointState::Starting;
+  case UpstreamState::Ready:
+    return NodeDraining ? EndpointState::Draining : EndpointState::Ready;
+  case UpstreamState::Draining:
+  case UpstreamState::Stopped:
+    return EndpointState::Draining;
+  default:
+    return EndpointState::Unreachable;
+  }
+}
+
+} // namespace
+
+Gate::Impl::Impl(const asio::any_io_executor &Executor, GateSettings Settings,
+                 base::Clock &Time, follower::SnapshotSource &Snapshots,
+                 follower::ControlCalls &Control, Metrics &Counters)
+    : Executor(Executor), Options(std::move(Settings)), Time(Time),
+      Snapshots(Snapshots), Control(Control), Counters(Counters),
+      Claims(Executor, Control, Time, Counters),
+      Client(Executor, Options.Client, Time),
+      Crashes(Executor, Time, Claims, Client,
+              [this] {
+                this->Counters.crash();
+                Client.dropIdle();
+                enter(UpstreamEvent::Died);
+              }),
+      Slots(Time),
+      Incarnation(static_cast<std::uint64_t>(Time.wallNow().count())) {
+  if (Options.Endpoint.value().empty())
+    Options.Endpoint = base::EndpointId(Options.Node.value());
+}
+
+bool Gate::Impl::announce(const Announcement &News) {
+  if (News.Slots == 0 || News.Slots > MaxSlots)
+    return false;
+  bool Restarted = Last && News.Incarnation > Last->Incarnation;
+  if (Last && !Restarted &&
+      (News.Incarnation < Last->Incarnation || News.Sequence <= Last->Sequence))
+    return false;
+  bool Left = Lifecycle.state() == UpstreamState::Draining ||
+              Lifecycle.state() == UpstreamState::Stopped;
+  if (Restarted) {
+    if (!Left)
+      Crashes.restarted(Last->Service, Options.Endpoint);
+    Client.dropIdle();
+    Lifecycle = UpstreamLifecycle();
+    Times = ServiceTimes();
+  }
+  bool Changed = !Last || Last->Slots != News.Slots ||
+                 Last->Version != News.Version || Last->Service != News.Service;
+  Last = News;
+  LastHeard = Time.now();
+  Client.setAddress(News.Upstream);
+  UpstreamState Before = Lifecycle.state();
+  enter(eventOf(News.What));
+  if (Changed && Lifecycle.state() == Before)
+    publish();
+  updateLimit();
+  return true;
+}
+
+void Gate::Impl::enter(UpstreamEvent Event) {
+  if (!Lifecycle.apply(Event))
+    return;
+  UpstreamState State = Lifecycle.state();
+  base::logger("dataplane")
+      ->info("upstream state={} endpoint={}", static_cast<int>(State),
+             Options.Endpoint.value());
+  if (State == UpstreamState::Ready) {
+    ReadyAt = Time.now();
+    ReadyWall = Time.wallNow();
+  } else {
+    // Queued work has not run; its callers can go elsewhere at once.
+    Slots.dropWaiting();
+  }
+  updateLimit();
+  publish();
+}
+
+void Gate::Impl::publish() {
+  if (!Last)
+    return;
+  document::Endpoint Entry;
+  Entry.Id = Options.Endpoint;
+  Entry.Node = Options.Node;
+  Entry.NodeAddress = Options.NodeAddress;
+  Entry.Service = Last->Service;
+  Entry.Version = Last->Version;
+  Entry.Zone = Options.Zone;
+  Entry.Slots = Last->Slots;
+  Entry.State = published(Lifecycle.state(), NodeDraining);
+  Entry.Incarnation = Incarnation;
+  Entry.Sequence = ++Sequence;
+  Entry.ReadySince = ReadyWall.count();
+  Control.publish(std::move(Entry));
+}
+
+void Gate::Impl::updateLimit() {
+  std::uint32_t Limit = 0;
+  if (Last && Lifecycle.state() == UpstreamState::Ready) {
+    Limit = Last->Slots;
+    base::Millis Since = Time.now() - ReadyAt;
+    if (Since < Options.SlowStart)
+      Limit = std::max<std::uint32_t>(
+          1, static_cast<std::uint32_t>(Limit * Since.count() /
+                                        Options.SlowStart.count()));
+  }
+  // Work in flight keeps its slots when the limit falls.
+  Slots.setLimit(Limit);
+  Counters.gateLoad(load());
+}
+
+void Gate::Impl::tick() {
+  if (Last && Time.now() - LastHeard >= Options.AnnounceSilence)
+    enter(UpstreamEvent::Silent);
+  updateLimit();
+}
+
+Load Gate::Impl::load() const {
+  return {Slots.inFlight(), static_cast<std::uint32_t>(Slots.queued()),
+          Last ? Last->Slots : 0};
+}
+
+std::optional<Refusal> Gate::Impl::refusal(Outcome What, Reason Why,
+                                           std::string Text) const {
+  return Refusal{What, Why, std::move(Text), base::Millis(0), load()};
+}
+
+std::optional<Refusal> Gate::Impl::stateRefusal() const {
+  if (NodeDraining)
+    return refusal(Outcome::NotRun, Reason::NodeDraining, "node is draining");
+  switch (Lifecycle.state()) {
+  case UpstreamState::Ready:
+    return std::nullopt;
+  case UpstreamState::Starting:
+    return refusal(Outcome::NotRun, Reason::UpstreamStarting,
+                   "upstream is starting");
+  case UpstreamState::Draining:
+  case UpstreamState::Stopped:
+    return refusal(Outcome::NotRun, Reason::UpstreamDraining,
+                   "upstream is leaving");
+  case UpstreamState::Crashed:
+    return refusal(Outcome::NotRun, Reason::UpstreamCrashed,
+                   "upstream has crashed");
+  case UpstreamState::Absent:
+    break;
+  }
+  return refusal(Outcome::NotRun, Reason::UpstreamAbsent,
+                 "no upstream has announced itself");
+}
+
+std::optional<Refusal>
+Gate::Impl::quarantineRefusal(const RequestHead &Head) const {
+  auto Snapshot = Snapshots.current();
+  if (!Snapshot)
+    return std::nullopt;
+  auto Found = Snapshot->Quarantine.find(Head.Fingerprint);
+  if (Found == Snapshot->Quarantine.end() || !Found->second.Convicted ||
+      Found->second.Until <= Time.wallNow())
+    return std::nullopt;
+  return refusal(Outcome::NotRun, Reason::Quarantined,
+                 "this request has crashed upstreams");
+}
+
+bool Gate::Impl::isSuspect(const RequestHead &Head) const {
+  auto Snapshot = Snapshots.current();
+  if (!Snapshot)
+    return false;
+  auto Found = Snapshot->Quarantine.find(Head.Fingerprint);
+  return Found != Snapshot->Quarantine.end() && !Found->second.Convicted;
+}
+
+bool Gate::Impl::deadlineReachable(const ServerExchange &Exchange) const {
+  base::Millis Left = Exchange.Deadline - Time.now();
+  if (Left <= base::Millis(0))
+    return false;
+  auto Expected = Times.expected();
+  // An idle upstream takes one request in any case; otherwise a median from
+  // a slow period would never be replaced.
+  if (!Expected || Slots.inFlight() == 0)
+    return true;
+  auto Limit = std::max<std::int64_t>(1, Slots.limit());
+  auto Waiting = static_cast<std::int64_t>(Slots.queued());
+  bool Waits = Slots.inFlight() >= Slots.limit();
+  base::Millis Needed = *Expected;
+  if (Waits)
+    Needed = Needed + *Expected * (Waiting + 1) / Limit;
+  return Needed <= Left;
+}
+
+std::optional<Refusal>
+Gate::Impl::admission(const ServerExchange &Exchange) const {
+  const RequestHead &Head = Exchange.Head;
+  if (auto Refused = stateRefusal())
+    return Refused;
+  if (Head.Service != Last->Service || Head.Version != Last->Version)
+    return refusal(Outcome::NotRun, Reason::WrongUpstream,
+                   "another service or version runs here");
+  if (auto Refused = quarantineRefusal(Head))
+    return Refused;
+  if (!deadlineReachable(Exchange))
+    return refusal(Outcome::NotRun, Reason::DeadlineUnreachable,
+                   "the deadline cannot be met");
+  bool Waits = Slots.inFlight() >= Slots.limit();
+  if (Waits && Slots.queued() >= std::size_t{QueueFactor} * Last->Slots) {
+    auto Full = refusal(Outcome::NotRun, Reason::QueueFull, "queue is full");
+    Full->RetryAfter = BusyRetryAfter;
+    return Full;
+  }
+  return std::nullopt;
+}
+
+Gate::Gate(const asio::any_io_executor &Executor, GateSettings Options,
+           base::Clock &Time, follower::SnapshotSource &Snapshots,
+           follower::ControlCalls &Control, Metrics &Counters)
+    : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Snapshots,
+                                  Control, Counters)) {}
+
+Gate::~Gate() = default;
+
+asio::awaitable<void> Gate::run() {
+  auto Keep = Self;
+  for (;;) {
+    co_await Keep->Time.sleepFor(TickInterval);
+    Keep->tick();
+  }
+}
+
+bool Gate::announce(const Announcement &News) { return Self->announce(News); }
+
+asio::awaitable<void> Gate::serve(std::shared_ptr<ServerExchange> Exchange) {
+  co_await Self->serve(std::move(Exchange));
+}
+
+asio::awaitable<bool> Gate::drain(base::Millis Limit) {
+  auto Keep = Self;
+  constexpr base::Millis Poll = base::Millis(20);
+  if (!std::exchange(Keep->NodeDraining, true)) {
+    Keep->Slots.dropWaiting();
+    Keep->publish();
+  }
+  base::TimePoint End = Keep->Time.now() + Limit;
+  while (Keep->Slots.inFlight() != 0 && Keep->Time.now() < End)
+    co_await Keep->Time.sleepFor(Poll);
+  co_return Keep->Slots.inFlight() == 0;
+}
+
+UpstreamState Gate::state() const { return Self->Lifecycle.state(); }
+
+Load Gate::load() const { return Self->load(); }
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/src/GateImpl.h
@@ -0,0 +1,75 @@
+#ifndef AMARANTH_DATAPLANE_SRC_GATEIMPL_H
+#define AMARANTH_DATAPLANE_SRC_GATEIMPL_H
+
+#include "CrashGuard.h"
+#include "ServiceTimes.h"
+#include "amaranth/dataplane/ClaimClient.h"
+#include "amaranth/dataplane/Gate.h"
+#include "amaranth/dataplane/SlotQueue.h"
+
+#include <optional>
+
+namespace amaranth::dataplane {
+
+struct Gate::Impl : std::enable_shared_from_this<Gate::Impl> {
+  Impl(const boost::asio::any_io_executor &Executor, GateSettings Options,
+       base::Clock &Time, follower::SnapshotSource &Snapshots,
+       follower::ControlCalls &Control, Metrics &Counters);
+
+  // Gate.cpp: lifecycle and admission.
+  bool announce(const Announcement &News);
+  void enter(UpstreamEvent Event);
+  void publish();
+  void updateLimit();
+  void tick();
+  Load load() const;
+  std::optional<Refusal> refusal(Outcome What, Reason Why,
+                                 std::string Text) const;
+  std::optional<Refusal> admission(const ServerExchange &Exchange) const;
+  std::optional<Refusal> stateRefusal() const;
+  std::optional<Refusal> quarantineRefusal(const RequestHead &Head) const;
+  bool deadlineReachable(const ServerExchange &Exchange) const;
+  bool isSuspect(const RequestHead &Head) const;
+
+  // GateRun.cpp: one exchange.
+  using Shared = std::shared_ptr<ServerExchange>;
+  using Answer = boost::asio::awaitable<std::optional<Refusal>>;
+  boost::asio::awaitable<void> serve(Shared Exchange);
+  Answer attempt(Shared Exchange);
+  Answer runWithSlot(Shared Exchange, bool Suspect);
+  Answer claimAndRun(Shared Exchange, bool &Crashed);
+  Answer execute(Shared Exchange, bool &Crashed);
+  Answer failed(Shared Exchange, UpstreamError Failure, bool &Crashed);
+  Answer beginSuspect(Shared Exchange);
+  boost::asio::awaitable<void> endSuspect(Shared Exchange, bool Crashed);
+  boost::asio::awaitable<void> replay(Shared Exchange,
+                                      control::StoredResponse Stored);
+  boost::asio::awaitable<std::shared_ptr<UpstreamCall>> begin(Shared Exchange);
+  boost::asio::awaitable<void> forward(Shared Exchange,
+                                       std::shared_ptr<UpstreamCall> Call);
+  Headers requestFields(const ServerExchange &Exchange) const;
+
+  boost::asio::any_io_executor Executor;
+  GateSettings Options;
+  base::Clock &Time;
+  follower::SnapshotSource &Snapshots;
+  follower::ControlCalls &Control;
+  Metrics &Counters;
+  ClaimClient Claims;
+  UpstreamClient Client;
+  CrashGuard Crashes;
+  SlotQueue Slots;
+  ServiceTimes Times;
+  UpstreamLifecycle Lifecycle;
+  std::optional<Announcement> Last;
+  base::TimePoint LastHeard;
+  base::TimePoint ReadyAt;
+  base::WallTime ReadyWall;
+  std::uint64_t Incarnation;
+  std::uint64_t Sequence = 0;
+  bool NodeDraining = false;
+};
+
+} // namespace amaranth::dataplane
+
+#endif
--- /dev/null
+++ b/dataplane/src/GateRun.cpp
@@ -0,0 +1,338 @@
+#include "GateImpl.h"
+#include "amaranth/base/Digest.h"
+#include "amaranth/base/Invariant.h"
+#include "amaranth/base/Log.h"
+#include "amaranth/base/Timeout.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+using amaranth::protocol::MessageType;
+
+namespace amaranth::dataplane {
+
+namespace {
+
+/// Sends the request body to the upstream while the response is read. Ends
+/// with the exchange or the call.
+asio::awaitable<void> pumpRequest(std::shared_ptr<ServerExchange> Exchange,
+                                  std::shared_ptr<UpstreamCall> Call) {
+  // An entry node sends no data messages for an empty body.
+  std::int64_t Left = Exchange->Head.BodyLength;
+  try {
+    for (bool End = Left == 0; !End;) {
+      BodyPiece Piece = co_await Exchange->Body.readData();
+      End = Piece.End;
+      // Bytes beyond the length would be taken for another request.
+      auto Size = static_cast<std::int64_t>(Piece.Data.size());
+      if (Left != UnknownLength && (Size > Left || (End && Size < Left))) {
+        Call->abort();
+        co_return;
+      }
+      if (Left != UnknownLength)
+        Left -= Size;
+      co_await Call->writeBody(Piece.Data);
+    }
+    co_await Call->writeEnd();
+  } catch (const ExchangeEnded &) {
+    // The upstream must not take the part that arrived for the whole request.
+    Call->abort();
+  } catch (const UpstreamError &) {
+    // An early response may still be readable; reading it reports the
+    // failure otherwise.
+  }
+}
+
+/// Collects a response for a later replay, as long as it is small enough.
+class ResponseRecorder {
+public:
+  explicit ResponseRecorder(const ResponseHead &Head) {
+    Stored.Status = static_cast<std::uint16_t>(Head.Status);
+    Stored.Headers = Head.Fields;
+  }
+
+  void add(base::ByteView Data) {
+    if (!fits() || Stored.Body.size() + Data.size() > control::MaxStoredBody) {
+      TooLarge = true;
+      return;
+    }
+    Stored.Body.append(base::asText(Data));
+  }
+  bool fits() const { return !TooLarge; }
+  std::optional<control::StoredResponse> take() {
+    if (!fits())
+      return std::nullopt;
+    return std::move(Stored);
+  }
+
+private:
+  control::StoredResponse Stored;
+  bool TooLarge = false;
+};
+
+} // namespace
+
+asio::awaitable<void> Gate::Impl::serve(Shared Exchange) {
+  auto Keep = shared_from_this();
+  std::optional<Refusal> Refused;
+  try {
+    Refused = co_await attempt(Exchange);
+  } catch (const ExchangeEnded &) {
+    // The entry node has gone or has cancelled; nobody waits for an answer.
+  } catch (const std::exception &Failure) {
+    base::logger("dataplane")
+        ->error("exchange failed error=\"{}\"", Failure.what());
+    Refused = refusal(Outcome::Unknown, Reason::UpstreamBroken, "internal");
+  }
+  Counters.gateLoad(load());
+  Exchange->OnEnd = nullptr;
+  if (!Refused || Exchange->Body.ended())
+    co_return;
+  Counters.refusal("gate", *Refused);
+  Exchange->Body.link().post(MessageType::Refusal, Exchange->Body.stream(),
+                             encode(*Refused));
+}
+
+Gate::Impl::Answer Gate::Impl::attempt(Shared Exchange) {
+  if (auto Refused = admission(*Exchange))
+    co_return Refused;
+  bool Suspect = isSuspect(Exchange->Head);
+  if (Suspect)
+    if (auto Refused = co_await beginSuspect(Exchange))
+      co_return Refused;
+  // The exchange owns the object that the queue waits on.
+  std::shared_ptr<ExchangeEnd> Waiting(Exchange, &Exchange->Body);
+  auto Granted =
+      co_await Slots.acquire(std::move(Waiting), Exchange->Deadline, Suspect);
+  if (Granted == SlotQueue::Result::Granted)
+    co_return co_await runWithSlot(Exchange, Suspect);
+  if (Suspect)
+    co_await endSuspect(Exchange, false);
+  if (Granted == SlotQueue::Result::Ended)
+    co_return std::nullopt;
+  if (Granted == SlotQueue::Result::Expired)
+    co_return refusal(Outcome::NotRun, Reason::DeadlineExceeded,
+                      "no slot was free before the deadline");
+  auto Refused = stateRefusal();
+  co_return Refused ? Refused
+                    : refusal(Outcome::NotRun, Reason::Overloaded,
+                              "upstream changed its state");
+}
+
+Gate::Impl::Answer Gate::Impl::runWithSlot(Shared Exchange, bool Suspect) {
+  SlotHold Hold(Slots);
+  bool Crashed = false;
+  auto Refused = stateRefusal();
+  if (!Refused)
+    Refused = quarantineRefusal(Exchange->Head);
+  // A request that became a suspect while it waited must run alone.
+  if (!Refused && !Suspect && isSuspect(Exchange->Head))
+    Refused = refusal(Outcome::NotRun, Reason::SuspectBusy,
+                      "request is suspected of crashing upstreams");
+  if (!Refused)
+    Refused = co_await claimAndRun(Exchange, Crashed);
+  if (Suspect)
+    co_await endSuspect(Exchange, Crashed);
+  co_return Refused;
+}
+
+Gate::Impl::Answer Gate::Impl::claimAndRun(Shared Exchange, bool &Crashed) {
+  const RequestHead &Head = Exchange->Head;
+  if (!Head.IdempotencyKey)
+    co_return co_await execute(Exchange, Crashed);
+  base::Millis Limit =
+      std::min(Options.ClaimTimeout, Exchange->Deadline - Time.now());
+  auto Claimed = co_await Claims.claim(Head, Limit);
+  if (Claimed.Refused) {
+    Claimed.Refused->Work = load();
+    co_return Claimed.Refused;
+  }
+  if (Claimed.Stored) {
+    co_await replay(Exchange, std::move(*Claimed.Stored));
+    co_return std::nullopt;
+  }
+  auto Refused = stateRefusal();
+  if (!Refused && Exchange->Body.ended())
+    Refused = refusal(Outcome::NotRun, Reason::Cancelled, "cancelled");
+  if (Refused) {
+    Claims.release(Head);
+    co_return Refused;
+  }
+  co_return co_await execute(Exchange, Crashed);
+}
+
+asio::awaitable<std::shared_ptr<UpstreamCall>>
+Gate::Impl::begin(Shared Exchange) {
+  const RequestHead &Head = Exchange->Head;
+  Headers Fields = requestFields(*Exchange);
+  std::string Method = Head.Method;
+  std::string Target = Head.Target;
+  co_return co_await Client.begin(std::move(Method), std::move(Target),
+                                  std::move(Fields), Head.BodyLength);
+}
+
+Gate::Impl::Answer Gate::Impl::execute(Shared Exchange, bool &Crashed) {
+  AMARANTH_INVARIANT(Lifecycle.state() == UpstreamState::Ready,
+                     "work for an upstream that is not ready");
+  CrashGuard::Tracked Tracked(Crashes, Exchange->Head.Fingerprint);
+  base::TimePoint Started = Time.now();
+  std::optional<UpstreamError> Failure;
+  std::shared_ptr<UpstreamCall> Call;
+  std::exception_ptr Ended;
+  try {
+    Call = co_await begin(Exchange);
+    // A keyed request runs to its end, so that a resend gets its response.
+    if (!Exchange->Head.IdempotencyKey)
+      Exchange->OnEnd = [Call] { Call->abort(); };
+    if (Exchange->Body.ended() && !Exchange->Head.IdempotencyKey)
+      Call->abort();
+    asio::co_spawn(Executor, pumpRequest(Exchange, Call), asio::detached);
+    co_await forward(Exchange, Call);
+    Times.add(Time.now() - Started);
+  } catch (const UpstreamError &Error) {
+    Failure = Error;
+  } catch (const ExchangeEnded &) {
+    Ended = std::current_exception();
+  }
+  Exchange->OnEnd = nullptr;
+  if (Call)
+    Call->abort();
+  if (Ended)
+    std::rethrow_exception(Ended);
+  if (!Failure)
+    co_return std::nullopt;
+  co_return co_await failed(Exchange, *Failure, Crashed);
+}
+
+Gate::Impl::Answer Gate::Impl::failed(Shared Exchange, UpstreamError Failure,
+                                      bool &Crashed) {
+  const RequestHead &Head = Exchange->Head;
+  if (Head.IdempotencyKey && !Failure.sent())
+    Claims.release(Head);
+  if (Head.IdempotencyKey && Failure.sent())
+    Claims.finish(Head, std::nullopt);
+  // A cancelled call ends its connection itself, which is no sign of a crash.
+  bool Cancelled = Exchange->Body.ended() && !Head.IdempotencyKey;
+  bool MayBeCrash = Failure.why() == Reason::UpstreamBroken ||
+                    Failure.why() == Reason::UpstreamUnreachable;
+  if (!Cancelled && MayBeCrash)
+    Crashed = co_await Crashes.broken(Head.Service, Options.Endpoint,
+                                      Head.Fingerprint, Options.CrashCommit);
+  if (!Failure.sent()) {
+    Crashed = false;
+    co_return refusal(Outcome::NotRun, Reason::UpstreamUnreachable,
+                      Failure.what());
+  }
+  co_return refusal(Outcome::Unknown,
+                    Crashed ? Reason::UpstreamCrashed : Failure.why(),
+                    Failure.what());
+}
+
+asio::awaitable<void> Gate::Impl::forward(Shared Exchange,
+                                          std::shared_ptr<UpstreamCall> Call) {
+  base::Millis Left =
+      std::max(base::Millis(1), Exchange->Deadline - Time.now());
+  auto Answered = co_await base::withTimeout(Time, Left, Call->readHead());
+  if (!Answered) {
+    Call->abort();
+    throw UpstreamError(true, Reason::DeadlineExceeded,
+                        "no response before the deadline");
+  }
+  ResponseHead Head = std::move(*Answered);
+  eraseConnectionHeaders(Head.Fields);
+  Head.Work = load();
+  bool Keyed = Exchange->Head.IdempotencyKey.has_value();
+  ResponseRecorder Recorder(Head);
+  ExchangeEnd &Body = Exchange->Body;
+  bool Attached = !Body.ended();
+  if (Attached)
+    Body.link().post(MessageType::ResponseHead, Body.stream(), encode(Head));
+  base::Bytes Buffer(MaxPieceBytes);
+  std::optional<ExchangeEnded> Gone;
+  for (;;) {
+    std::size_t Count = co_await Call->readBody(Buffer);
+    base::ByteView Part(Buffer.data(), Count);
+    Recorder.add(Part);
+    if (Count == 0 && Keyed)
+      Claims.finish(Exchange->Head, Recorder.take());
+    if (Attached) {
+      base::Bytes Copy(Part.begin(), Part.end());
+      try {
+        co_await Body.sendData(std::move(Copy), Count == 0);
+      } catch (const ExchangeEnded &Why) {
+        Gone = Why;
+      }
+      Attached = !Gone;
+    }
+    if (Count == 0)
+      co_return;
+    if (Attached || (Keyed && Recorder.fits()))
+      continue;
+    if (Keyed)
+      Claims.finish(Exchange->Head, std::nullopt);
+    throw ExchangeEnded(Body.ending());
+  }
+}
+
+Headers Gate::Impl::requestFields(const ServerExchange &Exchange) const {
+  Headers Fields = Exchange.Head.Fields;
+  eraseConnectionHeaders(Fields);
+  // The upstream passes the rest of the deadline on to its own calls.
+  eraseHeader(Fields, "X-Request-Deadline-Ms");
+  base::Millis Left = std::max(base::Millis(0), Exchange.Deadline - Time.now());
+  Fields.emplace_back("X-Request-Deadline-Ms", std::to_string(Left.count()));
+  if (!findHeader(Fields, "Host"))
+    Fields.emplace_back("Host", Exchange.Head.Service.value());
+  return Fields;
+}
+
+Gate::Impl::Answer Gate::Impl::beginSuspect(Shared Exchange) {
+  const RequestHead &Head = Exchange->Head;
+  control::Command Request =
+      control::BeginSuspectRun{Head.Service, Head.Fingerprint, Head.Attempt};
+  base::Millis Limit =
+      std::min(Options.ClaimTimeout, Exchange->Deadline - Time.now());
+  auto Result = co_await Claims.commit(Request, Limit);
+  if (Result && Result->Code == control::ResultCode::Accepted)
+    co_return std::nullopt;
+  if (!Result)
+    co_await endSuspect(Exchange, false);
+  auto Refused = refusal(Outcome::NotRun, Reason::SuspectBusy,
+                         Result ? "another suspect request is running"
+                                : "no majority of the control processes");
+  Refused->RetryAfter = base::Millis::seconds(1);
+  co_return Refused;
+}
+
+asio::awaitable<void> Gate::Impl::endSuspect(Shared Exchange, bool Crashed) {
+  const RequestHead &Head = Exchange->Head;
+  control::Command Request = control::EndSuspectRun{
+      Head.Service, Head.Fingerprint, Head.Attempt, Crashed};
+  if (!Crashed) {
+    Claims.commitInBackground(std::move(Request));
+    co_return;
+  }
+  // The conviction must be committed before the caller can resend.
+  auto Result = co_await Claims.commit(Request, Options.CrashCommit);
+  if (!Result)
+    Claims.commitInBackground(std::move(Request));
+}
+
+asio::awaitable<void> Gate::Impl::replay(Shared Exchange,
+                                         control::StoredResponse Stored) {
+  ResponseHead Head;
+  Head.Status = Stored.Status;
+  Head.Fields = std::move(Stored.Headers);
+  Head.BodyLength = static_cast<std::int64_t>(Stored.Body.size());
+  Head.Work = load();
+  ExchangeEnd &Body = Exchange->Body;
+  Body.link().post(MessageType::ResponseHead, Body.stream(), encode(Head));
+  base::ByteView Data = base::asBytes(Stored.Body);
+  base::Bytes Copy(Data.begin(), Data.end());
+  co_await Body.sendData(std::move(Copy), true);
+}
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/src/HttpConnection.cpp
@@ -0,0 +1,279 @@
+#include "amaranth/dataplane/HttpConnection.h"
+
+#include "HttpText.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace amaranth::dataplane {
+
+using Parser = http::request_parser<http::buffer_body>;
+
+struct HttpConnection::Impl {
+  Impl(tcp::socket Socket, base::Clock &Time, base::Millis StallTimeout)
+      : Socket(std::move(Socket)), Time(Time), StallTimeout(StallTimeout) {}
+
+  asio::awaitable<void> write(std::string Text) {
+    WriteDue = Time.now() + StallTimeout;
+    co_await asio::async_write(Socket, asio::buffer(Text), asio::use_awaitable);
+    WriteDue = base::TimePoint::max();
+  }
+
+  tcp::socket Socket;
+  base::Clock &Time;
+  base::Millis StallTimeout;
+  boost::beast::flat_buffer Buffer{MaxHeaderBytes + MaxPieceBytes};
+  std::optional<Parser> Incoming;
+  base::TimePoint ReadDue = base::TimePoint::max();
+  base::TimePoint WriteDue = base::TimePoint::max();
+  std::uint64_t WatchGeneration = 0;
+  bool Watching = false;
+  bool ContinueWanted = false;
+  bool KeepAlive = true;
+  bool HeadRequest = false;
+  bool Http10 = false;
+  bool HeadWritten = false;
+  bool EndWritten = false;
+  bool Chunked = false;
+  bool NoBody = false;
+  std::int64_t Remaining = 0;
+};
+
+namespace {
+
+HttpRequest describe(const Parser &Incoming) {
+  const auto &Message = Incoming.get();
+  HttpRequest Request;
+  Request.Method = std::string(Message.method_string());
+  Request.Target = std::string(Message.target());
+  for (const auto &Field : Message)
+    Request.Fields.emplace_back(std::string(Field.name_string()),
+                                std::string(Field.value()));
+  if (Incoming.chunked())
+    Request.BodyLength = UnknownLength;
+  else if (auto Length = Incoming.content_length())
+    Request.BodyLength = static_cast<std::int64_t>(*Length);
+  return Request;
+}
+
+[[noreturn]] void throwParseError(boost::system::error_code Failure) {
+  if (Failure.category() !=
+      http::make_error_code(http::error::bad_method).category())
+    throw boost::system::system_error(Failure);
+  if (Failure == http::error::partial_message)
+    throw boost::system::system_error(asio::error::eof);
+  bool TooLarge = Failure == http::error::header_limit ||
+                  Failure == http::error::buffer_overflow;
+  throw HttpError(TooLarge ? 431 : 400, Failure.message());
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(tcp::socket Socket, base::Clock &Time,
+                               base::Millis StallTimeout)
+    : Self(std::make_shared<Impl>(std::move(Socket), Time, StallTimeout)) {
+  boost::system::error_code Ignored;
+  Self->Socket.set_option(tcp::no_delay(true), Ignored);
+}
+
+HttpConnection::~HttpConnection() = default;
+
+asio::awaitable<std::optional<HttpRequest>>
+HttpConnection::readRequest(base::Millis Timeout) {
+  auto Keep = Self;
+  Keep->Incoming.emplace();
+  Keep->Incoming->header_limit(MaxHeaderBytes);
+  Keep->Incoming->body_limit(boost::none);
+  Keep->ReadDue = Keep->Time.now() + Timeout;
+  Keep->HeadWritten = Keep->EndWritten = false;
+  boost::system::error_code Failure;
+  co_await http::async_read_header(
+      Keep->Socket, Keep->Buffer, *Keep->Incoming,
+      asio::redirect_error(asio::use_awaitable, Failure));
+  Keep->ReadDue = base::TimePoint::max();
+  if (Failure == http::error::end_of_stream)
+    co_return std::nullopt;
+  if (Failure)
+    throwParseError(Failure);
+  const auto &Message = Keep->Incoming->get();
+  Keep->KeepAlive = Message.keep_alive();
+  Keep->HeadRequest = Message.method() == http::verb::head;
+  Keep->Http10 = Message.version() < 11;
+  HttpRequest Request = describe(*Keep->Incoming);
+  const std::string *Expect = findHeader(Request.Fields, "Expect");
+  Keep->ContinueWanted = Expect && *Expect == "100-continue";
+  if (!withinLimits(Request.Fields))
+    throw HttpError(431, "too many header fields");
+  co_return Request;
+}
+
+asio::awaitable<std::size_t>
+HttpConnection::readBody(std::span<std::uint8_t> Into) {
+  auto Keep = Self;
+  if (std::exchange(Keep->ContinueWanted, false) && !bodyComplete())
+    co_await Keep->write("HTTP/1.1 100 Continue\r\n\r\n");
+  auto &Incoming = *Keep->Incoming;
+  while (!Incoming.is_done()) {
+    Incoming.get().body().data = Into.data();
+    Incoming.get().body().size = Into.size();
+    Keep->ReadDue = Keep->Time.now() + Keep->StallTimeout;
+    boost::system::error_code Failure;
+    co_await http::async_read_some(
+        Keep->Socket, Keep->Buffer, Incoming,
+        asio::redirect_error(asio::use_awaitable, Failure));
+    Keep->ReadDue = base::TimePoint::max();
+    if (Failure && Failure != http::error::need_buffer)
+      throwParseError(Failure);
+    std::size_t Count = Into.size() - Incoming.get().body().size;
+    if (Count != 0)
+      co_return Count;
+  }
+  co_return 0;
+}
+
+bool HttpConnection::bodyComplete() const { return Self->Incoming->is_done(); }
+
+asio::awaitable<void> HttpConnection::writeHead(unsigned Status, Headers Fields,
+                                                std::int64_t BodyLength) {
+  auto Keep = Self;
+  bool StatusWithoutBody = Status == 204 || Status == 304 || Status < 200;
+  Keep->NoBody = Keep->HeadRequest || StatusWithoutBody;
+  Keep->Chunked = false;
+  Keep->Remaining = BodyLength;
+  if (BodyLength == UnknownLength && !Keep->NoBody) {
+    Keep->Chunked = !Keep->Http10;
+    if (Keep->Http10)
+      Keep->KeepAlive = false;
+  }
+  // A body that was not read would be taken for the next request.
+  if (!bodyComplete())
+    Keep->KeepAlive = false;
+  if (BodyLength >= 0 && Status != 204 && Status >= 200)
+    Fields.emplace_back("Content-Length", std::to_string(BodyLength));
+  if (Keep->Chunked)
+    Fields.emplace_back("Transfer-Encoding", "chunked");
+  if (!Keep->KeepAlive)
+    Fields.emplace_back("Connection", "close");
+  else if (Keep->Http10)
+    Fields.emplace_back("Connection", "keep-alive");
+  Keep->HeadWritten = true;
+  co_await Keep->write(responseText(Status, Fields));
+}
+
+asio::awaitable<void> HttpConnection::writeBody(base::ByteView Data) {
+  auto Keep = Self;
+  if (Keep->NoBody || Data.empty())
+    co_return;
+  std::string Size = Keep->Chunked ? chunkHeader(Data.size()) : std::string();
+  if (!Keep->Chunked && Keep->Remaining != UnknownLength) {
+    if (Data.size() > static_cast<std::size_t>(Keep->Remaining))
+      throw base::ProtocolError("response body exceeds its length");
+    Keep->Remaining -= static_cast<std::int64_t>(Data.size());
+  }
+  // A slow reader makes progress within one piece; each write of at most
+  // this size restarts the stall timer.
+  constexpr std::size_t WriteBytes = 16U << 10U;
+  std::string_view Rest = base::asText(Data);
+  if (!Size.empty())
+    co_await Keep->write(Size);
+  while (!Rest.empty()) {
+    std::string_view Part = Rest.substr(0, WriteBytes);
+    Keep->WriteDue = Keep->Time.now() + Keep->StallTimeout;
+    co_await asio::async_write(Keep->Socket,
+                               asio::buffer(Part.data(), Part.size()),
+                               asio::use_awaitable);
+    Keep->WriteDue = base::TimePoint::max();
+    Rest.remove_prefix(Part.size());
+  }
+  if (Keep->Chunked)
+    co_await Keep->write("\r\n");
+}
+
+asio::awaitable<void> HttpConnection::writeEnd() {
+  auto Keep = Self;
+  if (!Keep->NoBody && !Keep->Chunked && Keep->Remaining > 0)
+    throw base::ProtocolError("response body is shorter than its length");
+  if (Keep->Chunked && !Keep->NoBody)
+    co_await Keep->write("0\r\n\r\n");
+  Keep->EndWritten = true;
+}
+
+asio::awaitable<void> HttpConnection::respond(unsigned Status, Headers Fields,
+                                              std::string Body) {
+  co_await writeHead(Status, std::move(Fields),
+                     static_cast<std::int64_t>(Body.size()));
+  co_await writeBody(base::asBytes(Body));
+  co_await writeEnd();
+}
+
+void HttpConnection::watch(std::function<void()> OnClosed) {
+  Self->Watching = true;
+  asio::co_spawn(
+      Self->Socket.get_executor(),
+      [Keep = Self, Generation = ++Self->WatchGeneration,
+       OnClosed = std::move(OnClosed)]() -> asio::awaitable<void> {
+        boost::system::error_code Failure;
+        co_await Keep->Socket.async_wait(
+            tcp::socket::wait_read,
+            asio::redirect_error(asio::use_awaitable, Failure));
+        if (Generation != Keep->WatchGeneration || !Keep->Watching)
+          co_return;
+        char Byte = 0;
+        auto Count = ::recv(Keep->Socket.native_handle(), &Byte, 1,
+                            MSG_PEEK | MSG_DONTWAIT);
+        bool Closed = Count == 0 || (Count < 0 && errno != EAGAIN);
+        Keep->Watching = false;
+        if (Failure || Closed)
+          OnClosed();
+      },
+      asio::detached);
+}
+
+void HttpConnection::stopWatch() {
+  if (!std::exchange(Self->Watching, false))
+    return;
+  ++Self->WatchGeneration;
+  boost::system::error_code Ignored;
+  Self->Socket.cancel(Ignored);
+}
+
+bool HttpConnection::reusable() const {
+  return Self->KeepAlive && Self->EndWritten && bodyComplete() &&
+         Self->Socket.is_open();
+}
+
+bool HttpConnection::headWritten() const { return Self->HeadWritten; }
+
+void HttpConnection::closeAfterResponse() { Self->KeepAlive = false; }
+
+void HttpConnection::abort() {
+  boost::system::error_code Ignored;
+  if (Self->HeadWritten && !Self->EndWritten)
+    Self->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  Self->Socket.close(Ignored);
+}
+
+void HttpConnection::checkStalled() {
+  if (std::min(Self->ReadDue, Self->WriteDue) <= Self->Time.now())
+    abort();
+}
+
+tcp::endpoint HttpConnection::peer() const {
+  boost::system::error_code Ignored;
+  return Self->Socket.remote_endpoint(Ignored);
+}
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/src/Metrics.cpp
@@ -0,0 +1,88 @@
+#include "amaranth/dataplane/Metrics.h"
+
+namespace amaranth::dataplane {
+
+namespace {
+
+prometheus::Family<prometheus::Counter> &
+counters(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildCounter().Name(Name).Help(Help).Register(Registry);
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name,
+                         const char *Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add(
+      {});
+}
+
+const prometheus::Histogram::BucketBoundaries LatencyBoundsMs = {
+    1, 2, 4, 8, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 16384};
+
+} // namespace
+
+Metrics::Metrics(prometheus::Registry &Registry)
+    : Requests(counters(Registry, "amaranth_requests_total",
+                        "Requests of callers by service and outcome")),
+      Refusals(counters(Registry, "amaranth_refusals_total",
+                        "Refusals by place, outcome and reason")),
+      Retries(counters(Registry, "amaranth_retries_total",
+                       "Attempts after the first one, by service")),
+      Ejections(counters(Registry, "amaranth_ejections_total",
+                         "Endpoints ejected as outliers, by service")),
+      Claims(counters(Registry, "amaranth_claims_total",
+                      "Idempotency claims by result")),
+      Latency(prometheus::BuildHistogram()
+                  .Name("amaranth_request_latency_ms")
+                  .Help("Time to the end of the response at the entry node")
+                  .Register(Registry)),
+      Crashes(counters(Registry, "amaranth_upstream_crashes_total",
+                       "Crashes of the local upstream")
+                  .Add({})),
+      InFlight(gauge(Registry, "amaranth_gate_in_flight",
+                     "Requests running at the local upstream")),
+      Queued(gauge(Registry, "amaranth_gate_queued",
+                   "Requests waiting for a slot of the local upstream")),
+      Slots(gauge(Registry, "amaranth_gate_slots",
+                  "Requests that the local upstream may run at once")) {}
+
+void Metrics::request(const base::ServiceName &Service,
+                      const std::string &Outcome, base::Millis Took) {
+  auto &Count = RequestCache[Service.value() + '\n' + Outcome];
+  if (!Count)
+    Count = &Requests.Add({{"service", Service.value()}, {"outcome", Outcome}});
+  Count->Increment();
+  auto &Times = LatencyCache[Service.value()];
+  if (!Times)
+    Times = &Latency.Add({{"service", Service.value()}}, LatencyBoundsMs);
+  Times->Observe(static_cast<double>(Took.count()));
+}
+
+void Metrics::refusal(const std::string &Place, const Refusal &Value) {
+  Refusals
+      .Add({{"place", Place},
+            {"outcome", std::string(outcomeText(Value.What))},
+            {"reason", reasonText(Value.Why)}})
+      .Increment();
+}
+
+void Metrics::retry(const base::ServiceName &Service) {
+  Retries.Add({{"service", Service.value()}}).Increment();
+}
+
+void Metrics::ejection(const base::ServiceName &Service) {
+  Ejections.Add({{"service", Service.value()}}).Increment();
+}
+
+void Metrics::claim(const std::string &Result) {
+  Claims.Add({{"result", Result}}).Increment();
+}
+
+void Metrics::crash() { Crashes.Increment(); }
+
+void Metrics::gateLoad(const Load &Work) {
+  InFlight.Set(Work.InFlight);
+  Queued.Set(Work.Queued);
+  Slots.Set(Work.Slots);
+}
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/src/UpstreamClient.cpp
@@ -0,0 +1,321 @@
+#include "amaranth/dataplane/UpstreamClient.h"
+
+#include "HttpText.h"
+#include "amaranth/base/Timeout.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <fmt/format.h>
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <sys/socket.h>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace amaranth::dataplane {
+
+namespace {
+
+struct Pooled {
+  explicit Pooled(tcp::socket Connected) : Socket(std::move(Connected)) {}
+
+  /// False when the upstream closed the connection or sent bytes that belong
+  /// to no request.
+  bool usable() {
+    char Byte = 0;
+    return Socket.is_open() &&
+           ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+               0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  tcp::socket Socket;
+};
+
+using Parser = http::response_parser<http::buffer_body>;
+
+} // namespace
+
+struct UpstreamClient::Impl {
+  Impl(asio::any_io_executor Executor, Settings Options, base::Clock &Time)
+      : Executor(std::move(Executor)), Options(Options), Time(Time) {}
+
+  asio::awaitable<std::shared_ptr<Pooled>> connect();
+
+  asio::any_io_executor Executor;
+  Settings Options;
+  base::Clock &Time;
+  base::Address Upstream;
+  /// Grows with each change of the address; connections to an older one do
+  /// not return to the pool.
+  std::uint64_t Generation = 0;
+  std::deque<std::shared_ptr<Pooled>> Idle;
+};
+
+namespace {
+
+class Call final : public UpstreamCall,
+                   public std::enable_shared_from_this<Call> {
+public:
+  Call(std::shared_ptr<Pooled> Link, base::Clock &Time, base::Millis Silence,
+       bool Head, bool Chunked,
+       std::function<void(std::shared_ptr<Pooled>)> Put)
+      : Link(std::move(Link)), Time(Time), Silence(Silence), Head(Head),
+        Chunked(Chunked), Put(std::move(Put)) {}
+  ~Call() override { abort(); }
+
+  asio::awaitable<std::size_t> writeRaw(std::string Text) {
+    auto Keep = shared_from_this();
+    boost::system::error_code Failure;
+    std::size_t Written = co_await asio::async_write(
+        Link->Socket, asio::buffer(Text),
+        asio::redirect_error(asio::use_awaitable, Failure));
+    if (Failure)
+      throw UpstreamError(Written != 0, Reason::UpstreamBroken,
+                          Failure.message());
+    co_return Written;
+  }
+
+  asio::awaitable<void> writeBody(base::ByteView Data) override;
+  asio::awaitable<void> writeEnd() override;
+  asio::awaitable<ResponseHead> readHead() override;
+  asio::awaitable<std::size_t> readBody(std::span<std::uint8_t> Into) override;
+
+  void abort() override {
+    if (!Link)
+      return;
+    boost::system::error_code Ignored;
+    Link->Socket.close(Ignored);
+  }
+
+private:
+  asio::awaitable<void> readSome(bool HeadOnly);
+  void release();
+  [[noreturn]] void fail(boost::system::error_code Failure) {
+    abort();
+    if (TimedOut)
+      throw UpstreamError(true, Reason::UpstreamSilent,
+                          fmt::format("no data for {} ms", Silence.count()));
+    throw UpstreamError(true, Reason::UpstreamBroken, Failure.message());
+  }
+
+  std::shared_ptr<Pooled> Link;
+  base::Clock &Time;
+  base::Millis Silence;
+  bool Head;
+  bool Chunked;
+  std::function<void(std::shared_ptr<Pooled>)> Put;
+  boost::beast::flat_buffer Buffer{MaxHeaderBytes + MaxPieceBytes};
+  std::optional<Parser> Incoming;
+  bool RequestWritten = false;
+  bool ResponseRead = false;
+  bool TimedOut = false;
+};
+
+asio::awaitable<void> Call::writeBody(base::ByteView Data) {
+  auto Keep = shared_from_this();
+  if (Data.empty())
+    co_return;
+  std::string Text;
+  if (Chunked)
+    Text = chunkHeader(Data.size());
+  Text.append(base::asText(Data));
+  if (Chunked)
+    Text += "\r\n";
+  co_await writeRaw(std::move(Text));
+}
+
+asio::awaitable<void> Call::writeEnd() {
+  auto Keep = shared_from_this();
+  if (Chunked) {
+    std::string Last = "0\r\n\r\n";
+    co_await writeRaw(std::move(Last));
+  }
+  RequestWritten = true;
+  release();
+}
+
+asio::awaitable<void> Call::readSome(bool HeadOnly) {
+  boost::system::error_code Failure;
+  auto Read = [&]() -> asio::awaitable<void> {
+    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+    if (HeadOnly)
+      co_await http::async_read_header(Link->Socket, Buffer, *Incoming, Token);
+    else
+      co_await http::async_read_some(Link->Socket, Buffer, *Incoming, Token);
+  };
+  if (!co_await base::withTimeout(Time, Silence, Read())) {
+    TimedOut = true;
+    Failure = asio::error::timed_out;
+  }
+  if (Failure && Failure != http::error::need_buffer)
+    fail(Failure);
+}
+
+asio::awaitable<ResponseHead> Call::readHead() {
+  auto Keep = shared_from_this();
+  do {
+    Incoming.emplace();
+    Incoming->header_limit(MaxHeaderBytes);
+    Incoming->body_limit(boost::none);
+    Incoming->skip(Head);
+    co_await readSome(true);
+  } while (Incoming->get().result_int() < 200);
+  const auto &Message = Incoming->get();
+  ResponseHead Result;
+  Result.Status = Message.result_int();
+  for (const auto &Field : Message)
+    Result.Fields.emplace_back(std::string(Field.name_string()),
+                               std::string(Field.value()));
+  if (!withinLimits(Result.Fields))
+    throw UpstreamError(true, Reason::UpstreamBroken,
+                        "response head exceeds the limits");
+  const std::string *Length = findHeader(Result.Fields, "Content-Length");
+  if (Length)
+    Result.BodyLength = std::strtoll(Length->c_str(), nullptr, 10);
+  bool NoBody = Head || Result.Status == 204 || Result.Status == 304;
+  if (!NoBody && !Length && !Incoming->chunked())
+    throw UpstreamError(true, Reason::UpstreamBroken,
+                        "response without a length");
+  co_return Result;
+}
+
+asio::awaitable<std::size_t> Call::readBody(std::span<std::uint8_t> Into) {
+  auto Keep = shared_from_this();
+  while (!Incoming->is_done()) {
+    Incoming->get().body().data = Into.data();
+    Incoming->get().body().size = Into.size();
+    co_await readSome(false);
+    std::size_t Count = Into.size() - Incoming->get().body().size;
+    if (Count != 0)
+      co_return Count;
+  }
+  ResponseRead = true;
+  release();
+  co_return 0;
+}
+
+void Call::release() {
+  if (!RequestWritten || !ResponseRead || !Link)
+    return;
+  if (Buffer.size() != 0 || !Incoming->get().keep_alive()) {
+    abort();
+    return;
+  }
+  Put(std::exchange(Link, nullptr));
+}
+
+} // namespace
+
+asio::awaitable<std::shared_ptr<Pooled>> UpstreamClient::Impl::connect() {
+  tcp::socket Socket(Executor);
+  boost::system::error_code Failure;
+  auto Connect = [&]() -> asio::awaitable<void> {
+    tcp::endpoint Peer(asio::ip::make_address(Upstream.Ip), Upstream.Port);
+    co_await Socket.async_connect(
+        Peer, asio::redirect_error(asio::use_awaitable, Failure));
+  };
+  if (!co_await base::withTimeout(Time, Options.ConnectTimeout, Connect()))
+    Failure = asio::error::timed_out;
+  if (Failure)
+    throw UpstreamError(
+        false, Reason::UpstreamUnreachable,
+        fmt::format("cannot connect to the upstream: {}", Failure.message()));
+  boost::system::error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  co_return std::make_shared<Pooled>(std::move(Socket));
+}
+
+UpstreamClient::UpstreamClient(const asio::any_io_executor &Executor,
+                               Settings Options, base::Clock &Time)
+    : Shared(std::make_shared<Impl>(Executor, Options, Time)) {}
+
+UpstreamClient::~UpstreamClient() = default;
+
+void UpstreamClient::setAddress(const base::Address &Upstream) {
+  if (Shared->Upstream == Upstream)
+    return;
+  Shared->Upstream = Upstream;
+  dropIdle();
+}
+
+asio::awaitable<std::shared_ptr<UpstreamCall>>
+UpstreamClient::begin(std::string Method, std::string Target, Headers Fields,
+                      std::int64_t BodyLength) {
+  auto Keep = Shared;
+  bool Chunked = BodyLength == UnknownLength;
+  if (Chunked)
+    Fields.emplace_back("Transfer-Encoding", "chunked");
+  else if (BodyLength != 0 || !isIdempotent(Method))
+    Fields.emplace_back("Content-Length", std::to_string(BodyLength));
+  std::string Text = requestText(Method, Target, Fields);
+  for (;;) {
+    std::shared_ptr<Pooled> Link;
+    while (!Keep->Idle.empty() && !Link) {
+      // The most recent one is the least likely to have been closed.
+      Link = std::move(Keep->Idle.back());
+      Keep->Idle.pop_back();
+      if (!Link->usable())
+        Link.reset();
+    }
+    bool Reused = Link != nullptr;
+    if (!Link)
+      Link = co_await Keep->connect();
+    auto Put = [Keep,
+                Generation = Keep->Generation](std::shared_ptr<Pooled> Done) {
+      if (Generation == Keep->Generation &&
+          Keep->Idle.size() < Keep->Options.MaxIdle)
+        Keep->Idle.push_back(std::move(Done));
+    };
+    auto Started =
+        std::make_shared<Call>(Link, Keep->Time, Keep->Options.Silence,
+                               Method == "HEAD", Chunked, std::move(Put));
+    std::optional<UpstreamError> Failure;
+    try {
+      co_await Started->writeRaw(Text);
+    } catch (const UpstreamError &Error) {
+      Failure = Error;
+    }
+    if (!Failure)
+      co_return Started;
+    // A pooled connection that took no byte may be replaced.
+    if (Failure->sent() || !Reused)
+      throw UpstreamError(*Failure);
+  }
+}
+
+asio::awaitable<bool> UpstreamClient::refusesConnections() {
+  auto Keep = Shared;
+  tcp::socket Socket(Keep->Executor);
+  boost::system::error_code Failure;
+  auto Connect = [&]() -> asio::awaitable<void> {
+    tcp::endpoint Peer(asio::ip::make_address(Keep->Upstream.Ip),
+                       Keep->Upstream.Port);
+    co_await Socket.async_connect(
+        Peer, asio::redirect_error(asio::use_awaitable, Failure));
+  };
+  bool Finished = co_await base::withTimeout(
+      Keep->Time, Keep->Options.ConnectTimeout, Connect());
+  co_return Finished &&Failure == asio::error::connection_refused;
+}
+
+void UpstreamClient::dropIdle() {
+  ++Shared->Generation;
+  Shared->Idle.clear();
+}
+
+std::size_t UpstreamClient::idle() const { return Shared->Idle.size(); }
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/test/Fakes.h
@@ -0,0 +1,79 @@
+#ifndef AMARANTH_DATAPLANE_TEST_FAKES_H
+#define AMARANTH_DATAPLANE_TEST_FAKES_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/base/Error.h"
+#include "amaranth/follower/ControlCalls.h"
+#include "amaranth/follower/SnapshotSource.h"
+#include "amaranth/replication/ReplicatedLog.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace amaranth::dataplane::testing {
+
+/// A configuration that a test replaces at will.
+class FakeSnapshots final : public follower::SnapshotSource {
+public:
+  explicit FakeSnapshots(const boost::asio::any_io_executor &Executor)
+      : Signal(Executor) {}
+
+  std::shared_ptr<const document::MeshSnapshot> current() const override {
+    return Value;
+  }
+  base::Signal &changed() override { return Signal; }
+  void set(const document::MeshSnapshot &Mesh) {
+    Value = std::make_shared<document::MeshSnapshot>(Mesh);
+    Signal.notifyAll();
+  }
+
+private:
+  std::shared_ptr<const document::MeshSnapshot> Value;
+  base::Signal Signal;
+};
+
+/// Control with the rules of claims and suspect runs, without replication.
+class FakeControl final : public follower::ControlCalls {
+public:
+  explicit FakeControl(base::Clock &Time) : Time(Time) {}
+
+  boost::asio::awaitable<control::CommandResult>
+  call(control::Command Request, base::Millis Timeout) override;
+  void publish(document::Endpoint Entry) override {
+    Published.push_back(std::move(Entry));
+  }
+  void report(const rollout::EvidenceReport &Report) override {
+    for (const auto &[Key, Counts] : Report.Counts)
+      Evidence.Counts[Key] += Counts;
+  }
+
+  /// No majority: calls fail with `NotLeader`.
+  bool Down = false;
+  /// Calls take effect but their replies are lost.
+  bool LoseReplies = false;
+  std::vector<control::Command> Seen;
+  std::vector<document::Endpoint> Published;
+  rollout::EvidenceReport Evidence;
+
+private:
+  struct Entry {
+    std::string Attempt;
+    std::uint64_t Hash = 0;
+    bool Finished = false;
+    std::optional<control::StoredResponse> Stored;
+  };
+
+  control::CommandResult apply(const control::Command &Request);
+  control::CommandResult claim(const control::Claim &Request);
+
+  base::Clock &Time;
+  std::map<std::string, Entry> Claims;
+  std::optional<std::string> SuspectRun;
+};
+
+} // namespace amaranth::dataplane::testing
+
+#endif
--- /dev/null
+++ b/dataplane/test/MeshFixture.cpp
@@ -0,0 +1,247 @@
+#include "MeshFixture.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace amaranth::dataplane::testing {
+
+namespace {
+
+protocol::Identity identity(const std::string &Name, const std::string &Zone) {
+  return {protocol::Role::Node, Name, base::AvailabilityZone(Zone)};
+}
+
+const protocol::SharedKeys Keys = {{protocol::Role::Node, "secret"}};
+
+GateSettings gateSettings(const std::string &Name, const std::string &Zone,
+                          const base::Address &Inner) {
+  GateSettings Options;
+  Options.Node = base::NodeId(Name);
+  Options.NodeAddress = Inner;
+  Options.Zone = base::AvailabilityZone(Zone);
+  Options.SlowStart = base::Millis(0);
+  return Options;
+}
+
+EntrySettings entrySettings(const std::string &Zone) {
+  EntrySettings Options;
+  Options.Listen = {"127.0.0.1", 0};
+  Options.Balance.Zone = base::AvailabilityZone(Zone);
+  return Options;
+}
+
+} // namespace
+
+TestNode::TestNode(asio::io_context &Context, base::Clock &Time,
+                   const std::string &Name, const std::string &Zone,
+                   FakeSnapshots &Snapshots, FakeControl &Control)
+    : Counters(Registry), Dialer(identity(Name, Zone), Keys, Time),
+      Inner(Context.get_executor(), {"127.0.0.1", 0}, identity(Name, Zone),
+            Keys, Time),
+      Upstream(Context.get_executor(), gateSettings(Name, Zone, Inner.local()),
+               Time, Snapshots, Control, Counters),
+      Exchanges(Context.get_executor(), Upstream, Time),
+      Peers(Context.get_executor(), {}, Time, Dialer),
+      Entry(Context.get_executor(), entrySettings(Zone), Time, Snapshots,
+            Control, Peers, Counters),
+      Announce(Context.get_executor(), {{"127.0.0.1", 0}, "key"}, Time,
+               Upstream, Registry, [] { return true; }) {}
+
+unsigned CallerResult::status() const {
+  return Text.size() < 12
+             ? 0
+             : static_cast<unsigned>(std::stoul(Text.substr(9, 3)));
+}
+
+std::string CallerResult::body() const {
+  auto At = Text.find("\r\n\r\n");
+  return At == std::string::npos ? "" : Text.substr(At + 4);
+}
+
+MeshFixture::MeshFixture() {
+  document::Service Entry;
+  Entry.Name = base::ServiceName("s");
+  Entry.Versions = {{base::VersionName("v1"), document::FullShare, false}};
+  Mesh.Services[Entry.Name] = Entry;
+  document::Route All{base::RouteName("all"), "/", Entry.Name,
+                      base::Millis(10'000), false};
+  Mesh.Routes[All.Name] = All;
+  Snapshots.set(Mesh);
+}
+
+MeshFixture::~MeshFixture() {
+  // Tasks that are still suspended are destroyed with the loop, after the
+  // clock. With their connections closed they no longer use it.
+  for (auto &Node : Nodes)
+    Node->Peers.close();
+  settle();
+}
+
+void MeshFixture::spawn(asio::awaitable<void> Task) {
+  asio::co_spawn(Context, std::move(Task), asio::detached);
+}
+
+TestNode &MeshFixture::addNode(const std::string &Name,
+                               const std::string &Zone) {
+  Nodes.push_back(std::make_unique<TestNode>(Context, Time, Name, Zone,
+                                             Snapshots, Control));
+  TestNode &Node = *Nodes.back();
+  spawn(Node.Inner.serve([&Node](std::shared_ptr<protocol::Channel> Link) {
+    return Node.Exchanges.serve(std::move(Link));
+  }));
+  spawn(Node.Upstream.run());
+  spawn(Node.Peers.run());
+  spawn(Node.Entry.serve());
+  spawn(Node.Entry.run());
+  spawn(Node.Announce.serve());
+  return Node;
+}
+
+TestUpstream &MeshFixture::addUpstream(TestNode &Node,
+                                       const std::string &Version,
+                                       std::uint32_t Slots) {
+  Upstreams.push_back(
+      std::make_unique<TestUpstream>(Context.get_executor(), Time));
+  TestUpstream &Added = *Upstreams.back();
+  spawn(Added.Server.serve([this, &Added](std::shared_ptr<HttpConnection> Link,
+                                          HttpRequest Request) {
+    return answer(Added, std::move(Link), std::move(Request));
+  }));
+  announce(Node, Added, Announcement::State::Ready, Version, Slots);
+  applyPublished();
+  return Added;
+}
+
+void MeshFixture::announce(TestNode &Node, const TestUpstream &Upstream,
+                           Announcement::State What, const std::string &Version,
+                           std::uint32_t Slots, std::uint64_t Incarnation) {
+  Announcement News;
+  News.Service = base::ServiceName("s");
+  News.Version = base::VersionName(Version);
+  News.Upstream = Upstream.Server.local();
+  News.Slots = Slots;
+  News.What = What;
+  News.Incarnation = Incarnation;
+  News.Sequence = NextSequence++;
+  REQUIRE(Node.Upstream.announce(News));
+}
+
+void MeshFixture::applyPublished() {
+  for (const document::Endpoint &Entry : Control.Published)
+    Mesh.Endpoints[Entry.Id] = Entry;
+  Snapshots.set(Mesh);
+}
+
+asio::awaitable<void> MeshFixture::answer(TestUpstream &Upstream,
+                                          std::shared_ptr<HttpConnection> Link,
+                                          HttpRequest Request) {
+  Upstream.Seen.push_back(Request.Method + " " + Request.Target);
+  Upstream.SeenFields.push_back(Request.Fields);
+  std::string Body;
+  base::Bytes Buffer(MaxPieceBytes);
+  while (std::size_t Count = co_await Link->readBody(Buffer))
+    Body.append(base::asText({Buffer.data(), Count}));
+  while (Held && Request.Target.starts_with("/hold"))
+    co_await Release.wait();
+  if (Request.Target.starts_with("/break")) {
+    Link->abort();
+    co_return;
+  }
+  if (Request.Target.starts_with("/short")) {
+    Headers None;
+    co_await Link->writeHead(200, std::move(None), 100'000);
+    base::Bytes Part(50'000, 'x');
+    co_await Link->writeBody(Part);
+    Link->abort();
+    co_return;
+  }
+  if (Request.Target.starts_with("/size/")) {
+    std::int64_t Left = std::stoll(Request.Target.substr(6));
+    Headers None;
+    co_await Link->writeHead(200, std::move(None), Left);
+    base::Bytes Part(MaxPieceBytes, 'x');
+    for (; Left > 0; Left -= static_cast<std::int64_t>(Part.size())) {
+      if (static_cast<std::size_t>(Left) < Part.size())
+        Part.resize(static_cast<std::size_t>(Left));
+      co_await Link->writeBody(Part);
+    }
+    co_await Link->writeEnd();
+    co_return;
+  }
+  unsigned Status = Request.Target.starts_with("/fail") ? 500 : 200;
+  Headers Fields = {{"X-Amaranth-Outcome", "not-run"}, {"X-Kept", "1"}};
+  std::string Text = Request.Method + " " + Request.Target + " " + Body;
+  co_await Link->respond(Status, std::move(Fields), std::move(Text));
+}
+
+std::shared_ptr<CallerResult> MeshFixture::send(const base::Address &To,
+                                                std::string Raw) {
+  auto Result = std::make_shared<CallerResult>();
+  auto Task = [](base::Address To, std::string Raw,
+                 std::shared_ptr<CallerResult> Into) -> asio::awaitable<void> {
+    tcp::socket Socket(co_await asio::this_coro::executor);
+    boost::system::error_code Failure;
+    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+    tcp::endpoint Peer(asio::ip::make_address(To.Ip), To.Port);
+    co_await Socket.async_connect(Peer, Token);
+    co_await asio::async_write(Socket, asio::buffer(Raw), Token);
+    std::vector<char> Buffer(256U << 10U);
+    while (!Failure) {
+      std::size_t Count =
+          co_await Socket.async_read_some(asio::buffer(Buffer), Token);
+      Into->Text.append(Buffer.data(), Count);
+    }
+    Into->Reset = Failure != asio::error::eof;
+    Into->Done = true;
+  };
+  spawn(Task(To, std::move(Raw), Result));
+  return Result;
+}
+
+std::shared_ptr<CallerResult> MeshFixture::get(TestNode &Node,
+                                               const std::string &Target,
+                                               const std::string &Fields) {
+  return send(Node.Entry.local(), "GET " + Target +
+                                      " HTTP/1.1\r\nHost: h\r\nConnection: "
+                                      "close\r\n" +
+                                      Fields + "\r\n");
+}
+
+std::shared_ptr<CallerResult> MeshFixture::post(TestNode &Node,
+                                                const std::string &Target,
+                                                const std::string &Body,
+                                                const std::string &Fields) {
+  return send(Node.Entry.local(),
+              "POST " + Target + " HTTP/1.1\r\nHost: h\r\nConnection: close" +
+                  "\r\nContent-Length: " + std::to_string(Body.size()) +
+                  "\r\n" + Fields + "\r\n" + Body);
+}
+
+void MeshFixture::runUntil(const std::function<bool()> &Done) {
+  // The limit only ends a test that would hang.
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!Done() && std::chrono::steady_clock::now() < End) {
+    Context.restart();
+    Context.run_for(std::chrono::milliseconds(1));
+  }
+  REQUIRE(Done());
+}
+
+void MeshFixture::settle() {
+  for (int Round = 0; Round < 20; ++Round) {
+    Context.restart();
+    Context.run_for(std::chrono::milliseconds(1));
+  }
+}
+
+} // namespace amaranth::dataplane::testing
--- /dev/null
+++ b/dataplane/test/MeshFixture.h
@@ -0,0 +1,110 @@
+#ifndef AMARANTH_DATAPLANE_TEST_MESHFIXTURE_H
+#define AMARANTH_DATAPLANE_TEST_MESHFIXTURE_H
+
+#include "Fakes.h"
+#include "amaranth/dataplane/AnnounceServer.h"
+#include "amaranth/dataplane/EntryServer.h"
+#include "amaranth/dataplane/ExchangeServer.h"
+#include "amaranth/dataplane/Gate.h"
+#include "amaranth/dataplane/PeerPool.h"
+#include "amaranth/protocol/Connection.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace amaranth::dataplane::testing {
+
+/// A small upstream whose behaviour the test supplies.
+struct TestUpstream {
+  TestUpstream(const boost::asio::any_io_executor &Executor, base::Clock &Time)
+      : Server(Executor, {"127.0.0.1", 0}, {}, Time) {}
+
+  HttpServer Server;
+  /// Requests whose head arrived, as `METHOD target`.
+  std::vector<std::string> Seen;
+  std::vector<Headers> SeenFields;
+};
+
+/// A node with all of its parts, on loopback addresses.
+struct TestNode {
+  TestNode(boost::asio::io_context &Context, base::Clock &Time,
+           const std::string &Name, const std::string &Zone,
+           FakeSnapshots &Snapshots, FakeControl &Control);
+
+  prometheus::Registry Registry;
+  Metrics Counters;
+  protocol::TcpDialer Dialer;
+  protocol::Listener Inner;
+  Gate Upstream;
+  ExchangeServer Exchanges;
+  PeerPool Peers;
+  EntryServer Entry;
+  AnnounceServer Announce;
+};
+
+/// The response to one request of a caller.
+struct CallerResult {
+  std::string Text;
+  bool Done = false;
+  bool Reset = false;
+
+  unsigned status() const;
+  std::string body() const;
+  bool has(const std::string &Part) const {
+    return Text.find(Part) != std::string::npos;
+  }
+};
+
+/// Nodes, upstreams and callers on one loop with a manual clock.
+class MeshFixture {
+public:
+  MeshFixture();
+  ~MeshFixture();
+
+  TestNode &addNode(const std::string &Name, const std::string &Zone = "z");
+  /// Adds an upstream with the built-in behaviour and announces it as ready.
+  TestUpstream &addUpstream(TestNode &Node, const std::string &Version = "v1",
+                            std::uint32_t Slots = 4);
+  void announce(TestNode &Node, const TestUpstream &Upstream,
+                Announcement::State What, const std::string &Version = "v1",
+                std::uint32_t Slots = 4, std::uint64_t Incarnation = 1);
+  /// Copies what the gates published into the snapshot.
+  void applyPublished();
+
+  /// Sends raw text and reads until the connection ends.
+  std::shared_ptr<CallerResult> send(const base::Address &To, std::string Raw);
+  std::shared_ptr<CallerResult> get(TestNode &Node, const std::string &Target,
+                                    const std::string &Fields = "");
+  std::shared_ptr<CallerResult> post(TestNode &Node, const std::string &Target,
+                                     const std::string &Body,
+                                     const std::string &Fields = "");
+  void runUntil(const std::function<bool()> &Done);
+  /// Lets everything that is ready run, without moving the clock.
+  void settle();
+  void spawn(boost::asio::awaitable<void> Task);
+
+  boost::asio::io_context Context;
+  base::ManualClock Time;
+  FakeSnapshots Snapshots{Context.get_executor()};
+  FakeControl Control{Time};
+  document::MeshSnapshot Mesh;
+  std::vector<std::unique_ptr<TestUpstream>> Upstreams;
+  std::vector<std::unique_ptr<TestNode>> Nodes;
+  /// Releases requests to `/hold`.
+  base::Signal Release{Context.get_executor()};
+  bool Held = true;
+  std::uint64_t NextSequence = 1;
+
+private:
+  boost::asio::awaitable<void> answer(TestUpstream &Upstream,
+                                      std::shared_ptr<HttpConnection> Link,
+                                      HttpRequest Request);
+};
+
+} // namespace amaranth::dataplane::testing
+
+#endif
--- /dev/null
+++ b/dataplane/test/Parts_test.cpp
@@ -0,0 +1,233 @@
+#include "EntryRefusal.h"
+#include "amaranth/base/Invariant.h"
+#include "amaranth/dataplane/Balancer.h"
+#include "amaranth/dataplane/RetryBudget.h"
+#include "amaranth/dataplane/UpstreamLifecycle.h"
+#include "amaranth/dataplane/VersionGuard.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace amaranth::dataplane {
+
+using document::EndpointState;
+
+class BalancerTest {
+protected:
+  BalancerTest() : Balance(settings(), Time, Counters, Seed) {}
+
+  static Balancer::Settings settings() {
+    Balancer::Settings Options;
+    Options.Zone = base::AvailabilityZone("a");
+    return Options;
+  }
+
+  void add(const std::string &Id, const std::string &Zone,
+           EndpointState State = EndpointState::Ready) {
+    document::Endpoint Entry;
+    Entry.Id = base::EndpointId(Id);
+    Entry.Service = Service;
+    Entry.Version = Version;
+    Entry.Zone = base::AvailabilityZone(Zone);
+    Entry.Slots = 10;
+    Entry.State = State;
+    Mesh.Endpoints[Entry.Id] = Entry;
+  }
+
+  std::string choose(const std::set<base::EndpointId> &Avoid = {}) {
+    const auto *Found = Balance.choose(Mesh, Service, Version, Avoid);
+    return Found ? Found->Id.value() : "none";
+  }
+
+  std::map<std::string, int> chooseMany(int Count) {
+    std::map<std::string, int> Result;
+    for (int I = 0; I < Count; ++I)
+      ++Result[choose()];
+    return Result;
+  }
+
+  static constexpr std::uint64_t Seed = 7;
+  base::ManualClock Time;
+  prometheus::Registry Registry;
+  Metrics Counters{Registry};
+  Balancer Balance;
+  document::MeshSnapshot Mesh;
+  base::ServiceName Service{"s"};
+  base::VersionName Version{"v"};
+};
+
+TEST_CASE_METHOD(BalancerTest, "choose prefers the zone up to its load limit") {
+  add("near", "a");
+  add("far", "b");
+  for (int I = 0; I < 8; ++I)
+    Balance.started(base::EndpointId("near"));
+  CHECK(chooseMany(50)["near"] == 50);
+  Balance.started(base::EndpointId("near"));
+  CHECK(chooseMany(50)["far"] == 50);
+}
+
+TEST_CASE_METHOD(BalancerTest, "choose never takes draining or starting ones") {
+  auto Before = base::invariantChecks();
+  add("drains", "a", EndpointState::Draining);
+  add("starts", "a", EndpointState::Starting);
+  CHECK(choose() == "none");
+  add("lost", "a", EndpointState::Unreachable);
+  CHECK(choose() == "lost");
+  add("far", "b");
+  CHECK(chooseMany(50)["far"] == 50);
+  CHECK(base::invariantChecks() > Before);
+}
+
+TEST_CASE_METHOD(BalancerTest, "choose takes the less loaded of two") {
+  add("x", "a");
+  add("y", "a");
+  Balance.reported(base::EndpointId("x"), {5, 3, 10});
+  CHECK(chooseMany(50)["y"] == 50);
+  // An old report must not keep traffic away for ever.
+  Time.advance(base::Millis(2000));
+  CHECK(chooseMany(200)["x"] > 50);
+}
+
+TEST_CASE_METHOD(BalancerTest, "choose gives a cold endpoint less") {
+  add("warm", "a");
+  add("cold", "a");
+  Mesh.Endpoints[base::EndpointId("cold")].ReadySince = Time.wallNow().count();
+  CHECK(chooseMany(50)["warm"] == 50);
+}
+
+TEST_CASE_METHOD(BalancerTest, "Ejection leaves at least half of a service") {
+  std::mt19937 Random(Seed);
+  INFO("seed " << Seed);
+  for (int I = 0; I < 7; ++I)
+    add("e" + std::to_string(I), "a");
+  for (int Round = 0; Round < 200; ++Round) {
+    base::EndpointId Id("e" + std::to_string(Random() % 7));
+    Balance.failed(Mesh, Id, Random() % 2 == 0);
+    Time.advance(base::Millis(100));
+    int Out = 0;
+    for (const auto &[Known, Entry] : Mesh.Endpoints)
+      Out += Balance.ejected(Known) ? 1 : 0;
+    REQUIRE(Out <= 3);
+    REQUIRE(choose() != "none");
+  }
+}
+
+TEST_CASE_METHOD(BalancerTest, "Ejection ends after its time and grows") {
+  add("x", "a");
+  add("y", "a");
+  base::EndpointId Id("x");
+  Balance.failed(Mesh, Id, true);
+  CHECK(chooseMany(20)["y"] == 20);
+  Time.advance(base::Millis(5000));
+  CHECK_FALSE(Balance.ejected(Id));
+  Balance.failed(Mesh, Id, true);
+  Time.advance(base::Millis(9999));
+  CHECK(Balance.ejected(Id));
+}
+
+class VersionGuardTest {
+protected:
+  VersionGuardTest() {
+    Entry.Name = base::ServiceName("s");
+    Entry.Versions = {{Old, 500'000, false}, {New, 500'000, false}};
+    Entry.HasRollout = true;
+    Entry.Rollout.From = Old;
+    Entry.Rollout.To = New;
+    Entry.Rollout.Section = base::Revision(1);
+  }
+
+  base::VersionName Old{"old"};
+  base::VersionName New{"new"};
+  document::Service Entry;
+  VersionGuard Guard;
+  std::mt19937_64 Random{5};
+};
+
+TEST_CASE_METHOD(VersionGuardTest,
+                 "Failing version is stopped after few errors") {
+  for (int I = 0; I < 100; ++I)
+    Guard.observe(Entry, Old, false);
+  int Errors = 0;
+  for (; !Guard.stopped(Entry, New); ++Errors)
+    Guard.observe(Entry, New, true);
+  CHECK(Errors >= 3);
+  CHECK(Errors <= 5);
+  for (int I = 0; I < 50; ++I)
+    REQUIRE(chooseVersion(Entry, Guard, {}, Random)->Version == Old);
+  Entry.Rollout.Section = base::Revision(2);
+  CHECK_FALSE(Guard.stopped(Entry, New));
+}
+
+// Guards against a stop for errors that both versions share.
+TEST_CASE_METHOD(VersionGuardTest, "Version as bad as the old one goes on") {
+  int Stopped = 0;
+  for (unsigned Seed = 0; Seed < 200; ++Seed) {
+    VersionGuard Fresh;
+    std::mt19937 Draw(Seed);
+    for (int I = 0; I < 2000; ++I)
+      Fresh.observe(Entry, I % 2 ? Old : New, Draw() % 100 < 2);
+    Stopped += Fresh.stopped(Entry, New) ? 1 : 0;
+  }
+  INFO("seeds 0..199");
+  CHECK(Stopped <= 4);
+}
+
+// Guards against traffic for a version beyond its share when another version
+// has no endpoints.
+TEST_CASE_METHOD(VersionGuardTest, "New version takes over no other traffic") {
+  CHECK(chooseVersion(Entry, Guard, {Old}, Random) == nullptr);
+  CHECK(chooseVersion(Entry, Guard, {New}, Random)->Version == Old);
+  Entry.Versions = {{Old, document::FullShare, false}, {New, 0, true}};
+  for (int I = 0; I < 50; ++I)
+    REQUIRE(chooseVersion(Entry, Guard, {}, Random)->Version == Old);
+}
+
+TEST_CASE("RetryBudget allows a tenth of the requests and three a second") {
+  base::TimePoint Now(0);
+  RetryBudget Budget(Now);
+  int Granted = 0;
+  for (int I = 0; I < 1000; ++I) {
+    Budget.request(Now);
+    Granted += Budget.take(Now) ? 1 : 0;
+  }
+  CHECK(Granted >= 100);
+  CHECK(Granted <= 103);
+  Now = Now + base::Millis(1000);
+  Granted = 0;
+  while (Budget.take(Now))
+    ++Granted;
+  CHECK(Granted >= 2);
+  CHECK(Granted <= 4);
+}
+
+TEST_CASE("UpstreamLifecycle follows its table") {
+  using Event = UpstreamEvent;
+  using State = UpstreamState;
+  UpstreamLifecycle Machine;
+  CHECK(Machine.state() == State::Absent);
+  CHECK(Machine.apply(Event::AnnouncedStarting));
+  CHECK(Machine.state() == State::Starting);
+  CHECK(Machine.apply(Event::AnnouncedReady));
+  CHECK(Machine.state() == State::Ready);
+  CHECK(Machine.apply(Event::Died));
+  CHECK(Machine.state() == State::Crashed);
+  CHECK(Machine.apply(Event::AnnouncedReady));
+  CHECK(Machine.apply(Event::AnnouncedDraining));
+  CHECK(Machine.state() == State::Draining);
+  // A late announcement must not bring traffic back.
+  CHECK_FALSE(Machine.apply(Event::AnnouncedReady));
+  CHECK(Machine.apply(Event::AnnouncedStopped));
+  CHECK(Machine.state() == State::Stopped);
+  CHECK_FALSE(Machine.apply(Event::Silent));
+}
+
+TEST_CASE("Refusal of a running request in a crash is final") {
+  Refusal Why{Outcome::Unknown, Reason::UpstreamCrashed, ""};
+  CHECK(isFinal(Why));
+  Why.What = Outcome::NotRun;
+  CHECK_FALSE(isFinal(Why));
+  CHECK(reasonText(Reason::QueueFull) == "queue-full");
+}
+
+} // namespace amaranth::dataplane
--- /dev/null
+++ b/dataplane/test/TwoNodes_test.cpp
@@ -0,0 +1,36 @@
+#include "MeshFixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace amaranth::dataplane::testing {
+
+class TwoNodesTest : public MeshFixture {
+protected:
+  TwoNodesTest() : Left(addNode("left")), Right(addNode("right")) {}
+
+  TestNode &Left;
+  TestNode &Right;
+};
+
+TEST_CASE_METHOD(TwoNodesTest, "Request reaches the upstream of another node") {
+  addUpstream(Right);
+  auto Result = post(Left, "/echo?x=1", "body");
+  runUntil([&] { return Result->Done; });
+  CHECK(Result->status() == 200);
+  CHECK(Result->body() == "POST /echo?x=1 body");
+  // The upstream's own outcome field must not pass for the system's.
+  CHECK_FALSE(Result->has("X-Amaranth-Outcome"));
+  CHECK(Result->has("X-Kept: 1"));
+}
+
+TEST_CASE_METHOD(TwoNodesTest, "Large bodies pass whole in both directions") {
+  addUpstream(Right);
+  std::string Body(3'000'000, 'b');
+  auto Up = post(Left, "/echo", Body);
+  auto Down = get(Left, "/size/3000000");
+  runUntil([&] { return Up->Done && Down->Done; });
+  CHECK(Up->body() == "POST /echo " + Body);
+  CHECK(Down->body().size() == 3'000'000);
+}
+
+} // namespace amaranth::dataplane::testing
