Test the promises of the request path over two nodes

The cases guard at-most-once with crossing resends, honest outcomes, whole responses to slow and crossed callers, draining, and deadlines.

--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -33,6 +33,19 @@
   return Options;
 }
 
+class RunningCount {
+public:
+  explicit RunningCount(TestUpstream &Owner) : Owner(Owner) {
+    Owner.MostRunning = std::max(Owner.MostRunning, ++Owner.Running);
+  }
+  ~RunningCount() { --Owner.Running; }
+  RunningCount(const RunningCount &) = delete;
+  RunningCount &operator=(const RunningCount &) = delete;
+
+private:
+  TestUpstream &Owner;
+};
+
 EntrySettings entrySettings(const std::string &Zone) {
   EntrySettings Options;
   Options.Listen = {"127.0.0.1", 0};
@@ -84,6 +97,10 @@
   // clock. With their connections closed they no longer use it.
   for (auto &Node : Nodes)
     Node->Peers.close();
+  for (auto &Upstream : Upstreams)
+    Upstream->crash();
+  Held = false;
+  Release.notifyAll();
   settle();
 }
 
@@ -147,6 +164,8 @@
                                           HttpRequest Request) {
   Upstream.Seen.push_back(Request.Method + " " + Request.Target);
   Upstream.SeenFields.push_back(Request.Fields);
+  Upstream.Links.push_back(Link);
+  RunningCount Counted(Upstream);
   std::string Body;
   base::Bytes Buffer(MaxPieceBytes);
   while (std::size_t Count = co_await Link->readBody(Buffer))
@@ -174,6 +193,7 @@
       if (static_cast<std::size_t>(Left) < Part.size())
         Part.resize(static_cast<std::size_t>(Left));
       co_await Link->writeBody(Part);
+      Upstream.BytesWritten += Part.size();
     }
     co_await Link->writeEnd();
     co_return;
@@ -187,9 +207,10 @@
 std::shared_ptr<CallerResult> MeshFixture::send(const base::Address &To,
                                                 std::string Raw) {
   auto Result = std::make_shared<CallerResult>();
-  auto Task = [](base::Address To, std::string Raw,
+  Result->Leave = std::make_shared<tcp::socket>(Context.get_executor());
+  auto Task = [](MeshFixture &Mesh, base::Address To, std::string Raw,
                  std::shared_ptr<CallerResult> Into) -> asio::awaitable<void> {
-    tcp::socket Socket(co_await asio::this_coro::executor);
+    tcp::socket &Socket = *Into->Leave;
     boost::system::error_code Failure;
     auto Token = asio::redirect_error(asio::use_awaitable, Failure);
     tcp::endpoint Peer(asio::ip::make_address(To.Ip), To.Port);
@@ -197,6 +218,8 @@
     co_await asio::async_write(Socket, asio::buffer(Raw), Token);
     std::vector<char> Buffer(256U << 10U);
     while (!Failure) {
+      while (Mesh.PauseReading)
+        co_await Mesh.Release.wait();
       std::size_t Count =
           co_await Socket.async_read_some(asio::buffer(Buffer), Token);
       Into->Text.append(Buffer.data(), Count);
@@ -204,7 +227,7 @@
     Into->Reset = Failure != asio::error::eof;
     Into->Done = true;
   };
-  spawn(Task(To, std::move(Raw), Result));
+  spawn(Task(*this, To, std::move(Raw), Result));
   return Result;
 }
 
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -23,7 +23,21 @@
   TestUpstream(const boost::asio::any_io_executor &Executor, base::Clock &Time)
       : Server(Executor, {"127.0.0.1", 0}, {}, Time) {}
 
+  /// Refuses connections and resets the open ones, as a crash does.
+  void crash() {
+    Server.stop();
+    for (auto &Weak : Links)
+      if (auto Link = Weak.lock())
+        Link->abort();
+  }
+
   HttpServer Server;
+  std::vector<std::weak_ptr<HttpConnection>> Links;
+  /// Body bytes of downloads that were taken from the upstream.
+  std::uint64_t BytesWritten = 0;
+  /// Requests at work now and at most.
+  int Running = 0;
+  int MostRunning = 0;
   /// Requests whose head arrived, as `METHOD target`.
   std::vector<std::string> Seen;
   std::vector<Headers> SeenFields;
@@ -51,6 +65,8 @@
   std::string Text;
   bool Done = false;
   bool Reset = false;
+  /// The caller's socket, to be closed by a test.
+  std::shared_ptr<boost::asio::ip::tcp::socket> Leave;
 
   unsigned status() const;
   std::string body() const;
@@ -97,6 +113,8 @@
   /// Releases requests to `/hold`.
   base::Signal Release{Context.get_executor()};
   bool Held = true;
+  /// Callers stop reading until the next `Release`.
+  bool PauseReading = false;
   std::uint64_t NextSequence = 1;
 
 private:
