--- /dev/null
+++ b/dataplane/test/Entry_test.cpp
@@ -0,0 +1,139 @@
+#include "MeshFixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace amaranth::dataplane::testing {
+
+class EntryTest : public MeshFixture {
+protected:
+  EntryTest() : Node(addNode("n")), Upstream(addUpstream(Node)) {}
+
+  std::shared_ptr<CallerResult> raw(const std::string &Text) {
+    auto Result = send(Node.Entry.local(), Text);
+    runUntil([&] { return Result->Done; });
+    return Result;
+  }
+
+  TestNode &Node;
+  TestUpstream &Upstream;
+};
+
+TEST_CASE_METHOD(EntryTest, "Path without a route gives 404 not-run") {
+  Mesh.Routes.begin()->second.PathPrefix = "/a";
+  Snapshots.set(Mesh);
+  auto Result = get(Node, "/b");
+  runUntil([&] { return Result->Done; });
+  CHECK(Result->status() == 404);
+  CHECK(Result->has("X-Amaranth-Outcome: not-run"));
+  CHECK(Result->has("X-Amaranth-Reason: no-route"));
+}
+
+TEST_CASE_METHOD(EntryTest, "Route that needs a key refuses without one") {
+  Mesh.Routes.begin()->second.RequireIdempotencyKey = true;
+  Snapshots.set(Mesh);
+  auto Without = post(Node, "/x", "b");
+  auto With = post(Node, "/x", "b", "Idempotency-Key: k\r\n");
+  runUntil([&] { return Without->Done && With->Done; });
+  CHECK(Without->status() == 400);
+  CHECK(With->status() == 200);
+  CHECK(Upstream.Seen.size() == 1);
+}
+
+TEST_CASE_METHOD(EntryTest, "Connection carries several requests") {
+  auto Result = raw("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+                    "HEAD /b HTTP/1.1\r\nHost: h\r\n\r\n"
+                    "POST /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n"
+                    "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  CHECK(Result->has("GET /a "));
+  CHECK(Result->has("POST /c abcde"));
+  // A HEAD response has the length of the body but not the body.
+  CHECK_FALSE(Result->has("HEAD /b "));
+  CHECK(Upstream.Seen ==
+        std::vector<std::string>{"GET /a", "HEAD /b", "POST /c"});
+}
+
+TEST_CASE_METHOD(EntryTest, "Connection fields stay on their connection") {
+  raw("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close, X-Hop\r\n"
+      "X-Hop: 1\r\nTE: trailers\r\nX-End: 2\r\n\r\n");
+  REQUIRE(Upstream.SeenFields.size() == 1);
+  const Headers &Fields = Upstream.SeenFields[0];
+  CHECK_FALSE(findHeader(Fields, "X-Hop"));
+  CHECK_FALSE(findHeader(Fields, "TE"));
+  CHECK(findHeader(Fields, "X-End"));
+}
+
+TEST_CASE_METHOD(EntryTest, "Caller that waits for 100 Continue gets it") {
+  auto Result = raw("POST /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                    "Expect: 100-continue\r\nContent-Length: 2\r\n\r\nab");
+  CHECK(Result->Text.starts_with("HTTP/1.1 100 Continue"));
+  CHECK(Result->has("POST /c ab"));
+}
+
+TEST_CASE_METHOD(EntryTest, "Malformed and oversized heads are refused") {
+  CHECK(raw("nonsense\r\n\r\n")->status() == 400);
+  std::string Large(70'000, 'x');
+  CHECK(
+      raw("GET / HTTP/1.1\r\nHost: h\r\nX: " + Large + "\r\n\r\n")->status() ==
+      431);
+  CHECK(raw("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000000\r\n\r\n")
+            ->status() == 413);
+  CHECK(Upstream.Seen.empty());
+}
+
+// Guards against callers that hold connections by sending nothing.
+TEST_CASE_METHOD(EntryTest, "Slow caller is disconnected") {
+  auto Head = send(Node.Entry.local(), "GET / HT");
+  auto Body = send(Node.Entry.local(),
+                   "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+  settle();
+  for (int I = 0; I < 31; ++I) {
+    announce(Node, Upstream, Announcement::State::Ready);
+    Time.advance(base::Millis(1000));
+    settle();
+  }
+  runUntil([&] { return Head->Done && Body->Done; });
+  CHECK(Head->Text.empty());
+  CHECK(Upstream.Seen.empty());
+}
+
+TEST_CASE_METHOD(EntryTest, "Evidence counts a running rollout's results") {
+  document::Service &Entry = Mesh.Services.begin()->second;
+  Entry.HasRollout = true;
+  Entry.Rollout.From = base::VersionName("v0");
+  Entry.Rollout.To = base::VersionName("v1");
+  Entry.Rollout.Section = base::Revision(3);
+  Snapshots.set(Mesh);
+  auto Good = get(Node, "/echo");
+  runUntil([&] { return Good->Done; });
+  auto Bad = get(Node, "/fail");
+  runUntil([&] { return Bad->Done; });
+  CHECK(Bad->status() == 500);
+  Time.advance(base::Millis(1000));
+  runUntil([&] { return !Control.Evidence.Counts.empty(); });
+  const auto &Counts = Control.Evidence.Counts.begin()->second;
+  CHECK(Counts.Requests == 2);
+  CHECK(Counts.Errors == 1);
+}
+
+// Guards P4 at one node: it stops before control has decided.
+TEST_CASE_METHOD(EntryTest, "Failing new version is left after few requests") {
+  TestNode &Other = addNode("old");
+  addUpstream(Other, "v0");
+  document::Service &Entry = Mesh.Services.begin()->second;
+  Entry.Versions = {{base::VersionName("v0"), 500'000, false},
+                    {base::VersionName("v1"), 500'000, false}};
+  Entry.HasRollout = true;
+  Entry.Rollout.From = base::VersionName("v0");
+  Entry.Rollout.To = base::VersionName("v1");
+  Snapshots.set(Mesh);
+  Upstream.Broken = true;
+  for (int I = 0; I < 60; ++I) {
+    auto Result = post(Node, "/echo", "x");
+    runUntil([&] { return Result->Done; });
+  }
+  CHECK(Upstream.Seen.size() >= 3);
+  CHECK(Upstream.Seen.size() <= 6);
+}
+
+} // namespace amaranth::dataplane::testing
--- /dev/null
+++ b/dataplane/test/Gate_test.cpp
@@ -0,0 +1,235 @@
+#include "MemoryChannel.h"
+#include "MeshFixture.h"
+#include "amaranth/dataplane/SlotQueue.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+namespace amaranth::dataplane::testing {
+
+class GateTest : public MeshFixture {
+protected:
+  GateTest() : Node(addNode("n")) {}
+
+  template <typename Kind> std::vector<Kind> commands() const {
+    std::vector<Kind> Found;
+    for (const control::Command &Request : Control.Seen)
+      if (const auto *Match = std::get_if<Kind>(&Request))
+        Found.push_back(*Match);
+    return Found;
+  }
+
+  void quarantine(std::uint64_t Fingerprint, bool Convicted) {
+    Mesh.Quarantine[Fingerprint] = {Fingerprint, base::ServiceName("s"),
+                                    Convicted,
+                                    Time.wallNow() + base::Millis(600'000)};
+    Snapshots.set(Mesh);
+  }
+
+  /// Crashes the upstream while `/hold` runs and returns its fingerprint.
+  std::uint64_t crashWithHold(TestUpstream &Upstream) {
+    auto Victim = post(Node, "/hold", "x");
+    runUntil([&] { return !Upstream.Seen.empty(); });
+    Upstream.crash();
+    runUntil([&] { return Victim->Done; });
+    CHECK(Victim->has("X-Amaranth-Reason: upstream-crashed"));
+    CHECK(Victim->has("X-Amaranth-Outcome: unknown"));
+    auto Reports = commands<control::ReportCrash>();
+    REQUIRE(Reports.size() == 1);
+    REQUIRE(Reports[0].Fingerprints.size() == 1);
+    return Reports[0].Fingerprints[0];
+  }
+
+  TestNode &Node;
+};
+
+TEST_CASE_METHOD(GateTest, "Crash reports what ran and refuses new work") {
+  TestUpstream &Upstream = addUpstream(Node);
+  crashWithHold(Upstream);
+  CHECK(Node.Upstream.state() == UpstreamState::Crashed);
+  auto Late = post(Node, "/echo", "x");
+  runUntil([&] { return Late->Done; });
+  CHECK(Late->has("X-Amaranth-Outcome: not-run"));
+  CHECK(Control.Published.back().State == document::EndpointState::Unreachable);
+}
+
+// Guards against an answer that lets the caller resend before the quarantine
+// is known; and against one that never comes while control is away.
+TEST_CASE_METHOD(GateTest, "Crash answer waits for the commit, at most 1 s") {
+  TestUpstream &Upstream = addUpstream(Node);
+  auto Victim = post(Node, "/hold", "x");
+  runUntil([&] { return !Upstream.Seen.empty(); });
+  Control.Down = true;
+  Upstream.crash();
+  runUntil([&] { return Node.Upstream.state() == UpstreamState::Crashed; });
+  Time.advance(base::Millis(900));
+  settle();
+  CHECK_FALSE(Victim->Done);
+  Time.advance(base::Millis(101));
+  runUntil([&] { return Victim->Done; });
+  CHECK(Victim->has("X-Amaranth-Reason: upstream-crashed"));
+}
+
+TEST_CASE_METHOD(GateTest, "Suspect runs alone and under its lease") {
+  TestUpstream &Dying = addUpstream(Node);
+  std::uint64_t Fingerprint = crashWithHold(Dying);
+  addUpstream(Node, "v1", 4);
+  quarantine(Fingerprint, false);
+  TestUpstream &Fresh = *Upstreams.back();
+  // Other work is running: the suspect waits, and what comes after it too.
+  auto Running = post(Node, "/hold/other", "y");
+  runUntil([&] { return Fresh.Seen.size() == 1; });
+  auto Suspect = post(Node, "/hold", "x");
+  settle();
+  auto Behind = post(Node, "/echo", "z");
+  settle();
+  CHECK(Fresh.Seen.size() == 1);
+  CHECK(commands<control::BeginSuspectRun>().size() == 1);
+  Held = false;
+  Release.notifyAll();
+  runUntil([&] { return Running->Done && Suspect->Done && Behind->Done; });
+  CHECK(Suspect->status() == 200);
+  CHECK(Fresh.MostRunning == 1);
+  runUntil([&] { return !commands<control::EndSuspectRun>().empty(); });
+  CHECK_FALSE(commands<control::EndSuspectRun>()[0].Crashed);
+}
+
+TEST_CASE_METHOD(GateTest, "Suspect that crashes again is reported as such") {
+  TestUpstream &Dying = addUpstream(Node);
+  std::uint64_t Fingerprint = crashWithHold(Dying);
+  TestUpstream &Fresh = addUpstream(Node);
+  quarantine(Fingerprint, false);
+  auto Suspect = post(Node, "/hold", "x");
+  runUntil([&] { return Fresh.Seen.size() == 1; });
+  Fresh.crash();
+  runUntil([&] { return Suspect->Done; });
+  auto Ends = commands<control::EndSuspectRun>();
+  REQUIRE(Ends.size() == 1);
+  CHECK(Ends[0].Crashed);
+  CHECK(Ends[0].Fingerprint == Fingerprint);
+  // Convicted: every node refuses it, also on a healthy upstream.
+  TestUpstream &Third = addUpstream(Node);
+  quarantine(Fingerprint, true);
+  auto Refused = post(Node, "/hold", "x");
+  runUntil([&] { return Refused->Done; });
+  CHECK(Refused->has("X-Amaranth-Reason: quarantined"));
+  CHECK(Refused->has("X-Amaranth-Outcome: not-run"));
+  CHECK(Third.Seen.empty());
+}
+
+// Guards against one failed connection being taken for a crash.
+TEST_CASE_METHOD(GateTest, "Broken connection alone is no crash") {
+  addUpstream(Node);
+  auto Result = post(Node, "/break", "x");
+  runUntil([&] { return Result->Done; });
+  CHECK(Node.Upstream.state() == UpstreamState::Ready);
+  CHECK(commands<control::ReportCrash>().empty());
+}
+
+TEST_CASE_METHOD(GateTest, "Full queue refuses as not run") {
+  addUpstream(Node, "v1", 1);
+  std::vector<std::shared_ptr<CallerResult>> Calls;
+  for (int I = 0; I < 4; ++I)
+    Calls.push_back(post(Node, "/hold", "x"));
+  auto Refused = [&] {
+    return std::count_if(Calls.begin(), Calls.end(), [](const auto &Call) {
+      return Call->has("X-Amaranth-Reason: queue-full");
+    });
+  };
+  runUntil([&] { return Refused() == 1; });
+  CHECK(Node.Upstream.load().Queued == 2);
+  Held = false;
+  Release.notifyAll();
+  runUntil([&] {
+    return std::all_of(Calls.begin(), Calls.end(),
+                       [](const auto &Call) { return Call->Done; });
+  });
+  CHECK(Upstreams[0]->Seen.size() == 3);
+  CHECK(Upstreams[0]->MostRunning == 1);
+}
+
+TEST_CASE_METHOD(GateTest, "Silent upstream becomes absent and comes back") {
+  TestUpstream &Upstream = addUpstream(Node);
+  Time.advance(base::Millis(4999));
+  settle();
+  CHECK(Node.Upstream.state() == UpstreamState::Ready);
+  Time.advance(base::Millis(251));
+  runUntil([&] { return Node.Upstream.state() == UpstreamState::Absent; });
+  announce(Node, Upstream, Announcement::State::Ready);
+  CHECK(Node.Upstream.state() == UpstreamState::Ready);
+}
+
+// Guards against an old announcement that arrives late.
+TEST_CASE_METHOD(GateTest, "Announcement out of order is ignored") {
+  TestUpstream &Upstream = addUpstream(Node);
+  Announcement Old;
+  Old.Service = base::ServiceName("s");
+  Old.Version = base::VersionName("v1");
+  Old.Upstream = Upstream.Server.local();
+  Old.Slots = 4;
+  Old.What = Announcement::State::Stopped;
+  Old.Incarnation = 1;
+  Old.Sequence = 1;
+  CHECK_FALSE(Node.Upstream.announce(Old));
+  Old.Incarnation = 0;
+  Old.Sequence = 99;
+  CHECK_FALSE(Node.Upstream.announce(Old));
+  CHECK(Node.Upstream.state() == UpstreamState::Ready);
+}
+
+TEST_CASE_METHOD(GateTest, "Announcements over HTTP need the key") {
+  auto Post = [&](const std::string &Key, const std::string &Body) {
+    auto Result =
+        send(Node.Announce.local(),
+             "POST /v1/announce HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+             "Authorization: Bearer " +
+                 Key + "\r\nContent-Length: " + std::to_string(Body.size()) +
+                 "\r\n\r\n" + Body);
+    runUntil([&] { return Result->Done; });
+    return Result->status();
+  };
+  std::string Ready = R"({"service":"s","version":"v1","slots":4,)"
+                      R"("address":"127.0.0.1:1","state":"ready",)"
+                      R"("incarnation":1,"sequence":1})";
+  CHECK(Post("wrong", Ready) == 401);
+  CHECK(Node.Upstream.state() == UpstreamState::Absent);
+  CHECK(Post("key", Ready) == 204);
+  CHECK(Node.Upstream.state() == UpstreamState::Ready);
+  CHECK(Post("key", Ready) == 409);
+  CHECK(Post("key", "{}") == 400);
+  CHECK(Post("key", "nothing") == 400);
+  auto Metrics = send(Node.Announce.local(),
+                      "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: "
+                      "close\r\n\r\n");
+  runUntil([&] { return Metrics->Done; });
+  CHECK(Metrics->has("amaranth_gate_slots 4"));
+}
+
+TEST_CASE_METHOD(GateTest, "SlotQueue grants the earliest deadline first") {
+  SlotQueue Queue(Time);
+  auto [Here, There] =
+      protocol::testing::makeChannelPair(Context.get_executor(), {}, {});
+  std::vector<int> Order;
+  auto Wait = [](GateTest &Test, SlotQueue &Queue,
+                 std::shared_ptr<protocol::Channel> Link, int Delay,
+                 std::vector<int> &Order) -> boost::asio::awaitable<void> {
+    auto End = std::make_shared<ExchangeEnd>(Test.Context.get_executor(), Link,
+                                             1, ExchangeEnd::Side::Gate);
+    auto Got = co_await Queue.acquire(
+        End, Test.Time.now() + base::Millis(Delay), false);
+    Order.push_back(Got == SlotQueue::Result::Granted ? Delay : -Delay);
+  };
+  for (int Delay : {300, 100, 200})
+    spawn(Wait(*this, Queue, Here, Delay, Order));
+  settle();
+  Queue.setLimit(1);
+  settle();
+  Time.advance(base::Millis(250));
+  settle();
+  Queue.release();
+  settle();
+  CHECK(Order == std::vector<int>{100, -200, 300});
+}
+
+} // namespace amaranth::dataplane::testing
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -198,7 +198,8 @@
     co_await Link->writeEnd();
     co_return;
   }
-  unsigned Status = Request.Target.starts_with("/fail") ? 500 : 200;
+  bool Fails = Upstream.Broken || Request.Target.starts_with("/fail");
+  unsigned Status = Fails ? 500 : 200;
   Headers Fields = {{"X-Amaranth-Outcome", "not-run"}, {"X-Kept", "1"}};
   std::string Text = Request.Method + " " + Request.Target + " " + Body;
   co_await Link->respond(Status, std::move(Fields), std::move(Text));
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -35,6 +35,8 @@
   std::vector<std::weak_ptr<HttpConnection>> Links;
   /// Body bytes of downloads that were taken from the upstream.
   std::uint64_t BytesWritten = 0;
+  /// Answers every request with 500.
+  bool Broken = false;
   /// Requests at work now and at most.
   int Running = 0;
   int MostRunning = 0;
