Follow the replicated state and publish refused endpoints again

An endpoint refused for good was proposed again after every update. Numbers of a digest are appended as a block.

--- a/control/src/NodeCalls.cpp
+++ b/control/src/NodeCalls.cpp
@@ -69,7 +69,8 @@
     return;
   CommandResult Decoded = decodeResult(Answer.Result);
   Result.Committed = Decoded.Code == ResultCode::Accepted;
-  Result.Retry = false;
+  // Busy: the table of endpoints is full for now.
+  Result.Retry = Decoded.Code == ResultCode::Busy;
   if (!Decoded.Messages.empty())
     Result.Reason = Decoded.Messages.front();
 }
--- a/control/test/DistributionTables_test.cpp
+++ b/control/test/DistributionTables_test.cpp
@@ -2,6 +2,8 @@
 #include "amaranth/control/EvidenceTable.h"
 #include "amaranth/control/FollowMessages.h"
 #include "amaranth/control/LeaseTable.h"
+#include "amaranth/control/MeshHistory.h"
+#include "amaranth/document/SnapshotCodec.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -93,4 +95,35 @@
   CHECK_THROWS_AS(decodeLeaderReport(Encoded), base::ProtocolError);
 }
 
+// Guards against work that grows with the number of nodes.
+TEST_CASE_METHOD(DistributionTablesTest,
+                 "MeshHistory encodes a delta once for all nodes") {
+  putEndpoints(50);
+  MeshHistory History;
+  auto Advance = [&](std::uint64_t State) {
+    Mesh.State = base::StateIndex(State);
+    ++Mesh.Endpoints.begin()->second.Sequence;
+    History.add(std::make_shared<document::MeshSnapshot>(Mesh));
+  };
+  Advance(10);
+  document::MeshSnapshot Base = Mesh;
+  Advance(20);
+  auto First = History.deltaFrom({}, base::StateIndex(10), {});
+  REQUIRE(First);
+  CHECK(First == History.deltaFrom({}, base::StateIndex(10), {}));
+  CHECK(History.encodedDeltas() == 1);
+  CHECK(*document::applyDelta(Base, document::decodeDelta(*First)) == Mesh);
+  // Another process may have numbered the same content differently.
+  Base.State = base::StateIndex(13);
+  auto Between = History.deltaFrom({}, base::StateIndex(13), {});
+  CHECK(*document::applyDelta(Base, document::decodeDelta(*Between)) == Mesh);
+  CHECK_FALSE(History.deltaFrom({}, base::StateIndex(9), {}));
+  CHECK_FALSE(History.deltaFrom({}, base::StateIndex(21), {}));
+  Advance(523);
+  CHECK(History.deltaFrom({}, base::StateIndex(20), {}));
+  CHECK_FALSE(History.deltaFrom({}, base::StateIndex(10), {}));
+  Advance(533);
+  CHECK_FALSE(History.deltaFrom({}, base::StateIndex(20), {}));
+}
+
 } // namespace amaranth::control
--- a/document/src/MeshSnapshot.cpp
+++ b/document/src/MeshSnapshot.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <string_view>
 
 namespace amaranth::document {
@@ -22,8 +23,10 @@
 class DigestBuilder {
 public:
   DigestBuilder &number(std::uint64_t Value) {
-    for (unsigned Shift = 0; Shift < 64; Shift += 8)
-      Buffer.push_back(static_cast<std::uint8_t>(Value >> Shift));
+    std::array<std::uint8_t, 8> Raw{};
+    for (unsigned I = 0; I < Raw.size(); ++I)
+      Raw[I] = static_cast<std::uint8_t>(Value >> (I * 8));
+    Buffer.insert(Buffer.end(), Raw.begin(), Raw.end());
     return *this;
   }
   DigestBuilder &text(std::string_view Value) {
--- a/follower/src/EndpointPublisher.cpp
+++ b/follower/src/EndpointPublisher.cpp
@@ -47,26 +47,32 @@
                 Result.Reason);
 }
 
+bool EndpointPublisher::isOvertaken(const Published &Slot,
+                                    const document::MeshSnapshot &Mesh) {
+  auto Found = Mesh.Endpoints.find(Slot.Entry.Id);
+  if (Found == Mesh.Endpoints.end())
+    return Slot.Committed && Mesh.State.value() >= Slot.CommittedBefore.value();
+  const document::Endpoint &Known = Found->second;
+  // An older process of this node must not override a newer one.
+  if (Known.Incarnation > Slot.Entry.Incarnation)
+    return false;
+  if (Slot.Refused)
+    return Known.Incarnation == Slot.Entry.Incarnation &&
+           Known.Sequence >= Slot.Entry.Sequence;
+  return Slot.Committed && Mesh.State.value() >= Slot.CommittedBefore.value() &&
+         Known.State == document::EndpointState::Unreachable;
+}
+
 void EndpointPublisher::compare(const document::MeshSnapshot &Mesh) {
   for (auto &[Id, Slot] : Entries) {
-    bool Settled =
-        Slot.Committed && Mesh.State.value() >= Slot.CommittedBefore.value();
-    if (!Settled && !Slot.Refused)
-      continue;
-    auto Found = Mesh.Endpoints.find(Id);
-    const document::Endpoint *Known =
-        Found == Mesh.Endpoints.end() ? nullptr : &Found->second;
-    // An older process of this node must not override a newer one.
-    if (Known && Known->Incarnation > Slot.Entry.Incarnation)
-      continue;
-    if (Known && Slot.Committed &&
-        Known->State != document::EndpointState::Unreachable)
+    if (!isOvertaken(Slot, Mesh))
       continue;
-    std::uint64_t Sequence = Slot.Entry.Sequence;
-    if (Known && Known->Incarnation == Slot.Entry.Incarnation)
-      Sequence = std::max(Sequence, Known->Sequence);
     document::Endpoint Again = Slot.Entry;
-    Again.Sequence = Sequence + 1;
+    auto Known = Mesh.Endpoints.find(Id);
+    if (Known != Mesh.Endpoints.end() &&
+        Known->second.Incarnation == Again.Incarnation)
+      Again.Sequence = std::max(Again.Sequence, Known->second.Sequence);
+    ++Again.Sequence;
     Slot = Published{std::move(Again)};
   }
 }
--- a/follower/src/EndpointPublisher.h
+++ b/follower/src/EndpointPublisher.h
@@ -25,7 +25,8 @@
   void answer(const control::EndpointResult &Result);
 
   /// Publishes again, with a higher sequence, what the snapshot in force
-  /// shows as unreachable or lacks although it was committed.
+  /// shows as unreachable or lacks although it was committed, and what was
+  /// refused because the snapshot has the same sequence or a later one.
   void compare(const document::MeshSnapshot &Mesh);
 
   bool allCommitted() const;
@@ -41,6 +42,10 @@
     base::LogIndex CommittedBefore;
   };
 
+  /// Whether the snapshot shows that the entry must be published again.
+  static bool isOvertaken(const Published &Slot,
+                          const document::MeshSnapshot &Mesh);
+
   std::map<base::EndpointId, Published> Entries;
 };
 
--- a/follower/test/Simulation.cpp
+++ b/follower/test/Simulation.cpp
@@ -201,11 +201,25 @@
     Next->Document = base::DocumentVersion(NextIndex);
   ++NextIndex;
   Newest = Next;
+  deliverAll();
+}
+
+void Simulation::deliverAll() {
   for (auto &Process : Controls)
     if (!Process->Lagging)
       deliver(*Process);
 }
 
+control::CommandResult Simulation::applyReal(const control::Command &Request) {
+  base::Bytes Encoded = control::encodeCommand(Request);
+  base::LogIndex Index(NextIndex++);
+  base::Bytes Result =
+      Real->apply({Index, base::Term(1), Time.wallNow(), Encoded});
+  Newest = Real->mesh();
+  deliverAll();
+  return control::decodeResult(Result);
+}
+
 void Simulation::touch(int Endpoint) {
   commit(false, [&](document::MeshSnapshot &Mesh) {
     ++Mesh.Endpoints.at(endpoint(Endpoint, "").Id).Sequence;
@@ -218,6 +232,8 @@
 }
 
 control::CommandResult Simulation::apply(const control::Command &Request) {
+  if (Real)
+    return applyReal(Request);
   control::CommandResult Result;
   Result.Code = control::ResultCode::Accepted;
   if (const auto *Put = std::get_if<control::PutEndpoint>(&Request)) {
--- a/follower/test/Simulation.h
+++ b/follower/test/Simulation.h
@@ -3,6 +3,7 @@
 
 #include "MemoryChannel.h"
 #include "amaranth/base/Clock.h"
+#include "amaranth/control/ControlState.h"
 #include "amaranth/control/NodeService.h"
 #include "amaranth/follower/Follower.h"
 
@@ -166,15 +167,21 @@
   base::ManualClock Time;
   std::mt19937_64 Random;
   std::uint64_t NextIndex = 1;
+  /// When set, commands go to this state machine.
+  std::unique_ptr<control::ControlState> Real;
   /// Endpoint updates committed so far.
   std::size_t EndpointUpdates = 0;
   std::shared_ptr<const document::MeshSnapshot> Newest;
   std::vector<std::unique_ptr<Control>> Controls;
   std::vector<Node> Nodes;
 
+  /// Applies a command as the log would.
+  control::CommandResult apply(const control::Command &Request);
+
 private:
   void poll();
-  control::CommandResult apply(const control::Command &Request);
+  control::CommandResult applyReal(const control::Command &Request);
+  void deliverAll();
   void deliver(Control &Process);
   void closeSilent();
 
