--- a/cmake/Amaranth.cmake
+++ b/cmake/Amaranth.cmake
@@ -14,7 +14,9 @@
 # Warnings and compile definitions shared by every target of the project.
 function(amaranth_warnings Target)
   target_compile_options(${Target} PRIVATE -Wall -Wextra -Wpedantic
-    -Wno-missing-field-initializers)
+    -Wno-missing-field-initializers
+    # g++ 12 reports the coroutine frames of Asio by mistake.
+    -Wno-mismatched-new-delete)
   target_compile_definitions(${Target} PUBLIC
     BOOST_ASIO_SEPARATE_COMPILATION BOOST_BEAST_SEPARATE_COMPILATION
     BOOST_ASIO_NO_DEPRECATED)
--- a/control/include/amaranth/control/NodeService.h
+++ b/control/include/amaranth/control/NodeService.h
@@ -45,7 +45,7 @@
 };
 
 /// What a control process knows about a node that it serves or served.
-struct NodeStatus {
+struct ServedNode {
   base::NodeId Node;
   base::AvailabilityZone Zone;
   bool Connected = false;
@@ -104,7 +104,7 @@
   void receiveReport(base::ByteView Message);
 
   /// Connected nodes, and others that were connected in the last ten minutes.
-  std::vector<NodeStatus> nodes() const;
+  std::vector<ServedNode> nodes() const;
   /// Last document versions, oldest first.
   std::vector<VersionConvergence> convergence() const;
 
--- /dev/null
+++ b/control/include/amaranth/control/ServedNodes.h
@@ -0,0 +1,24 @@
+#ifndef AMARANTH_CONTROL_SERVEDNODES_H
+#define AMARANTH_CONTROL_SERVEDNODES_H
+
+#include "amaranth/control/NodeService.h"
+#include "amaranth/control/StatusSource.h"
+
+namespace amaranth::control {
+
+/// The nodes of a `NodeService`, for the operators' interface. `Service` must
+/// outlive it.
+class ServedNodes final : public StatusSource {
+public:
+  explicit ServedNodes(const NodeService &Service) : Service(Service) {}
+
+  std::vector<NodeStatus> nodes() const override;
+  ConvergenceStatus convergence() const override;
+
+private:
+  const NodeService &Service;
+};
+
+} // namespace amaranth::control
+
+#endif
--- a/control/src/NodeService.cpp
+++ b/control/src/NodeService.cpp
@@ -128,7 +128,7 @@
   }
 }
 
-std::vector<NodeStatus> NodeService::nodes() const {
+std::vector<ServedNode> NodeService::nodes() const {
   const auto &Newest = Shared->Parts->History.current();
   return Shared->Parts->Statistics.nodes(Newest ? Newest->State
                                                 : base::StateIndex());
--- a/control/src/NodeStatistics.cpp
+++ b/control/src/NodeStatistics.cpp
@@ -80,7 +80,7 @@
 void NodeStatistics::acknowledged(const base::NodeId &Node,
                                   base::DocumentVersion Document,
                                   base::StateIndex State) {
-  NodeStatus &Status = Records[Node].Status;
+  ServedNode &Status = Records[Node].Status;
   leaveVersion(Status.Document);
   Status.Document = Document;
   Status.State = State;
@@ -91,7 +91,7 @@
 
 void NodeStatistics::refused(const base::NodeId &Node,
                              const std::string &Reason) {
-  NodeStatus &Status = Records[Node].Status;
+  ServedNode &Status = Records[Node].Status;
   ++Status.Failures;
   Status.LastFailure = Reason;
   Refusals->Increment();
@@ -134,10 +134,10 @@
   }
 }
 
-std::vector<NodeStatus> NodeStatistics::nodes(base::StateIndex Newest) const {
-  std::vector<NodeStatus> All;
+std::vector<ServedNode> NodeStatistics::nodes(base::StateIndex Newest) const {
+  std::vector<ServedNode> All;
   for (const auto &[Node, Entry] : Records) {
-    NodeStatus Status = Entry.Status;
+    ServedNode Status = Entry.Status;
     if (Newest > Status.State)
       Status.EntriesBehind = Newest.value() - Status.State.value();
     Status.SinceHeard = Time.now() - Entry.LastHeard;
--- a/control/src/NodeStatistics.h
+++ b/control/src/NodeStatistics.h
@@ -37,14 +37,14 @@
   /// A snapshot with this document version is the newest one here.
   void committed(base::DocumentVersion Document);
 
-  std::vector<NodeStatus> nodes(base::StateIndex Newest) const;
+  std::vector<ServedNode> nodes(base::StateIndex Newest) const;
   std::vector<VersionConvergence> convergence() const;
   /// Forgets nodes that are gone for ten minutes.
   void prune();
 
 private:
   struct Record {
-    NodeStatus Status;
+    ServedNode Status;
     base::TimePoint LastHeard;
     std::uint64_t Connection = 0;
   };
--- a/tools/demo/src/Main.cpp
+++ b/tools/demo/src/Main.cpp
@@ -1,5 +1,4 @@
 #include "Demonstration.h"
-
 #include "amaranth/base/CommandLine.h"
 
 #include <iostream>
--- a/tools/harness/include/amaranth/harness/Deployment.h
+++ b/tools/harness/include/amaranth/harness/Deployment.h
@@ -72,6 +72,10 @@
   /// processes.
   Output ctl(std::vector<std::string> Arguments);
 
+  /// One request to the operators' interface of a control process.
+  HttpResponse operatorGet(const ControlProcess &Control,
+                           const std::string &Target);
+
   /// Waits until a control process answers as current, and until every
   /// running node is ready.
   bool waitForControl(base::Millis Limit);
--- a/tools/harness/src/Deployment.cpp
+++ b/tools/harness/src/Deployment.cpp
@@ -113,7 +113,7 @@
 void Deployment::startControlProcess(ControlProcess &Control) {
   Control.Running.emplace(
       program("amaranth-control"),
-      std::vector<std::string>{"--config", Control.Settings.string()},
+      std::vector<std::string>{"--config=" + Control.Settings.string()},
       log(Control.Settings.stem().string()));
 }
 
@@ -131,12 +131,12 @@
   Vm->Announce = freeLoopbackAddress();
   Vm->Upstream = freeLoopbackAddress();
   Vm->NodeSettings = Folder / (Vm->Id + ".ini");
-  Vm->UpstreamArguments = {"--service",  Service,
-                           "--version",  Version,
-                           "--listen",   Vm->Upstream.text(),
-                           "--announce", Vm->Announce.text(),
-                           "--slots",    std::to_string(Slots),
-                           "--id",       Vm->Id};
+  Vm->UpstreamArguments = {"--service=" + Service,
+                           "--version=" + Version,
+                           "--listen=" + Vm->Upstream.text(),
+                           "--node=" + Vm->Announce.text(),
+                           "--slots=" + std::to_string(Slots),
+                           "--id=" + Vm->Id};
   Vm->UpstreamArguments.insert(Vm->UpstreamArguments.end(), Options.begin(),
                                Options.end());
   writeNodeSettings(*Vm);
@@ -161,9 +161,10 @@
 }
 
 void Deployment::startNode(UpstreamVm &Vm) {
-  Vm.Node.emplace(program("amaranth-node"),
-                  std::vector<std::string>{"--config", Vm.NodeSettings},
-                  log(Vm.Id));
+  Vm.Node.emplace(
+      program("amaranth-node"),
+      std::vector<std::string>{"--config=" + Vm.NodeSettings.string()},
+      log(Vm.Id));
 }
 
 void Deployment::startUpstream(UpstreamVm &Vm) {
@@ -177,6 +178,15 @@
   return runProgram(program("amaranthctl"), Arguments, Folder, CtlTimeout);
 }
 
+HttpResponse Deployment::operatorGet(const ControlProcess &Control,
+                                     const std::string &Target) {
+  HttpRequest Request;
+  Request.Target = Target;
+  Request.Headers["Authorization"] =
+      "Bearer " + base::readSecretFile(operatorKeyFile().string());
+  return sendRequest(Control.Operator, Request, ProbeTimeout);
+}
+
 bool Deployment::waitForControl(base::Millis Limit) {
   return waitUntil(
       [this] {
