Add the operators' HTTP interface

OperatorApi maps requests to proposals and reads; OperatorServer carries it over HTTP/1.1 with limits on headers, bodies, connections and time. Reads need a proof of currency unless the caller accepts stale data.

--- /dev/null
+++ b/control/include/amaranth/control/OperatorApi.h
@@ -0,0 +1,84 @@
+#ifndef AMARANTH_CONTROL_OPERATORAPI_H
+#define AMARANTH_CONTROL_OPERATORAPI_H
+
+#include "amaranth/base/Clock.h"
+#include "amaranth/control/ControlState.h"
+#include "amaranth/control/OperatorKeys.h"
+#include "amaranth/control/StatusSource.h"
+#include "amaranth/replication/ReplicatedLog.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace amaranth::control {
+
+/// An HTTP request without its transport.
+struct ApiRequest {
+  std::string Method;
+  /// Path and query.
+  std::string Target;
+  /// Value of the `Authorization` header; never logged.
+  std::string Authorization;
+  std::string Body;
+};
+
+struct ApiResponse {
+  unsigned Status = 200;
+  std::string ContentType = "application/json";
+  std::string Body;
+};
+
+/// How long the API waits for the log.
+struct ApiTimeouts {
+  base::Millis Propose = base::Millis::seconds(5);
+  base::Millis Read = base::Millis::seconds(2);
+  /// A process that was not current for longer is not ready.
+  base::Millis Current = base::Millis::seconds(5);
+};
+
+/// The operators' interface as a function from requests to responses:
+///
+///     POST /v1/apply     {"operation": ID, "changes": [{"section": NAME,
+///                         "expected": REVISION, "body": TEXT}]}, where
+///                         `"delete": true` instead of `body` deletes
+///     GET  /v1/document, /v1/status, /v1/versions, /v1/audit?limit=N
+///     GET  /metrics, /health, /ready (without a key)
+///
+/// Reads are served once the process has proved that it is current; with
+/// `?stale=true` they are served from its own copy and say `"stale": true`.
+class OperatorApi {
+public:
+  /// The references must outlive the object.
+  OperatorApi(replication::ReplicatedLog &Log, const ControlState &State,
+              const StatusSource &Nodes, OperatorKeys Keys,
+              prometheus::Registry &Metrics, ApiTimeouts Timeouts);
+
+  /// Never throws on bad input; such requests get a 4xx response.
+  boost::asio::awaitable<ApiResponse> handle(ApiRequest Request);
+
+private:
+  boost::asio::awaitable<ApiResponse> route(const ApiRequest &Request);
+  boost::asio::awaitable<ApiResponse> apply(const ApiRequest &Request,
+                                            const Operator &Who);
+  boost::asio::awaitable<ApiResponse> read(const ApiRequest &Request);
+  ApiResponse open(const std::string &Path) const;
+  ApiResponse ready() const;
+  std::string readBody(const std::string &Path, std::size_t Limit,
+                       bool Stale) const;
+
+  replication::ReplicatedLog &Log;
+  const ControlState &State;
+  const StatusSource &Nodes;
+  OperatorKeys Keys;
+  prometheus::Registry &Metrics;
+  ApiTimeouts Timeouts;
+  prometheus::Family<prometheus::Counter> &Requests;
+};
+
+} // namespace amaranth::control
+
+#endif
--- a/control/src/AuditLog.cpp
+++ b/control/src/AuditLog.cpp
@@ -11,21 +11,27 @@
 constexpr std::size_t MaxAuditText = 160;
 constexpr std::size_t MaxAuditReason = 512;
 
-void cut(std::string &Text, std::size_t Max) {
-  if (Text.size() > Max)
-    Text.resize(Max);
-}
-
 std::string keyOf(const ApplySections &Request) {
   return Request.Operator.value() + '\n' + Request.Operation.value();
 }
 
 } // namespace
 
+void cutText(std::string &Text, std::size_t Max) {
+  if (Text.size() <= Max)
+    return;
+  constexpr unsigned ContinuationMask = 0xc0;
+  constexpr unsigned Continuation = 0x80;
+  while (Max > 0 && (static_cast<unsigned char>(Text[Max]) &
+                     ContinuationMask) == Continuation)
+    --Max;
+  Text.resize(Max);
+}
+
 void AuditLog::add(AuditEntry Entry) {
   for (std::string *Text : {&Entry.Actor, &Entry.Section, &Entry.Operation})
-    cut(*Text, MaxAuditText);
-  cut(Entry.Reason, MaxAuditReason);
+    cutText(*Text, MaxAuditText);
+  cutText(Entry.Reason, MaxAuditReason);
   Entries.push_back(std::move(Entry));
   if (Entries.size() > MaxAuditEntries)
     Entries.pop_front();
--- a/control/src/AuditLog.h
+++ b/control/src/AuditLog.h
@@ -11,6 +11,9 @@
 
 inline constexpr std::size_t MaxAuditEntries = 100'000;
 
+/// Shortens `Text` to at most `Max` bytes without splitting a UTF-8 character.
+void cutText(std::string &Text, std::size_t Max);
+
 /// The newest entries of the audit trail.
 class AuditLog {
 public:
--- a/control/src/ChangeCheck.cpp
+++ b/control/src/ChangeCheck.cpp
@@ -32,6 +32,12 @@
 
 } // namespace
 
+bool isOperationId(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxOperationIdBytes &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C > ' ' && C < 0x7f; });
+}
+
 ChangeCheck::ChangeCheck(const ApplySections &Request, const SectionBook &Book,
                          const RolloutTable &Rollouts, EntryPlace Place)
     : Request(Request), Book(Book), Rollouts(Rollouts), Place(Place) {}
@@ -55,13 +61,9 @@
   };
   if (!document::isName(Request.Operator.value()))
     Refuse("the name of the operator is malformed");
-  const std::string &Operation = Request.Operation.value();
-  bool Printable = std::all_of(Operation.begin(), Operation.end(),
-                               [](char C) { return C > ' ' && C < 0x7f; });
-  if (Operation.empty() || Operation.size() > MaxOperationIdBytes || !Printable)
-    Refuse(fmt::format("the operation id must have 1 to {} printable "
-                       "characters without spaces",
-                       MaxOperationIdBytes));
+  if (!isOperationId(Request.Operation.value()))
+    Refuse("the operation id must have 1 to 128 printable characters without "
+           "spaces");
   if (Request.Changes.empty() || Request.Changes.size() > MaxChanges)
     Refuse(fmt::format("{} changed sections; expected 1 to {}",
                        Request.Changes.size(), MaxChanges));
--- a/control/src/ChangeCheck.h
+++ b/control/src/ChangeCheck.h
@@ -5,6 +5,9 @@
 
 namespace amaranth::control::detail {
 
+/// 1 to 128 printable characters without spaces.
+bool isOperationId(std::string_view Text);
+
 /// Checks one `ApplySections` against the present state. Changes nothing.
 class ChangeCheck {
 public:
--- /dev/null
+++ b/control/src/JsonImpl.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON is compiled here once; other units see declarations only.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/control/src/OperatorApi.cpp
@@ -0,0 +1,235 @@
+#include "amaranth/control/OperatorApi.h"
+
+#include "OperatorJson.h"
+#include "amaranth/base/Invariant.h"
+#include "amaranth/base/Log.h"
+
+#include <fmt/format.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace asio = boost::asio;
+
+namespace amaranth::control {
+
+namespace {
+
+/// Leaves room for the frame of a forwarded proposal, which has at most
+/// 1 MiB.
+constexpr std::size_t MaxCommandBytes = 960U << 10U;
+constexpr std::size_t DefaultAuditLimit = 100;
+constexpr std::size_t MaxAuditLimit = 10'000;
+
+struct Query {
+  std::string Path;
+  bool Stale = false;
+  std::size_t Limit = DefaultAuditLimit;
+  /// Empty unless a parameter is unknown or malformed.
+  std::string Fault;
+};
+
+void parseParameter(std::string_view Text, Query &Into) {
+  if (Text == "stale=true" || Text == "stale=false") {
+    Into.Stale = Text == "stale=true";
+    return;
+  }
+  constexpr std::string_view Limit = "limit=";
+  if (Text.starts_with(Limit) && Into.Path == "/v1/audit") {
+    std::string_view Digits = Text.substr(Limit.size());
+    auto [End, Code] = std::from_chars(
+        Digits.data(), Digits.data() + Digits.size(), Into.Limit);
+    if (Code == std::errc() && End == Digits.data() + Digits.size() &&
+        Into.Limit > 0 && Into.Limit <= MaxAuditLimit)
+      return;
+    Into.Fault = fmt::format("limit: expected 1 to {}", MaxAuditLimit);
+    return;
+  }
+  Into.Fault = "unknown query parameter; expected stale=true, and limit=N for "
+               "/v1/audit";
+}
+
+Query parseTarget(std::string_view Target) {
+  Query Result;
+  auto Mark = std::min(Target.find('?'), Target.size());
+  Result.Path = Target.substr(0, Mark);
+  Target.remove_prefix(std::min(Mark + 1, Target.size()));
+  while (!Target.empty()) {
+    auto End = std::min(Target.find('&'), Target.size());
+    parseParameter(Target.substr(0, End), Result);
+    Target.remove_prefix(std::min(End + 1, Target.size()));
+  }
+  return Result;
+}
+
+ApiResponse failure(unsigned Status, std::string_view Text,
+                    std::string_view Operation = {}) {
+  return {Status, "application/json", detail::errorJson(Text, Operation)};
+}
+
+unsigned statusOf(ResultCode Code) {
+  switch (Code) {
+  case ResultCode::Accepted:
+    return 200;
+  case ResultCode::Conflict:
+    return 409;
+  case ResultCode::Forbidden:
+    return 403;
+  default:
+    return 422;
+  }
+}
+
+bool isOpen(std::string_view Path) {
+  return Path == "/metrics" || Path == "/health" || Path == "/ready";
+}
+
+bool isRead(std::string_view Path) {
+  return Path == "/v1/document" || Path == "/v1/status" ||
+         Path == "/v1/versions" || Path == "/v1/audit";
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(replication::ReplicatedLog &Log,
+                         const ControlState &State, const StatusSource &Nodes,
+                         OperatorKeys Keys, prometheus::Registry &Metrics,
+                         ApiTimeouts Timeouts)
+    : Log(Log), State(State), Nodes(Nodes), Keys(std::move(Keys)),
+      Metrics(Metrics), Timeouts(Timeouts),
+      Requests(prometheus::BuildCounter()
+                   .Name("amaranth_operator_requests_total")
+                   .Help("Requests to the operators' interface by path and "
+                         "status.")
+                   .Register(Metrics)) {}
+
+asio::awaitable<ApiResponse> OperatorApi::handle(ApiRequest Request) {
+  ApiResponse Response = co_await route(Request);
+  std::string Path = parseTarget(Request.Target).Path;
+  // Callers choose the path; unknown ones share one label.
+  bool Known = isOpen(Path) || isRead(Path) || Path == "/v1/apply";
+  Requests
+      .Add({{"path", Known ? Path : "other"},
+            {"status", std::to_string(Response.Status)}})
+      .Increment();
+  co_return Response;
+}
+
+asio::awaitable<ApiResponse> OperatorApi::route(const ApiRequest &Request) {
+  Query Parsed = parseTarget(Request.Target);
+  bool Apply = Parsed.Path == "/v1/apply";
+  if (!Apply && !isRead(Parsed.Path) && !isOpen(Parsed.Path))
+    co_return failure(404, "unknown path");
+  if (Request.Method != (Apply ? "POST" : "GET"))
+    co_return failure(405, Apply ? "expected POST" : "expected GET");
+  if (isOpen(Parsed.Path))
+    co_return open(Parsed.Path);
+  constexpr std::string_view Scheme = "Bearer ";
+  std::optional<Operator> Who;
+  if (Request.Authorization.starts_with(Scheme))
+    Who = Keys.find(
+        std::string_view(Request.Authorization).substr(Scheme.size()));
+  if (!Who)
+    co_return failure(401, "expected 'Authorization: Bearer KEY' with the key "
+                           "of an operator");
+  if (Apply)
+    co_return co_await apply(Request, *Who);
+  co_return co_await read(Request);
+}
+
+asio::awaitable<ApiResponse> OperatorApi::apply(const ApiRequest &Request,
+                                                const Operator &Who) {
+  ApplySections Change;
+  try {
+    Change = detail::parseApply(Request.Body);
+  } catch (const detail::BadRequest &Fault) {
+    co_return failure(400, Fault.what());
+  }
+  Change.Operator = Who.Name;
+  Change.Teams = Who.Teams;
+  std::string Operation = Change.Operation.value();
+  base::Bytes Data = encodeCommand(Change);
+  if (Data.size() > MaxCommandBytes)
+    co_return failure(413, "the change is too large; apply fewer sections at "
+                           "once");
+  std::string Unknown;
+  try {
+    base::Bytes Answer =
+        co_await Log.propose(std::move(Data), Timeouts.Propose);
+    CommandResult Result = decodeResult(Answer);
+    base::logger("operator")
+        ->info("apply operator={} operation={} status={} document={}",
+               Who.Name.value(), Operation, statusOf(Result.Code),
+               Result.Document.value());
+    co_return ApiResponse{statusOf(Result.Code), "application/json",
+                          detail::resultJson(Result, Operation)};
+  } catch (const replication::NotLeader &Failure) {
+    co_return failure(503,
+                      fmt::format("the change was not applied: {}; send it "
+                                  "again or to another process",
+                                  Failure.what()),
+                      Operation);
+  } catch (const base::Error &Failure) {
+    Unknown = Failure.what();
+  }
+  co_return failure(504,
+                    fmt::format("the outcome is unknown: {}; send the change "
+                                "again with the same operation id",
+                                Unknown),
+                    Operation);
+}
+
+asio::awaitable<ApiResponse> OperatorApi::read(const ApiRequest &Request) {
+  Query Parsed = parseTarget(Request.Target);
+  if (!Parsed.Fault.empty())
+    co_return failure(400, Parsed.Fault);
+  if (!Parsed.Stale) {
+    std::string Reason;
+    try {
+      base::LogIndex Index = co_await Log.readIndex(Timeouts.Read);
+      AMARANTH_INVARIANT(Log.appliedIndex() >= Index,
+                         "a read was served before its index was applied");
+    } catch (const base::Error &Failure) {
+      Reason = Failure.what();
+    }
+    if (!Reason.empty())
+      co_return failure(503,
+                        fmt::format("this process cannot prove that it is "
+                                    "current: {}; ask another process, or add "
+                                    "?stale=true for its last known state",
+                                    Reason));
+  }
+  co_return ApiResponse{200, "application/json",
+                        readBody(Parsed.Path, Parsed.Limit, Parsed.Stale)};
+}
+
+std::string OperatorApi::readBody(const std::string &Path, std::size_t Limit,
+                                  bool Stale) const {
+  if (Path == "/v1/document")
+    return detail::documentJson(State, Stale);
+  if (Path == "/v1/status")
+    return detail::statusJson(State, Log, Nodes, Stale);
+  if (Path == "/v1/versions")
+    return detail::versionsJson(State, Stale);
+  return detail::auditJson(State, Limit, Stale);
+}
+
+ApiResponse OperatorApi::open(const std::string &Path) const {
+  if (Path == "/ready")
+    return ready();
+  if (Path == "/health")
+    return {200, "text/plain", "ok\n"};
+  return {200, "text/plain; version=0.0.4",
+          prometheus::TextSerializer().Serialize(Metrics.Collect())};
+}
+
+ApiResponse OperatorApi::ready() const {
+  base::Millis Age = Log.sinceCurrent();
+  if (Age <= Timeouts.Current)
+    return {200, "text/plain", "ready\n"};
+  return {503, "text/plain",
+          fmt::format("not ready: not current for {} ms\n", Age.count())};
+}
+
+} // namespace amaranth::control
--- a/control/src/RolloutTable.cpp
+++ b/control/src/RolloutTable.cpp
@@ -1,5 +1,6 @@
 #include "RolloutTable.h"
 
+#include "AuditLog.h"
 #include "amaranth/base/Invariant.h"
 
 namespace amaranth::control::detail {
@@ -75,7 +76,8 @@
   Status.Phase = Decision.Phase;
   Status.Share = shareIn(Decision.Phase, Decision.Share);
   Status.Step = Decision.Step;
-  Status.Reason = Decision.Reason.substr(0, MaxReason);
+  Status.Reason = Decision.Reason;
+  cutText(Status.Reason, MaxReason);
   ++Status.Epoch;
   Status.LastChange = Now;
   if (Status.Phase == RolloutPhase::RolledBack)
--- a/control/src/SectionBook.cpp
+++ b/control/src/SectionBook.cpp
@@ -35,7 +35,8 @@
           fmt::format("and {} more", Messages.size() - MaxMessages));
       break;
     }
-    Result.push_back(Message.Text.substr(0, MaxMessageBytes));
+    Result.push_back(Message.Text);
+    cutText(Result.back(), MaxMessageBytes);
   }
   return Result;
 }
--- /dev/null
+++ b/control/test/OperatorServer_test.cpp
@@ -0,0 +1,246 @@
+#include "FakeLog.h"
+#include "KeysFile.h"
+#include "Seed.h"
+#include "amaranth/control/OperatorServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+namespace amaranth::control {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// Speaks HTTP as text over a socket of the same `io_context`.
+class OperatorServerTest {
+protected:
+  OperatorServerTest()
+      : File("[operator ana]\nkey = 0123456789abcdef\nteams = studio\n"),
+        Log(Io.get_executor(), State),
+        Server(Io.get_executor(), Time, Log, State, Nodes,
+               OperatorKeys::read(File.path()), Metrics, settings()) {
+    asio::co_spawn(Io, Server.run(), asio::detached);
+    Io.poll();
+  }
+  ~OperatorServerTest() {
+    Server.stop();
+    poll();
+  }
+
+  static OperatorServerSettings settings() {
+    OperatorServerSettings Result;
+    Result.Listen = {"127.0.0.1", 0};
+    Result.MaxConnections = 3;
+    return Result;
+  }
+
+  void poll() {
+    for (unsigned Round = 0; Round < 200; ++Round)
+      Io.poll();
+  }
+
+  tcp::socket open() {
+    tcp::socket Peer(Io);
+    Peer.connect({asio::ip::make_address("127.0.0.1"), Server.address().Port});
+    Peer.non_blocking(true);
+    poll();
+    return Peer;
+  }
+
+  /// Sends and reads until the text stays the same.
+  std::string exchange(tcp::socket &Peer, std::string_view Text) {
+    boost::system::error_code Code;
+    while (!Text.empty() && Code != asio::error::connection_reset) {
+      std::size_t Count = Peer.write_some(asio::buffer(Text), Code);
+      Text.remove_prefix(Count);
+      poll();
+      if (Code && Code != asio::error::would_block)
+        break;
+    }
+    std::string Answer;
+    for (unsigned Quiet = 0; Quiet < 3;) {
+      poll();
+      char Buffer[4096];
+      std::size_t Count = Peer.read_some(asio::buffer(Buffer), Code);
+      Answer.append(Buffer, Count);
+      Quiet = Count == 0 ? Quiet + 1 : 0;
+    }
+    Closed = Code && Code != asio::error::would_block;
+    return Answer;
+  }
+
+  std::string request(const std::string &Line, const std::string &Body = "",
+                      const std::string &Key = "0123456789abcdef") {
+    tcp::socket Peer = open();
+    return exchange(Peer, Line +
+                              " HTTP/1.1\r\nHost: x\r\nAuthorization: "
+                              "Bearer " +
+                              Key + "\r\nContent-Length: " +
+                              std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  }
+
+  static bool has(const std::string &Text, const std::string &Part) {
+    return Text.find(Part) != std::string::npos;
+  }
+
+  std::string apply(const std::string &Operation) {
+    return request("POST /v1/apply",
+                   R"({"operation":")" + Operation + R"(","changes":[
+      {"section":"service s","body":"owner = studio\nversion = v1"},
+      {"section":"version s/v1","expected":0,"body":"owner = studio"},
+      {"section":"version s/v2","body":"owner = studio"},
+      {"section":"rollout s","body":"owner = studio\nfrom = v1\nto = v2\nstart = 2027-01-15T08:00:00Z\ndeadline = 2027-02-15T08:00:00Z"}]})");
+  }
+
+  asio::io_context Io;
+  base::ManualClock Time;
+  KeysFile File;
+  ControlState State;
+  FakeLog Log;
+  FakeNodes Nodes;
+  prometheus::Registry Metrics;
+  OperatorServer Server;
+  bool Closed = false;
+};
+
+TEST_CASE_METHOD(OperatorServerTest, "apply accepted change can be read") {
+  std::string Answer = apply("op1");
+  INFO(Answer);
+  CHECK(has(Answer, "200 OK"));
+  CHECK(has(Answer, R"("result":"accepted","operation":"op1","document":1)"));
+  CHECK(has(request("GET /v1/document"),
+            R"("section":"version s/v1","owner":"studio","revision":1)"));
+  CHECK(has(request("GET /v1/versions"), R"("phase":"waiting")"));
+  CHECK(
+      has(request("GET /v1/versions"), R"("deadline":"2027-02-15T08:00:00Z")"));
+  CHECK(has(request("GET /v1/audit?limit=1"), R"("actor":"ana")"));
+  CHECK(has(request("GET /v1/status"), R"("self":"18446744073709551615")"));
+  CHECK(has(request("GET /v1/status"), R"("following":2,"applied":1)"));
+}
+
+TEST_CASE_METHOD(OperatorServerTest, "apply refusals have their own status") {
+  apply("op1");
+  CHECK(has(apply("op2"), "409 Conflict"));
+  auto Send = [&](const std::string &Change) {
+    return request("POST /v1/apply", R"({"operation":"x)" +
+                                         std::to_string(Change.size()) +
+                                         R"(","changes":[)" + Change + "]}");
+  };
+  CHECK(has(Send(R"({"section":"route r","body":"owner = archive"})"),
+            "403 Forbidden"));
+  std::string Answer =
+      Send(R"({"section":"route r","body":"owner = studio\npath = x"})");
+  CHECK(has(Answer, "422 "));
+  CHECK(has(Answer, "section:3: [route r] path: "));
+}
+
+TEST_CASE_METHOD(OperatorServerTest, "requests without a key are refused") {
+  CHECK(has(request("GET /v1/document", "", "0123456789abcdeX"), "401 "));
+  tcp::socket Peer = open();
+  CHECK(has(exchange(Peer, "GET /v1/status HTTP/1.1\r\n\r\n"), "401 "));
+  CHECK(has(exchange(Peer, "GET /health HTTP/1.1\r\n\r\n"), "200 OK"));
+  CHECK(has(exchange(Peer, "GET /metrics HTTP/1.1\r\n\r\n"),
+            "amaranth_operator_requests_total{path=\"/v1/document\",status="
+            "\"401\"} 1"));
+}
+
+TEST_CASE_METHOD(OperatorServerTest, "reads need a proof of currency") {
+  Log.Behaviour = FakeLog::Mode::NotLeader;
+  std::string Answer = request("GET /v1/document");
+  CHECK(has(Answer, "503 "));
+  CHECK(has(Answer, "cannot prove that it is current: no leader is known"));
+  CHECK(has(request("GET /v1/document?stale=true"), R"("stale":true)"));
+  Log.Age = base::Millis(5001);
+  CHECK(has(request("GET /ready"), "503 "));
+}
+
+TEST_CASE_METHOD(OperatorServerTest, "apply unknown outcome says so") {
+  Log.Behaviour = FakeLog::Mode::AppliedThenTimeout;
+  std::string Answer = apply("op1");
+  CHECK(has(Answer, "504 "));
+  CHECK(has(Answer, "same operation id"));
+  CHECK(has(Answer, R"("operation":"op1")"));
+  Log.Behaviour = FakeLog::Mode::Normal;
+  CHECK(has(apply("op1"), R"("result":"accepted")"));
+  Log.Behaviour = FakeLog::Mode::NotLeader;
+  CHECK(has(apply("op2"), "was not applied"));
+}
+
+TEST_CASE_METHOD(OperatorServerTest, "bad requests get a 4xx response") {
+  for (
+      const char *Body :
+      {"", "{", "[]", R"({"operation":1,"changes":[]})",
+       R"({"operation":"a\nb","changes":[]})", R"({"operation":"x"})",
+       R"({"operation":"x","changes":[1]})",
+       R"({"operation":"x","changes":[],"more":1})",
+       R"({"operation":"x","changes":[{"section":"a"}]})",
+       R"({"operation":"x","changes":[{"section":"a","body":"","delete":true}]})",
+       R"({"operation":"x","changes":[{"section":"a","body":"","expected":-1}]})"}) {
+    INFO(Body);
+    CHECK(has(request("POST /v1/apply", Body), "400 Bad Request"));
+  }
+  std::string Deep(100'000, '[');
+  CHECK(has(request("POST /v1/apply", Deep), "400 Bad Request"));
+  CHECK(has(request("GET /v1/nothing"), "404 "));
+  CHECK(has(request("GET /v1/apply"), "405 "));
+  CHECK(has(request("GET /v1/audit?limit=0"), "400 "));
+  CHECK(has(request("GET /v1/status?x=1"), "400 "));
+  CHECK(State.documentVersion() == base::DocumentVersion());
+}
+
+TEST_CASE_METHOD(OperatorServerTest, "oversized requests are refused") {
+  CHECK(has(request("POST /v1/apply", std::string((1U << 20U) + 1, 'x')),
+            "413 "));
+  CHECK(Closed);
+  tcp::socket Peer = open();
+  CHECK(has(exchange(Peer, "GET / HTTP/1.1\r\nA: " + std::string(20'000, 'x')),
+            "431 "));
+}
+
+TEST_CASE_METHOD(OperatorServerTest, "slow and idle connections are closed") {
+  tcp::socket Idle = open();
+  tcp::socket Slow = open();
+  exchange(Slow, "GET /health HTT");
+  CHECK_FALSE(Closed);
+  Time.advance(base::Millis::seconds(10));
+  exchange(Slow, "");
+  CHECK(Closed);
+  exchange(Idle, "");
+  CHECK_FALSE(Closed);
+  Time.advance(base::Millis::seconds(30));
+  exchange(Idle, "");
+  CHECK(Closed);
+}
+
+TEST_CASE_METHOD(OperatorServerTest, "connections above the limit are closed") {
+  tcp::socket A = open();
+  tcp::socket B = open();
+  tcp::socket C = open();
+  tcp::socket D = open();
+  exchange(D, "GET /health HTTP/1.1\r\n\r\n");
+  CHECK(Closed);
+  CHECK(has(exchange(A, "GET /health HTTP/1.1\r\n\r\n"), "200 OK"));
+}
+
+// Guards against a crash of the control process by any bytes on its port.
+TEST_CASE_METHOD(OperatorServerTest, "random bytes never stop the server") {
+  unsigned Seed = testing::seed();
+  INFO(testing::repeatHint(Seed));
+  std::mt19937 Random(Seed);
+  const std::string Good = "POST /v1/apply HTTP/1.1\r\nAuthorization: Bearer "
+                           "0123456789abcdef\r\nContent-Length: 30\r\n\r\n"
+                           "{\"operation\":\"x\",\"changes\":[]}";
+  for (unsigned Round = 0; Round < 150; ++Round) {
+    std::string Text = Good;
+    for (unsigned Change = 0; Change < 1 + Round % 4; ++Change)
+      Text[Random() % Text.size()] = static_cast<char>(Random());
+    tcp::socket Peer = open();
+    exchange(Peer, Text);
+  }
+  CHECK(has(request("GET /health"), "200 OK"));
+}
+
+} // namespace amaranth::control
