Add amaranthctl

The client applies sections with the revisions that 'get' prints, resends a change with its operation id while the outcome is unknown, and shows the document, status, versions and audit trail. 'check' works without a server.

--- /dev/null
+++ b/tools/ctl/include/amaranth/ctl/HttpNetwork.h
@@ -0,0 +1,19 @@
+#ifndef AMARANTH_CTL_HTTPNETWORK_H
+#define AMARANTH_CTL_HTTPNETWORK_H
+
+#include "amaranth/ctl/Network.h"
+
+namespace amaranth::ctl {
+
+/// HTTP/1.1 over TCP with the clock of the system.
+class HttpNetwork final : public Network {
+public:
+  HttpReply send(const base::Address &Server, const HttpRequest &Request,
+                 base::Millis Limit) override;
+  base::TimePoint now() override;
+  void pause(base::Millis Span) override;
+};
+
+} // namespace amaranth::ctl
+
+#endif
--- /dev/null
+++ b/tools/ctl/src/Client.cpp
@@ -0,0 +1,91 @@
+#include "Client.h"
+
+#include <algorithm>
+
+namespace amaranth::ctl {
+
+namespace {
+
+constexpr base::Millis Pause(500);
+/// One server must not use up the whole time limit.
+constexpr base::Millis PerServer = base::Millis::seconds(8);
+
+} // namespace
+
+Client::Client(Network &Net, std::vector<base::Address> Servers,
+               std::string Key, base::Millis Timeout, std::ostream &Err)
+    : Net(Net), Servers(std::move(Servers)), Key(std::move(Key)),
+      Deadline(Net.now() + Timeout), Err(Err) {}
+
+HttpReply Client::get(const std::string &Target) {
+  HttpRequest Request{"GET", Target, Key, ""};
+  for (const base::Address &Server : Servers) {
+    try {
+      HttpReply Reply = Net.send(Server, Request, remaining());
+      if (Reply.Status != 503)
+        return Reply;
+      note(Server, Reply.Body);
+    } catch (const base::Error &Failure) {
+      note(Server, Failure.what());
+    }
+  }
+  throw Unreachable("no server answered; last problem: " + LastProblem);
+}
+
+HttpReply Client::apply(const std::string &Body) {
+  HttpRequest Request{"POST", "/v1/apply", Key, Body};
+  bool Sent = false;
+  HttpReply Reply;
+  do {
+    for (const base::Address &Server : Servers) {
+      Outcome Result = tryApply(Server, Request, Sent, Reply);
+      if (Result == Outcome::Final)
+        return Reply;
+      Sent = Sent || Result == Outcome::Unknown;
+    }
+    if (!Sent)
+      throw Unreachable("the change was not applied; last problem: " +
+                        LastProblem);
+    Net.pause(Pause);
+  } while (Net.now() < Deadline);
+  throw UnknownOutcome("the change may or may not have been applied; last "
+                       "problem: " +
+                       LastProblem);
+}
+
+Client::Outcome Client::tryApply(const base::Address &Server,
+                                 const HttpRequest &Request, bool Sent,
+                                 HttpReply &Reply) {
+  try {
+    Reply = Net.send(Server, Request, remaining());
+  } catch (const Unreachable &Failure) {
+    note(Server, Failure.what());
+    return Outcome::NotApplied;
+  } catch (const LostAnswer &Failure) {
+    note(Server, Failure.what());
+    return Outcome::Unknown;
+  }
+  // The control state answered: the same operation id always gets the result
+  // of its first run.
+  for (unsigned Status : {200U, 403U, 409U, 422U})
+    if (Reply.Status == Status)
+      return Outcome::Final;
+  if (Reply.Status >= 400 && Reply.Status < 500 && !Sent)
+    return Outcome::Final;
+  note(Server, Reply.Body);
+  // Another refusal says nothing about a request that was sent before.
+  bool Certain = Reply.Status == 503 || Reply.Status < 500;
+  return Certain ? Outcome::NotApplied : Outcome::Unknown;
+}
+
+base::Millis Client::remaining() {
+  base::Millis Left = Deadline - Net.now();
+  return std::clamp(Left, base::Millis(1), PerServer);
+}
+
+void Client::note(const base::Address &Server, const std::string &Text) {
+  LastProblem = Server.text() + ": " + Text;
+  Err << "amaranthctl: " << LastProblem << '\n';
+}
+
+} // namespace amaranth::ctl
--- /dev/null
+++ b/tools/ctl/src/Client.h
@@ -0,0 +1,51 @@
+#ifndef AMARANTH_CTL_SRC_CLIENT_H
+#define AMARANTH_CTL_SRC_CLIENT_H
+
+#include "amaranth/ctl/Network.h"
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace amaranth::ctl {
+
+/// A change whose outcome is unknown at the time limit.
+class UnknownOutcome : public base::Error {
+public:
+  using base::Error::Error;
+};
+
+/// Talks to the first server that can answer.
+class Client {
+public:
+  /// The references must outlive the object.
+  Client(Network &Net, std::vector<base::Address> Servers, std::string Key,
+         base::Millis Timeout, std::ostream &Err);
+
+  /// Tries each server once. Throws `Unreachable` when none is current or
+  /// answers.
+  HttpReply get(const std::string &Target);
+
+  /// Sends a change, and again with the same body while its outcome is
+  /// unknown. Throws `Unreachable` when it was certainly not applied and
+  /// `UnknownOutcome` at the time limit.
+  HttpReply apply(const std::string &Body);
+
+private:
+  enum class Outcome { Final, NotApplied, Unknown };
+  Outcome tryApply(const base::Address &Server, const HttpRequest &Request,
+                   bool Sent, HttpReply &Reply);
+  base::Millis remaining();
+  void note(const base::Address &Server, const std::string &Text);
+
+  Network &Net;
+  std::vector<base::Address> Servers;
+  std::string Key;
+  base::TimePoint Deadline;
+  std::ostream &Err;
+  std::string LastProblem;
+};
+
+} // namespace amaranth::ctl
+
+#endif
--- /dev/null
+++ b/tools/ctl/src/Options.h
@@ -0,0 +1,52 @@
+#ifndef AMARANTH_CTL_SRC_OPTIONS_H
+#define AMARANTH_CTL_SRC_OPTIONS_H
+
+#include "amaranth/base/Error.h"
+#include "amaranth/base/Millis.h"
+#include "amaranth/base/Settings.h"
+#include "amaranth/base/StrongId.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranth::ctl {
+
+/// The command line is wrong. The message is for the user.
+class UsageError : public base::Error {
+public:
+  using base::Error::Error;
+};
+
+/// Help was asked for; the message is the help text.
+class HelpWanted : public base::Error {
+public:
+  using base::Error::Error;
+};
+
+struct Deletion {
+  std::string Section;
+  base::Revision Expected;
+};
+
+struct Options {
+  /// `apply`, `get`, `diff`, `status`, `versions`, `audit` or `check`.
+  std::string Command;
+  std::vector<base::Address> Servers;
+  std::string KeyFile;
+  std::string File;
+  std::string Section;
+  std::vector<Deletion> Deletions;
+  std::string Operation;
+  std::uint64_t Limit = 0;
+  base::Millis Timeout;
+  bool Json = false;
+  bool Stale = false;
+};
+
+/// Throws `UsageError` or `HelpWanted`.
+Options parseOptions(const std::vector<std::string> &Arguments);
+
+} // namespace amaranth::ctl
+
+#endif
--- /dev/null
+++ b/tools/ctl/src/Views.cpp
@@ -0,0 +1,209 @@
+#include "Views.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace json = boost::json;
+
+namespace amaranth::ctl {
+
+namespace {
+
+json::value parse(const std::string &Text) {
+  boost::system::error_code Failure;
+  json::value Result = json::parse(Text, Failure);
+  if (Failure || !Result.is_object())
+    throw base::Error("the server's answer is no JSON object");
+  return Result;
+}
+
+const json::value &member(const json::value &From, const char *Name) {
+  if (From.is_object())
+    if (const json::value *Value = From.get_object().if_contains(Name))
+      return *Value;
+  throw base::Error(
+      fmt::format("the server's answer lacks the member \"{}\"", Name));
+}
+
+const json::array &list(const json::value &From, const char *Name) {
+  const json::value &Value = member(From, Name);
+  if (!Value.is_array())
+    throw base::Error(fmt::format("the member \"{}\" is no array", Name));
+  return Value.get_array();
+}
+
+std::uint64_t number(const json::value &Value) {
+  if (Value.is_uint64())
+    return Value.get_uint64();
+  if (Value.is_int64() && Value.get_int64() >= 0)
+    return static_cast<std::uint64_t>(Value.get_int64());
+  throw base::Error("the server's answer has no number where one must be");
+}
+
+std::string text(const json::value &From, const char *Name) {
+  const json::value &Value = member(From, Name);
+  if (Value.is_string())
+    return std::string(Value.get_string());
+  return json::serialize(Value);
+}
+
+double percent(const json::value &From) {
+  const json::value &Value = member(From, "share_percent");
+  return Value.is_number() ? Value.to_number<double>() : 0;
+}
+
+void printRollout(std::ostream &Out, const json::value &Rollout) {
+  Out << fmt::format("  rollout {} -> {}: {} at {:g} %, deadline {}, since {}",
+                     text(Rollout, "from"), text(Rollout, "to"),
+                     text(Rollout, "phase"), percent(Rollout),
+                     text(Rollout, "deadline"), text(Rollout, "since"));
+  std::string Reason = text(Rollout, "reason");
+  Out << (Reason.empty() ? "" : ": " + Reason) << '\n';
+}
+
+} // namespace
+
+std::vector<document::SectionText> readDocument(const std::string &Json) {
+  json::value Root = parse(Json);
+  std::vector<document::SectionText> Result;
+  for (const json::value &Item : list(Root, "sections"))
+    Result.push_back({text(Item, "section"),
+                      text(Item, "body"),
+                      {},
+                      base::Revision(number(member(Item, "revision")))});
+  return Result;
+}
+
+void printStatus(std::ostream &Out, const std::string &Json) {
+  json::value Root = parse(Json);
+  const json::value &Nodes = member(Root, "nodes");
+  Out << fmt::format("document {}, state {}, applied {} of {}, term {}\n",
+                     text(Root, "document"), text(Root, "state"),
+                     text(Root, "applied"), text(Root, "commit"),
+                     text(Root, "term"));
+  Out << fmt::format("leader {}, this process {}, current {} ms ago\n",
+                     text(Root, "leader"), text(Root, "self"),
+                     text(Root, "since_current_ms"));
+  for (const json::value &Item : list(Root, "members"))
+    Out << fmt::format(
+        "member {} {} {} match {}\n", text(Item, "id"), text(Item, "address"),
+        member(Item, "voter").is_bool() && member(Item, "voter").get_bool()
+            ? "voter"
+            : "learner",
+        text(Item, "match"));
+  Out << fmt::format("nodes: {} follow this process, {} have document {}, "
+                     "all after {} ms\n",
+                     text(Nodes, "following"), text(Nodes, "applied"),
+                     text(Nodes, "document"),
+                     text(Nodes, "converged_after_ms"));
+  for (const json::value &Item : list(Nodes, "list"))
+    Out << fmt::format("node {} zone {} document {} heard {} ms ago\n",
+                       text(Item, "node"), text(Item, "zone"),
+                       text(Item, "document"), text(Item, "since_heard_ms"));
+}
+
+void printVersions(std::ostream &Out, const std::string &Json) {
+  json::value Root = parse(Json);
+  for (const json::value &Service : list(Root, "services")) {
+    Out << text(Service, "service") << '\n';
+    for (const json::value &Version : list(Service, "versions"))
+      Out << fmt::format(
+          "  {} {:g} %{}\n", text(Version, "version"), percent(Version),
+          text(Version, "barred") == "true" ? " rolled back" : "");
+    if (const json::value &Rollout = member(Service, "rollout");
+        Rollout.is_object())
+      printRollout(Out, Rollout);
+  }
+}
+
+void printAudit(std::ostream &Out, const std::string &Json) {
+  json::value Root = parse(Json);
+  for (const json::value &Entry : list(Root, "entries"))
+    Out << fmt::format(
+        "{} #{} {} [{}] {} -> {} {} {} {}\n", text(Entry, "time"),
+        text(Entry, "index"), text(Entry, "actor"), text(Entry, "section"),
+        text(Entry, "old_revision"), text(Entry, "new_revision"),
+        text(Entry, "result"), text(Entry, "operation"), text(Entry, "reason"));
+}
+
+bool isStale(const std::string &Json) {
+  json::value Root = parse(Json);
+  const json::value *Value = Root.get_object().if_contains("stale");
+  return Value && Value->is_bool() && Value->get_bool();
+}
+
+std::string errorText(const std::string &Json) {
+  boost::system::error_code Failure;
+  json::value Root = json::parse(Json, Failure);
+  if (Failure || !Root.is_object())
+    return Json;
+  const json::value *Value = Root.get_object().if_contains("error");
+  return Value && Value->is_string() ? std::string(Value->get_string()) : Json;
+}
+
+ApplyView readResult(const std::string &Json) {
+  json::value Root = parse(Json);
+  ApplyView Result;
+  Result.Document = number(member(Root, "document"));
+  for (const json::value &Message : list(Root, "messages"))
+    if (Message.is_string())
+      Result.Messages.emplace_back(Message.get_string());
+  const json::value &Revisions = member(Root, "revisions");
+  if (Revisions.is_object())
+    for (const auto &Item : Revisions.get_object())
+      Result.Revisions.emplace_back(std::string(Item.key()),
+                                    number(Item.value()));
+  return Result;
+}
+
+std::string applyBody(const std::string &Operation,
+                      const std::vector<Change> &Changes) {
+  json::object Root;
+  Root["operation"] = Operation;
+  json::array List;
+  for (const Change &Each : Changes) {
+    json::object Item;
+    Item["section"] = Each.Section;
+    Item["expected"] = Each.Expected;
+    if (Each.Delete)
+      Item["delete"] = true;
+    else
+      Item["body"] = Each.Body;
+    List.push_back(std::move(Item));
+  }
+  Root["changes"] = std::move(List);
+  return json::serialize(Root);
+}
+
+std::string diffJson(const std::vector<document::SectionDiff> &Diff) {
+  json::array Result;
+  for (const document::SectionDiff &Section : Diff) {
+    json::object Item;
+    Item["section"] = Section.Name;
+    Item["kind"] = Section.Kind == document::DiffKind::Added     ? "added"
+                   : Section.Kind == document::DiffKind::Removed ? "removed"
+                                                                 : "changed";
+    json::array Lines;
+    for (const document::DiffLine &Line : Section.Lines)
+      Lines.emplace_back(fmt::format("{} {}", Line.Mark, Line.Text));
+    Item["lines"] = std::move(Lines);
+    Result.push_back(std::move(Item));
+  }
+  return json::serialize(Result);
+}
+
+std::string faultsJson(const std::vector<base::FileFault> &Faults) {
+  json::array Result;
+  for (const base::FileFault &Fault : Faults) {
+    json::object Item;
+    Item["file"] = Fault.File;
+    Item["line"] = Fault.Line;
+    Item["section"] = Fault.Section;
+    Item["key"] = Fault.Key;
+    Item["reason"] = Fault.Reason;
+    Result.push_back(std::move(Item));
+  }
+  return json::serialize(Result);
+}
+
+} // namespace amaranth::ctl
--- /dev/null
+++ b/tools/ctl/test/Ctl_test.cpp
@@ -0,0 +1,192 @@
+#include "KeysFile.h"
+#include "amaranth/ctl/Ctl.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <functional>
+#include <sstream>
+
+namespace amaranth::ctl {
+
+/// Answers from a script and records what was sent.
+class ScriptedNetwork final : public Network {
+public:
+  using Step = std::function<HttpReply()>;
+
+  HttpReply send(const base::Address &Server, const HttpRequest &Request,
+                 base::Millis Limit) override {
+    Sent.emplace_back(Server.text(), Request);
+    Now = Now + std::min(Limit, base::Millis(1000));
+    if (Steps.empty())
+      throw Unreachable("connection refused");
+    Step Next = Steps.front();
+    if (Steps.size() > 1 || !Repeat)
+      Steps.pop_front();
+    return Next();
+  }
+  base::TimePoint now() override { return Now; }
+  void pause(base::Millis Span) override { Now = Now + Span; }
+
+  std::deque<Step> Steps;
+  /// The last step answers all further requests.
+  bool Repeat = false;
+  std::vector<std::pair<std::string, HttpRequest>> Sent;
+  base::TimePoint Now;
+};
+
+class CtlTest {
+protected:
+  CtlTest() : Key("0123456789abcdef\n") {}
+
+  Exit call(std::vector<std::string> Arguments) {
+    Out.str("");
+    Err.str("");
+    Arguments.insert(Arguments.end(), {"--key-file", Key.path(), "--server",
+                                       "127.0.0.1:1,127.0.0.1:2"});
+    return run(Arguments, Net, Out, Err);
+  }
+
+  void answer(unsigned Status, const std::string &Body) {
+    Net.Steps.emplace_back([=] { return HttpReply{Status, Body}; });
+  }
+  void lose() {
+    Net.Steps.emplace_back(
+        []() -> HttpReply { throw LostAnswer("connection reset"); });
+  }
+
+  static std::string result(const std::string &Code,
+                            const std::string &Message) {
+    return R"({"result":")" + Code + R"(","document":9,"messages":[)" +
+           Message + R"(],"revisions":{"route x":9}})";
+  }
+
+  bool errHas(const std::string &Part) const {
+    return Err.str().find(Part) != std::string::npos;
+  }
+
+  static constexpr const char *Stored =
+      R"({"document":9,"stale":false,"sections":[
+      {"section":"route x","revision":7,"body":"owner = t\npath = /x\n"},
+      {"section":"service s","revision":3,"body":"owner = t\n"}]})";
+
+  control::KeysFile Key;
+  ScriptedNetwork Net;
+  std::ostringstream Out;
+  std::ostringstream Err;
+};
+
+TEST_CASE_METHOD(CtlTest, "amaranthctl wrong command line exits with 2") {
+  CHECK(call({}) == Exit::Usage);
+  CHECK(call({"remove"}) == Exit::Usage);
+  CHECK(call({"apply"}) == Exit::Usage);
+  CHECK(call({"apply", "--delete", "route x"}) == Exit::Usage);
+  CHECK(call({"apply", "--delete", "route x@0"}) == Exit::Usage);
+  CHECK(call({"audit", "--limit", "0"}) == Exit::Usage);
+  CHECK(call({"status", "--timeout", "5"}) == Exit::Usage);
+  CHECK(run({"status", "--server", "localhost:1"}, Net, Out, Err) ==
+        Exit::Usage);
+  CHECK(Net.Sent.empty());
+}
+
+TEST_CASE_METHOD(CtlTest, "apply sends the revisions that get printed") {
+  answer(200, Stored);
+  REQUIRE(call({"get"}) == Exit::Ok);
+  CHECK(Out.str().find("[route x]\nrevision = 7\nowner = t\n") == 0);
+  control::KeysFile File(Out.str() + "[route new]\nowner = t\n");
+  answer(200, result("accepted", ""));
+  REQUIRE(call({"apply", File.path(), "--operation", "op", "--delete",
+                "route a@4", "--delete", "route b@5"}) == Exit::Ok);
+  CHECK(errHas("operation op\n"));
+  CHECK(Net.Sent.back().second.Key == "0123456789abcdef");
+  CHECK(Net.Sent.back().second.Body ==
+        R"({"operation":"op","changes":[)"
+        R"({"section":"route x","expected":7,"body":"owner = t\npath = /x\n"},)"
+        R"({"section":"service s","expected":3,"body":"owner = t\n"},)"
+        R"({"section":"route new","expected":0,"body":"owner = t\n"},)"
+        R"({"section":"route a","expected":4,"delete":true},)"
+        R"({"section":"route b","expected":5,"delete":true}]})");
+  CHECK(Out.str() == "document 9\n[route x] revision 9\n");
+}
+
+TEST_CASE_METHOD(CtlTest, "apply unknown outcome is resent with the same id") {
+  lose();
+  answer(401, R"({"error":"no key"})");
+  answer(504, R"({"error":"unknown"})");
+  answer(503, R"({"error":"no leader"})");
+  answer(200, result("accepted", ""));
+  CHECK(call({"apply", "--delete", "route x@7"}) == Exit::Ok);
+  REQUIRE(Net.Sent.size() == 5);
+  for (const auto &[Server, Request] : Net.Sent)
+    CHECK(Request.Body == Net.Sent[0].second.Body);
+  CHECK(Net.Sent[0].first != Net.Sent[1].first);
+}
+
+TEST_CASE_METHOD(CtlTest, "apply exit codes tell the outcomes apart") {
+  std::vector<std::string> Apply = {"apply", "--delete", "route x@7"};
+  CHECK(call(Apply) == Exit::Unreachable);
+  answer(503, R"({"error":"no leader"})");
+  answer(503, R"({"error":"no leader"})");
+  CHECK(call(Apply) == Exit::Unreachable);
+  answer(409, result("conflict", R"("[route x] has revision 8")"));
+  CHECK(call(Apply) == Exit::Conflict);
+  CHECK(errHas("[route x] has revision 8"));
+  answer(403, result("forbidden", ""));
+  CHECK(call(Apply) == Exit::Refused);
+  answer(401, R"({"error":"no key"})");
+  CHECK(call(Apply) == Exit::Refused);
+  lose();
+  Net.Repeat = true;
+  CHECK(call(Apply) == Exit::UnknownOutcome);
+  CHECK(errHas("may or may not have been applied"));
+  CHECK(Net.Sent.size() > 10);
+}
+
+TEST_CASE_METHOD(CtlTest, "apply faults name the line of the file") {
+  control::KeysFile File("# comment\n\n[route x]\nrevision = 7\nowner = t\n"
+                         "path = x\n");
+  answer(422, result("invalid", R"("section:3: [route x] path: bad",)"
+                                R"("section: [route x] deadline: late")"));
+  CHECK(call({"apply", File.path()}) == Exit::Refused);
+  INFO(Err.str());
+  CHECK(errHas(File.path() + ":6: [route x] path: bad"));
+  CHECK(errHas(File.path() + ":3: [route x] deadline: late"));
+}
+
+TEST_CASE_METHOD(CtlTest, "get tries the servers in turn") {
+  answer(503, R"({"error":"not current"})");
+  answer(200, Stored);
+  CHECK(call({"get", "service s"}) == Exit::Ok);
+  CHECK(Out.str() == "[service s]\nrevision = 3\nowner = t\n");
+  CHECK(Net.Sent[1].first == "127.0.0.1:2");
+  answer(200, Stored);
+  CHECK(call({"get", "service none"}) == Exit::Refused);
+  CHECK(call({"get"}) == Exit::Unreachable);
+  answer(200, "not json");
+  CHECK(call({"get"}) == Exit::Refused);
+}
+
+TEST_CASE_METHOD(CtlTest, "diff shows what apply would change") {
+  control::KeysFile File("[route x]\nrevision = 6\nowner = t\npath = /y\n");
+  answer(200, Stored);
+  CHECK(call({"diff", File.path()}) == Exit::Ok);
+  CHECK(Out.str() ==
+        "changed [route x]\n  owner = t\n- path = /x\n+ path = /y\n");
+  CHECK(errHas("revision: 6 in the file, 7 at the server"));
+}
+
+TEST_CASE_METHOD(CtlTest, "check works offline and reports all faults") {
+  control::KeysFile File("[route x]\nowner = t\npath = x\ntimeout = 5\n");
+  CHECK(call({"check", File.path()}) == Exit::Refused);
+  CHECK(errHas(File.path() + ":3: [route x] path: "));
+  CHECK(errHas(File.path() + ":4: [route x] timeout: "));
+  CHECK(call({"check", File.path(), "--json"}) == Exit::Refused);
+  CHECK(Out.str().find(R"("line":4,"section":"route x","key":"timeout")") !=
+        std::string::npos);
+  control::KeysFile Good("[service s]\nrevision = 4\nowner = t\nversion = v\n"
+                         "[version s/v]\nowner = t\n");
+  CHECK(call({"check", Good.path()}) == Exit::Ok);
+  CHECK(Net.Sent.empty());
+}
+
+} // namespace amaranth::ctl
