Blame abandoned requests for crashes, and no unsent ones

A request whose caller left may still run at the upstream. A slot that is granted after the deadline or after a cancellation sends nothing.

--- a/dataplane/src/CrashGuard.cpp
+++ b/dataplane/src/CrashGuard.cpp
@@ -30,10 +30,19 @@
   Owner.Running.emplace(Id, Fingerprint);
 }
 
-CrashGuard::Tracked::~Tracked() { Owner.Running.erase(Id); }
+CrashGuard::Tracked::~Tracked() {
+  auto Found = Owner.Running.find(Id);
+  if (Abandoned)
+    Owner.GivenUp.emplace(Owner.Time.now(), Found->second);
+  Owner.Running.erase(Found);
+}
 
-std::vector<std::uint64_t> CrashGuard::running() const {
+std::vector<std::uint64_t> CrashGuard::running() {
+  auto Forgotten = GivenUp.lower_bound(Time.now() - BreakMemory);
+  GivenUp.erase(GivenUp.begin(), Forgotten);
   std::vector<std::uint64_t> Result;
+  for (const auto &[At, Fingerprint] : GivenUp)
+    Result.push_back(Fingerprint);
   for (const auto &[Id, Fingerprint] : Running)
     Result.push_back(Fingerprint);
   std::ranges::sort(Result);
@@ -48,7 +57,6 @@
   // All requests that one crash interrupts share one report.
   if (!Current) {
     Current = std::make_shared<Check>(Executor);
-    Current->Fingerprints = running();
     asio::co_spawn(Executor, examine(Current, Service, Upstream, Limit),
                    asio::detached);
   }
@@ -66,21 +74,33 @@
                                           base::Millis Limit) {
   Mine->Crashed = co_await Client.refusesConnections();
   if (Mine->Crashed) {
+    // By now a request whose connection was refused has been taken off the
+    // list; one that waits for this check is still on it.
+    std::vector<std::uint64_t> Fingerprints = running();
+    GivenUp.clear();
     base::logger("dataplane")
         ->warn("upstream crashed endpoint={} suspects={}", Upstream.value(),
-               Mine->Fingerprints.size());
+               Fingerprints.size());
     OnCrash();
-    control::Command Report =
-        control::ReportCrash{Service, Upstream, Mine->Fingerprints};
-    auto Result = co_await Calls.commit(Report, Limit);
-    if (!Result)
-      Calls.commitInBackground(Report);
+    if (!Fingerprints.empty())
+      co_await report(Service, Upstream, std::move(Fingerprints), Limit);
   }
   Current.reset();
   Mine->Done = true;
   Mine->Changed.notifyAll();
 }
 
+asio::awaitable<void>
+CrashGuard::report(base::ServiceName Service, base::EndpointId Upstream,
+                   std::vector<std::uint64_t> Fingerprints,
+                   base::Millis Limit) {
+  control::Command Report =
+      control::ReportCrash{Service, Upstream, std::move(Fingerprints)};
+  auto Result = co_await Calls.commit(Report, Limit);
+  if (!Result)
+    Calls.commitInBackground(std::move(Report));
+}
+
 void CrashGuard::restarted(const base::ServiceName &Service,
                            const base::EndpointId &Upstream) {
   std::vector<std::uint64_t> Fingerprints;
--- a/dataplane/src/CrashGuard.h
+++ b/dataplane/src/CrashGuard.h
@@ -21,17 +21,20 @@
              ClaimClient &Calls, UpstreamClient &Client,
              std::function<void()> OnCrash);
 
-  /// A request that may have reached the upstream. Running until destroyed.
+  /// A request that may have reached the upstream. Running until destroyed,
+  /// and some seconds longer when it was abandoned.
   class Tracked {
   public:
     Tracked(CrashGuard &Owner, std::uint64_t Fingerprint);
     ~Tracked();
     Tracked(const Tracked &) = delete;
     Tracked &operator=(const Tracked &) = delete;
+    void abandon() { Abandoned = true; }
 
   private:
     CrashGuard &Owner;
     std::uint64_t Id;
+    bool Abandoned = false;
   };
 
   /// A connection broke while a request was running. Returns true when the
@@ -51,7 +54,6 @@
     explicit Check(const boost::asio::any_io_executor &Executor)
         : Changed(Executor) {}
     base::Signal Changed;
-    std::vector<std::uint64_t> Fingerprints;
     bool Done = false;
     bool Crashed = false;
   };
@@ -60,7 +62,11 @@
                                        base::ServiceName Service,
                                        base::EndpointId Upstream,
                                        base::Millis Limit);
-  std::vector<std::uint64_t> running() const;
+  boost::asio::awaitable<void> report(base::ServiceName Service,
+                                      base::EndpointId Upstream,
+                                      std::vector<std::uint64_t> Fingerprints,
+                                      base::Millis Limit);
+  std::vector<std::uint64_t> running();
 
   boost::asio::any_io_executor Executor;
   base::Clock &Time;
@@ -70,6 +76,8 @@
   std::map<std::uint64_t, std::uint64_t> Running;
   std::uint64_t NextId = 0;
   std::shared_ptr<Check> Current;
+  /// Requests that were given up while the upstream had them.
+  std::multimap<base::TimePoint, std::uint64_t> GivenUp;
   /// Requests whose connection broke although the upstream still accepted
   /// connections, by the time of the break.
   std::multimap<base::TimePoint, std::uint64_t> RecentBreaks;
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -199,6 +199,18 @@
                  "this request has crashed upstreams");
 }
 
+std::optional<Refusal>
+Gate::Impl::lastRefusal(const ServerExchange &Exchange) const {
+  if (auto Refused = stateRefusal())
+    return Refused;
+  if (Exchange.Body.ended())
+    return refusal(Outcome::NotRun, Reason::Cancelled, "cancelled");
+  if (Time.now() >= Exchange.Deadline)
+    return refusal(Outcome::NotRun, Reason::DeadlineExceeded,
+                   "the deadline passed before the request was sent");
+  return std::nullopt;
+}
+
 bool Gate::Impl::isSuspect(const RequestHead &Head) const {
   auto Snapshot = Snapshots.current();
   if (!Snapshot)
@@ -272,6 +284,7 @@
 asio::awaitable<bool> Gate::drain(base::Millis Limit) {
   auto Keep = Self;
   constexpr base::Millis Poll = base::Millis(20);
+  constexpr base::Millis FlushTime = base::Millis(200);
   if (!std::exchange(Keep->NodeDraining, true)) {
     Keep->Slots.dropWaiting();
     Keep->publish();
@@ -279,6 +292,9 @@
   base::TimePoint End = Keep->Time.now() + Limit;
   while (Keep->Slots.inFlight() != 0 && Keep->Time.now() < End)
     co_await Keep->Time.sleepFor(Poll);
+  // The last messages are queued on their connections; a channel does not
+  // tell when they are written.
+  co_await Keep->Time.sleepFor(FlushTime);
   co_return Keep->Slots.inFlight() == 0;
 }
 
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -36,17 +36,28 @@
   using Answer = boost::asio::awaitable<std::optional<Refusal>>;
   boost::asio::awaitable<void> serve(Shared Exchange);
   Answer attempt(Shared Exchange);
+  /// One request that has a slot.
+  struct Run {
+    /// A keyed request runs on without its caller, so that a resend gets its
+    /// response; a suspect does, so that a crash is seen.
+    bool RunsToEnd = false;
+    bool Suspect = false;
+    bool Crashed = false;
+  };
+  /// The last chance to refuse before a byte is sent.
+  std::optional<Refusal> lastRefusal(const ServerExchange &Exchange) const;
   Answer runWithSlot(Shared Exchange, bool Suspect);
-  Answer claimAndRun(Shared Exchange, bool &Crashed);
-  Answer execute(Shared Exchange, bool &Crashed);
-  Answer failed(Shared Exchange, UpstreamError Failure, bool &Crashed);
+  Answer claimAndRun(Shared Exchange, Run &State);
+  Answer execute(Shared Exchange, Run &State);
+  Answer failed(Shared Exchange, UpstreamError Failure, Run &State);
   Answer beginSuspect(Shared Exchange);
   boost::asio::awaitable<void> endSuspect(Shared Exchange, bool Crashed);
   boost::asio::awaitable<void> replay(Shared Exchange,
                                       control::StoredResponse Stored);
   boost::asio::awaitable<std::shared_ptr<UpstreamCall>> begin(Shared Exchange);
   boost::asio::awaitable<void> forward(Shared Exchange,
-                                       std::shared_ptr<UpstreamCall> Call);
+                                       std::shared_ptr<UpstreamCall> Call,
+                                       const Run &State);
   Headers requestFields(const ServerExchange &Exchange) const;
 
   boost::asio::any_io_executor Executor;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -124,25 +124,25 @@
 
 Gate::Impl::Answer Gate::Impl::runWithSlot(Shared Exchange, bool Suspect) {
   SlotHold Hold(Slots);
-  bool Crashed = false;
-  auto Refused = stateRefusal();
+  auto Refused = lastRefusal(*Exchange);
   if (!Refused)
     Refused = quarantineRefusal(Exchange->Head);
   // A request that became a suspect while it waited must run alone.
   if (!Refused && !Suspect && isSuspect(Exchange->Head))
     Refused = refusal(Outcome::NotRun, Reason::SuspectBusy,
                       "request is suspected of crashing upstreams");
+  Run State{Suspect || Exchange->Head.IdempotencyKey, Suspect, false};
   if (!Refused)
-    Refused = co_await claimAndRun(Exchange, Crashed);
+    Refused = co_await claimAndRun(Exchange, State);
   if (Suspect)
-    co_await endSuspect(Exchange, Crashed);
+    co_await endSuspect(Exchange, State.Crashed);
   co_return Refused;
 }
 
-Gate::Impl::Answer Gate::Impl::claimAndRun(Shared Exchange, bool &Crashed) {
+Gate::Impl::Answer Gate::Impl::claimAndRun(Shared Exchange, Run &State) {
   const RequestHead &Head = Exchange->Head;
   if (!Head.IdempotencyKey)
-    co_return co_await execute(Exchange, Crashed);
+    co_return co_await execute(Exchange, State);
   base::Millis Limit =
       std::min(Options.ClaimTimeout, Exchange->Deadline - Time.now());
   auto Claimed = co_await Claims.claim(Head, Limit);
@@ -154,14 +154,11 @@
     co_await replay(Exchange, std::move(*Claimed.Stored));
     co_return std::nullopt;
   }
-  auto Refused = stateRefusal();
-  if (!Refused && Exchange->Body.ended())
-    Refused = refusal(Outcome::NotRun, Reason::Cancelled, "cancelled");
-  if (Refused) {
+  if (auto Refused = lastRefusal(*Exchange)) {
     Claims.release(Head);
     co_return Refused;
   }
-  co_return co_await execute(Exchange, Crashed);
+  co_return co_await execute(Exchange, State);
 }
 
 asio::awaitable<std::shared_ptr<UpstreamCall>>
@@ -174,24 +171,23 @@
                                   std::move(Fields), Head.BodyLength);
 }
 
-Gate::Impl::Answer Gate::Impl::execute(Shared Exchange, bool &Crashed) {
+Gate::Impl::Answer Gate::Impl::execute(Shared Exchange, Run &State) {
   AMARANTH_INVARIANT(Lifecycle.state() == UpstreamState::Ready,
                      "work for an upstream that is not ready");
-  CrashGuard::Tracked Tracked(Crashes, Exchange->Head.Fingerprint);
-  base::TimePoint Started = Time.now();
+  std::optional<CrashGuard::Tracked> Tracked;
+  Tracked.emplace(Crashes, Exchange->Head.Fingerprint);
   std::optional<UpstreamError> Failure;
   std::shared_ptr<UpstreamCall> Call;
   std::exception_ptr Ended;
   try {
     Call = co_await begin(Exchange);
-    // A keyed request runs to its end, so that a resend gets its response.
-    if (!Exchange->Head.IdempotencyKey)
+    if (!State.RunsToEnd)
       Exchange->OnEnd = [Call] { Call->abort(); };
-    if (Exchange->Body.ended() && !Exchange->Head.IdempotencyKey)
+    if (Exchange->Body.ended() && !State.RunsToEnd)
       Call->abort();
     asio::co_spawn(Executor, pumpRequest(Exchange, Call), asio::detached);
-    co_await forward(Exchange, Call);
-    Times.add(Time.now() - Started);
+    co_await forward(Exchange, Call, State);
+    Tracked.reset();
   } catch (const UpstreamError &Error) {
     Failure = Error;
   } catch (const ExchangeEnded &) {
@@ -200,42 +196,56 @@
   Exchange->OnEnd = nullptr;
   if (Call)
     Call->abort();
+  // The upstream may go on with a request that was given up here. One whose
+  // connection broke is examined at once instead.
+  bool Cancelled = Exchange->Body.ended() && !State.RunsToEnd;
+  bool Late = Failure && (Failure->why() == Reason::UpstreamSilent ||
+                          Failure->why() == Reason::DeadlineExceeded);
+  if (Tracked && Call && (Ended || Cancelled || Late))
+    Tracked->abandon();
   if (Ended)
     std::rethrow_exception(Ended);
   if (!Failure)
     co_return std::nullopt;
-  co_return co_await failed(Exchange, *Failure, Crashed);
+  if (!Failure->sent())
+    Tracked.reset();
+  co_return co_await failed(Exchange, *Failure, State);
 }
 
 Gate::Impl::Answer Gate::Impl::failed(Shared Exchange, UpstreamError Failure,
-                                      bool &Crashed) {
+                                      Run &State) {
   const RequestHead &Head = Exchange->Head;
   if (Head.IdempotencyKey && !Failure.sent())
     Claims.release(Head);
   if (Head.IdempotencyKey && Failure.sent())
     Claims.finish(Head, std::nullopt);
   // A cancelled call ends its connection itself, which is no sign of a crash.
-  bool Cancelled = Exchange->Body.ended() && !Head.IdempotencyKey;
+  bool Cancelled = Exchange->Body.ended() && !State.RunsToEnd;
   bool MayBeCrash = Failure.why() == Reason::UpstreamBroken ||
                     Failure.why() == Reason::UpstreamUnreachable;
   if (!Cancelled && MayBeCrash)
-    Crashed = co_await Crashes.broken(Head.Service, Options.Endpoint,
-                                      Head.Fingerprint, Options.CrashCommit);
+    State.Crashed = co_await Crashes.broken(
+        Head.Service, Options.Endpoint, Head.Fingerprint, Options.CrashCommit);
   if (!Failure.sent()) {
-    Crashed = false;
+    State.Crashed = false;
     co_return refusal(Outcome::NotRun, Reason::UpstreamUnreachable,
                       Failure.what());
   }
   co_return refusal(Outcome::Unknown,
-                    Crashed ? Reason::UpstreamCrashed : Failure.why(),
+                    State.Crashed ? Reason::UpstreamCrashed : Failure.why(),
                     Failure.what());
 }
 
 asio::awaitable<void> Gate::Impl::forward(Shared Exchange,
-                                          std::shared_ptr<UpstreamCall> Call) {
+                                          std::shared_ptr<UpstreamCall> Call,
+                                          const Run &State) {
+  base::TimePoint Started = Time.now();
   base::Millis Left =
       std::max(base::Millis(1), Exchange->Deadline - Time.now());
   auto Answered = co_await base::withTimeout(Time, Left, Call->readHead());
+  // A request that ran into its deadline counts too, or else an upstream that
+  // became slow would keep its good median.
+  Times.add(Time.now() - Started);
   if (!Answered) {
     Call->abort();
     throw UpstreamError(true, Reason::DeadlineExceeded,
@@ -269,7 +279,8 @@
     }
     if (Count == 0)
       co_return;
-    if (Attached || (Keyed && Recorder.fits()))
+    // A response that is too large to be stored is of no use to a resend.
+    if (Attached || State.Suspect || (Keyed && Recorder.fits()))
       continue;
     if (Keyed)
       Claims.finish(Exchange->Head, std::nullopt);
--- a/dataplane/test/Gate_test.cpp
+++ b/dataplane/test/Gate_test.cpp
@@ -118,6 +118,23 @@
   CHECK(Third.Seen.empty());
 }
 
+// Guards against a crash that nobody is blamed for, because the caller left
+// before it, and against blame for requests that were never sent.
+TEST_CASE_METHOD(GateTest, "Crash after the caller left names its request") {
+  TestUpstream &Upstream = addUpstream(Node);
+  auto Victim = post(Node, "/hold", "x");
+  runUntil([&] { return Upstream.Seen.size() == 1; });
+  Victim->Leave->close();
+  runUntil([&] { return Node.Upstream.load().InFlight == 0; });
+  Upstream.crash();
+  auto Innocent = post(Node, "/echo", "x");
+  runUntil([&] { return Innocent->Done; });
+  CHECK(Innocent->has("X-Amaranth-Outcome: not-run"));
+  auto Reports = commands<control::ReportCrash>();
+  REQUIRE(Reports.size() == 1);
+  CHECK(Reports[0].Fingerprints.size() == 1);
+}
+
 // Guards against one failed connection being taken for a crash.
 TEST_CASE_METHOD(GateTest, "Broken connection alone is no crash") {
   addUpstream(Node);
--- a/dataplane/test/Promises_test.cpp
+++ b/dataplane/test/Promises_test.cpp
@@ -211,8 +211,11 @@
   release();
   runUntil([&] { return Running->Done; });
   CHECK(Running->status() == 200);
-  Time.advance(base::Millis(20));
-  runUntil([&] { return Drained; });
+  for (int I = 0; I < 20 && !Drained; ++I) {
+    Time.advance(base::Millis(20));
+    settle();
+  }
+  CHECK(Drained);
 }
 
 // Guards against memory that grows with the size of a response.
