--- a/dataplane/test/Gate_test.cpp
+++ b/dataplane/test/Gate_test.cpp
@@ -90,7 +90,7 @@
   Release.notifyAll();
   runUntil([&] { return Running->Done && Suspect->Done && Behind->Done; });
   CHECK(Suspect->status() == 200);
-  CHECK(Fresh.MostRunning == 1);
+  CHECK(Fresh.Work->Most == 1);
   runUntil([&] { return !commands<control::EndSuspectRun>().empty(); });
   CHECK_FALSE(commands<control::EndSuspectRun>()[0].Crashed);
 }
@@ -118,6 +118,23 @@
   CHECK(Third.Seen.empty());
 }
 
+// Guards against a crash that nobody is blamed for, because the caller left
+// before it, and against blame for requests that were never sent.
+TEST_CASE_METHOD(GateTest, "Crash after the caller left names its request") {
+  TestUpstream &Upstream = addUpstream(Node);
+  auto Victim = post(Node, "/hold", "x");
+  runUntil([&] { return Upstream.Seen.size() == 1; });
+  Victim->Leave->close();
+  runUntil([&] { return Node.Upstream.load().InFlight == 0; });
+  Upstream.crash();
+  auto Innocent = post(Node, "/echo", "x");
+  runUntil([&] { return Innocent->Done; });
+  CHECK(Innocent->has("X-Amaranth-Outcome: not-run"));
+  auto Reports = commands<control::ReportCrash>();
+  REQUIRE(Reports.size() == 1);
+  CHECK(Reports[0].Fingerprints.size() == 1);
+}
+
 // Guards against one failed connection being taken for a crash.
 TEST_CASE_METHOD(GateTest, "Broken connection alone is no crash") {
   addUpstream(Node);
@@ -146,7 +163,7 @@
                        [](const auto &Call) { return Call->Done; });
   });
   CHECK(Upstreams[0]->Seen.size() == 3);
-  CHECK(Upstreams[0]->MostRunning == 1);
+  CHECK(Upstreams[0]->Work->Most == 1);
 }
 
 TEST_CASE_METHOD(GateTest, "Silent upstream becomes absent and comes back") {
