--- a/rollout/bench/Scenario.cpp
+++ b/rollout/bench/Scenario.cpp
@@ -1,5 +1,6 @@
 #include "Scenario.h"
 
+#include <cmath>
 #include <utility>
 
 namespace amaranth::rollout::bench {
@@ -8,8 +9,8 @@
 
 std::string sizeName(FaultKind Kind, double Size) {
   if (Kind == FaultKind::Fail)
-    return "fail" + std::to_string(static_cast<int>(Size * 100 + 0.5)) + "%";
-  return "slow" + std::to_string(static_cast<int>(Size)) + "x";
+    return "fail" + std::to_string(std::lround(Size * 100)) + "%";
+  return "slow" + std::to_string(std::lround(Size)) + "x";
 }
 
 void addBad(std::vector<Scenario> &All, FaultKind Kind, double Size) {
--- a/rollout/bench/Simulation.cpp
+++ b/rollout/bench/Simulation.cpp
@@ -4,6 +4,7 @@
 #include "amaranth/rollout/RolloutMachine.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <memory>
 #include <random>
@@ -139,7 +140,8 @@
   if (Values.empty())
     return 0;
   std::sort(Values.begin(), Values.end());
-  auto Index = static_cast<std::size_t>(Part * double(Values.size() - 1) + 0.5);
+  auto Index =
+      static_cast<std::size_t>(std::lround(Part * double(Values.size() - 1)));
   return Values[Index];
 }
 
--- a/rollout/include/amaranth/rollout/ReferenceAlarm.h
+++ b/rollout/include/amaranth/rollout/ReferenceAlarm.h
@@ -29,6 +29,8 @@
   void reset();
   /// Measure and route; empty without an alarm.
   const std::string &alarm() const { return Alarm; }
+  /// The route of the alarm.
+  const base::RouteName &route() const { return AlarmRoute; }
 
 private:
   struct Route {
@@ -38,10 +40,12 @@
   };
   void judge(const base::RouteName &Name, Route &Target,
              const EvidenceCounts &New, const Allowance &Cold);
+  void raise(const std::string &What, const base::RouteName &Name);
 
   RolloutGuards Guards;
   std::map<base::RouteName, Route> Routes;
   std::string Alarm;
+  base::RouteName AlarmRoute;
 };
 
 } // namespace amaranth::rollout
--- a/rollout/include/amaranth/rollout/RolloutEvidence.h
+++ b/rollout/include/amaranth/rollout/RolloutEvidence.h
@@ -35,6 +35,8 @@
   std::string Alarm;
   /// The share was lowered by an alarm and has not risen since.
   bool Recheck = false;
+  /// The route of that alarm.
+  base::RouteName RecheckRoute;
   /// How often an alarm lowered the share.
   unsigned Rechecks = 0;
   /// Requests per second of the service, over the last 30 windows.
@@ -81,6 +83,7 @@
   RolloutState Followed;
   bool Following = false;
   bool Recheck = false;
+  base::RouteName RecheckRoute;
   unsigned Rechecks = 0;
   std::map<base::RouteName, RouteCounts> Routes;
   std::deque<Recent> Last;
--- a/rollout/src/ReferenceAlarm.cpp
+++ b/rollout/src/ReferenceAlarm.cpp
@@ -54,7 +54,7 @@
   Target.Errors.invest(InvestPerWindow);
   Target.Errors.multiply(oneSample(detail::errorScores(New), Limit));
   if (Target.Errors.logWealth() >= std::log(AlarmWealth))
-    Alarm = "more errors than before on route " + Name.value();
+    raise("more errors", Name);
   for (std::size_t I = 0; I < Target.Latency.size(); ++I) {
     auto Slow = Target.Old.slowLimit(LatencyParts[I]);
     if (!Slow)
@@ -64,10 +64,16 @@
         New, Slow->Bucket, Guards.MaxLatencyRatio * Cold.LatencyFactor);
     Target.Latency[I].multiply(oneSample(Scores, Slow->Rate + SlowTolerance));
     if (Target.Latency[I].logWealth() >= std::log(AlarmWealth))
-      Alarm = "slower than before on route " + Name.value();
+      raise("slower", Name);
   }
 }
 
+void ReferenceAlarm::raise(const std::string &What,
+                           const base::RouteName &Name) {
+  Alarm = What + " than before on route " + Name.value();
+  AlarmRoute = Name;
+}
+
 void ReferenceAlarm::reset() {
   Alarm.clear();
   for (auto &[Name, Target] : Routes) {
--- a/rollout/src/RolloutEvidence.cpp
+++ b/rollout/src/RolloutEvidence.cpp
@@ -53,6 +53,7 @@
     return;
   if (Following && State.Share < Followed.Share) {
     Recheck = true;
+    RecheckRoute = Reference.route();
     ++Rechecks;
   }
   if (Following && State.Share > Followed.Share)
@@ -126,6 +127,7 @@
   Result.LogEvidence = Test.logEvidence();
   Result.Alarm = Reference.alarm();
   Result.Recheck = Recheck;
+  Result.RecheckRoute = RecheckRoute;
   Result.Rechecks = Rechecks;
   Result.ServiceRate = serviceRate();
   double New = 0;
--- a/rollout/src/RolloutPolicy.cpp
+++ b/rollout/src/RolloutPolicy.cpp
@@ -13,6 +13,11 @@
 constexpr base::Millis MinDwell = base::Millis::seconds(10);
 constexpr std::uint64_t MinWindows = 10;
 
+/// Part of the time for a step that passes even with enough evidence. What a
+/// bad version costs is mostly the number of its own requests needed to see
+/// the fault, so waiting longer costs little and catches small faults.
+constexpr std::int64_t DwellPercent = 80;
+
 /// Wealth of 20 against the new version: not enough to reject, but no step
 /// up and no success while it lasts.
 const double SuspiciousLog = std::log(20.0);
@@ -52,9 +57,13 @@
     return std::max(Rest / Left, MinDwell);
   }
 
-  /// Whether a route gets enough traffic to be judged by itself. Others
-  /// count in the pooled test only.
-  bool judgedAlone(const EvidenceSummary::Route &Route) const {
+  /// Whether a route must have evidence of its own: during a check after an
+  /// alarm the route of the alarm, otherwise those that get enough traffic
+  /// for it. Others count in the pooled test only.
+  bool judgedAlone(const base::RouteName &Name,
+                   const EvidenceSummary::Route &Route) const {
+    if (Evidence.Recheck)
+      return Name == Evidence.RecheckRoute;
     double Expected =
         Route.Rate * static_cast<double>(Plan.watch().count()) / 1000;
     return Expected >= Plan.Guards.MinRequests;
@@ -83,7 +92,7 @@
            std::all_of(Evidence.Routes.begin(), Evidence.Routes.end(),
                        [this, Next](const auto &Item) {
                          const EvidenceSummary::Route &Route = Item.second;
-                         return !judgedAlone(Route) ||
+                         return !judgedAlone(Item.first, Route) ||
                                 (seen(Route) >= wanted(Next) &&
                                  Route.NewInStep > 0);
                        });
@@ -150,7 +159,7 @@
   bool Approaching = State.Share < Steps[State.Step - 1];
   std::uint32_t Step = State.Step + (Approaching ? 0 : 1);
   std::uint32_t Share = shareTowards(Steps[Step - 1], In);
-  if (In.enough(Share) && In.dwell() >= In.budget() / 2)
+  if (In.enough(Share) && In.dwell() >= In.budget() * DwellPercent / 100)
     return {Move::StepTo, Share, Step, "enough requests without a fault"};
   bool TimeOver = In.dwell() >= In.budget() && !In.Evidence.Recheck;
   if (TimeOver && Share <= SmallShare && In.enoughTogether(Share))
