--- a/rollout/bench/Traffic.cpp
+++ b/rollout/bench/Traffic.cpp
@@ -42,7 +42,7 @@
   }
   for (Route &Each : Routes)
     Each.Weight /= Sum;
-  EventBegin = static_cast<int>(draw(0, 0.6) * Total);
+  EventBegin = static_cast<int>(draw(0, 0.8) * Total);
   EventEnd = EventBegin + static_cast<int>(draw(20, 120));
   EventSize = draw(0.3, 1);
   LostZone = static_cast<int>(draw(0, 3));
@@ -50,9 +50,9 @@
 }
 
 void Traffic::drawFault() {
-  // A good rollout ends at about 60 % of its time.
+  // A good rollout ends after 80 % to 90 % of its time.
   if (What.Time == FaultTime::Later)
-    FaultBegin = static_cast<int>(draw(0.05, 0.55) * Total);
+    FaultBegin = static_cast<int>(draw(0.05, 0.8) * Total);
   if (What.Time == FaultTime::UnderLoad)
     FaultLoad = draw(0.1, 0.8) * Rate;
   FaultRoute = static_cast<std::size_t>(draw(0, double(Routes.size())));
@@ -136,6 +136,9 @@
   double ColdSize = What.Shared == Disturbance::ColdStart ? 5 : 2;
   double ColdLength = What.Shared == Disturbance::ColdStart ? 12 : 6;
   double Cold = 1 + ColdSize * std::exp(-Member->Served / ColdLength);
+  // Pools and caches grow for some seconds after a step.
+  if (New)
+    Cold *= 1 + 0.5 * std::exp((StepAt - Now) / 3.0);
   double Busy = std::min(To.BusySeconds / To.Slots, 0.95);
   double Took = On.Median * Shared.Latency * std::exp(To.Drift) * Cold /
                 (1 - Busy) *
@@ -166,6 +169,9 @@
   // One new upstream restarts in the middle of a rollout with cold starts.
   if (What.Shared == Disturbance::ColdStart && Now == EventBegin)
     Versions[1].Upstreams.front().Served = 0;
+  if (NewShare > LastShare)
+    StepAt = Now;
+  LastShare = NewShare;
   double Mean = Rate * std::exp(RateDrift);
   Result.FaultShows = faultActive(Mean * NewShare);
   int Count = std::poisson_distribution<int>(Mean)(Random);
--- a/rollout/bench/Traffic.h
+++ b/rollout/bench/Traffic.h
@@ -30,9 +30,10 @@
 /// the traffic of the one before, base error rate 0-2 % and log-normal
 /// latency. Error rate and latency drift together for both versions
 /// (autoregressive), and by 3 % for each alone. Queueing multiplies latency
-/// with 1/(1 - utilisation). An upstream's first requests are slow. A dead
-/// upstream fails requests until the entry nodes have seen 9 failures or its
-/// lease ran out after 8 s.
+/// with 1/(1 - utilisation). An upstream's first requests are slow, and all of
+/// the new version's for some seconds after its share rose. A dead upstream
+/// fails requests until the entry nodes have seen 9 failures or its lease ran
+/// out after 8 s.
 class Traffic {
 public:
   Traffic(const Scenario &What, int TotalSeconds, std::uint64_t Seed);
@@ -77,6 +78,8 @@
   Scenario What;
   int Total;
   int Now = 0;
+  double LastShare = 0;
+  int StepAt = 0;
   std::mt19937_64 Random;
   std::array<Deployment, 2> Versions;
   std::vector<Route> Routes;
--- a/rollout/src/RolloutEvidence.cpp
+++ b/rollout/src/RolloutEvidence.cpp
@@ -14,9 +14,11 @@
 /// Slow-start allowance: new upstreams are cold for their first requests, and
 /// for some seconds after more traffic reaches them. Each upstream needs its
 /// own first requests, so their number goes by the slots: 20 requests in all
-/// rolled back 70 % of the good versions with long cold starts.
-constexpr base::Millis SlowStart = base::Millis::seconds(20);
-constexpr std::uint64_t SlowStartRequestsPerSlot = 4;
+/// rolled back 70 % of the good versions with long cold starts. The time is
+/// short because faults under load show right after a step: with 20 s, 4x the
+/// latency under load hit 2.5 % of the requests.
+constexpr base::Millis SlowStart = base::Millis::seconds(5);
+constexpr std::uint64_t SlowStartRequestsPerSlot = 3;
 constexpr std::uint64_t SlowStartRequests = 100; // number of slots unknown
 constexpr double ColdErrors = 0.05;
 constexpr double ColdLatency = 4;
