--- a/base/src/IniFile.cpp
+++ b/base/src/IniFile.cpp
@@ -6,8 +6,8 @@
 #include <cerrno>
 #include <cstring>
 #include <fstream>
+#include <iterator>
 #include <set>
-#include <sstream>
 
 namespace amaranth::base {
 
@@ -130,15 +130,15 @@
 }
 
 std::string readTextFile(const std::string &Path) {
+  errno = 0;
   std::ifstream In(Path, std::ios::binary);
-  std::ostringstream Text;
-  if (In)
-    Text << In.rdbuf();
-  if (!In || Text.fail())
-    throw FileError({{Path, 0, "", "",
-                      fmt::format("cannot be read: {}",
-                                  errno ? std::strerror(errno) : "empty")}});
-  return Text.str();
+  std::string Text((std::istreambuf_iterator<char>(In)),
+                   std::istreambuf_iterator<char>());
+  if (In.is_open() && !In.bad())
+    return Text;
+  throw FileError({{Path, 0, "", "",
+                    fmt::format("cannot be read: {}",
+                                errno ? std::strerror(errno) : "I/O error")}});
 }
 
 IniFile readIniFile(const std::string &Path) {
--- a/base/test/IniFile_test.cpp
+++ b/base/test/IniFile_test.cpp
@@ -2,7 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <filesystem>
+#include <fstream>
 #include <random>
+#include <unistd.h>
 
 namespace amaranth::base {
 
@@ -40,6 +43,16 @@
   CHECK(Faults[0].Line == 2);
 }
 
+// An empty file was once refused as unreadable.
+TEST_CASE("readTextFile empty file gives an empty text") {
+  auto Path = std::filesystem::temp_directory_path() /
+              ("amaranth_empty_" + std::to_string(::getpid()));
+  std::ofstream(Path).flush();
+  CHECK(readTextFile(Path.string()).empty());
+  std::filesystem::remove(Path);
+  CHECK_THROWS_AS(readTextFile(Path.string()), FileError);
+}
+
 // Guards against crashes and unbounded loops on arbitrary input.
 TEST_CASE_METHOD(IniFileTest, "parseIni random bytes never fails hard") {
   std::mt19937 Random(20261204);
--- a/control/src/JsonImpl.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-// Boost.JSON is compiled here once; other units see declarations only.
-#include <boost/json/src.hpp>
--- a/tools/demo/src/Demonstration.cpp
+++ b/tools/demo/src/Demonstration.cpp
@@ -268,7 +268,9 @@
             return false;
           json::value Status = json::parse(Answer.Body);
           const json::value &Took = Status.at("nodes").at("converged_after_ms");
-          if (!Took.is_int64())
+          bool Latest =
+              Status.at("nodes").at("document") == Status.at("document");
+          if (!Latest || !Took.is_int64())
             return false;
           Longest = std::max(Longest, base::Millis(Took.as_int64()));
         }
