--- a/dataplane/src/PeerPool.cpp
+++ b/dataplane/src/PeerPool.cpp
@@ -94,7 +94,6 @@
     std::uint64_t NextStream = 1;
     bool Dialing = false;
     unsigned Failures = 0;
-    std::string LastFailure;
     base::TimePoint NextDial;
     base::TimePoint LastUsed;
     /// Exchanges that wait for the dial.
@@ -154,7 +153,7 @@
     co_return;
   if (!To->Dialing) {
     if (Time.now() < To->NextDial)
-      throw notRun(Reason::PeerUnreachable, To->LastFailure);
+      throw notRun(Reason::PeerUnreachable, "the node cannot be reached");
     To->Dialing = true;
     asio::co_spawn(
         Executor,
@@ -166,7 +165,7 @@
   while (To->Dialing)
     co_await To->Changed.wait();
   if (!To->Link || !To->Link->isOpen())
-    throw notRun(Reason::PeerUnreachable, To->LastFailure);
+    throw notRun(Reason::PeerUnreachable, "the node cannot be reached");
 }
 
 asio::awaitable<void> PeerPool::Impl::dial(Shared To, base::Address Address) {
@@ -174,7 +173,10 @@
   try {
     Link = co_await Network.dial(Address, Options.DialTimeout);
   } catch (const std::exception &Failure) {
-    To->LastFailure = Failure.what();
+    // Callers see the refusal's text, so details of the system stay here.
+    base::logger("dataplane")
+        ->info("peer not reached peer={} error=\"{}\"", Address.text(),
+               Failure.what());
   }
   To->Dialing = false;
   To->LastUsed = Time.now();
--- a/tools/upstream/src/Announcer.cpp
+++ b/tools/upstream/src/Announcer.cpp
@@ -73,7 +73,9 @@
   try {
     if (!co_await base::withTimeout(Time, PostTimeout, post(std::move(Text))))
       Failure = "no answer";
-  } catch (const std::exception &Error) {
+  } catch (const boost::system::system_error &Error) {
+    Failure = Error.code().message();
+  } catch (const base::Error &Error) {
     Failure = Error.what();
   }
   if (!Failure.empty())
