Split evidence over messages and test the follower over TCP

Evidence of more than one thousand keys did not fit into a message, and the keys that came late in the order were always dropped.

--- a/control/include/amaranth/control/FollowMessages.h
+++ b/control/include/amaranth/control/FollowMessages.h
@@ -87,11 +87,22 @@
 
 /// Largest accepted number of services in a subscription.
 inline constexpr std::size_t MaxSubscribedServices = 10'000;
-/// Largest accepted number of evidence entries in one message.
-inline constexpr std::size_t MaxEvidenceEntries = 2'000;
+/// Largest accepted number of evidence entries in one message. An entry with
+/// the longest names and a full histogram takes about 600 bytes.
+inline constexpr std::size_t MaxEvidenceEntries = 1'000;
+/// Evidence entries that a process collects for one second; further keys are
+/// dropped.
+inline constexpr std::size_t MaxCollectedEvidence = 10'000;
 /// Largest accepted number of nodes in a report to the leader.
 inline constexpr std::size_t MaxReportedNodes = 20'000;
 
+/// Adds a report to a sum, within `MaxCollectedEvidence`.
+void collectEvidence(rollout::EvidenceReport &Sum,
+                     const rollout::EvidenceReport &Report);
+/// Parts that each fit into one message; none for an empty report.
+std::vector<rollout::EvidenceReport>
+splitEvidence(const rollout::EvidenceReport &Whole);
+
 base::Bytes encode(const Subscribe &Value);
 base::Bytes encode(const Acknowledge &Value);
 base::Bytes encode(const ApplyFailure &Value);
--- a/control/src/FollowMessages.cpp
+++ b/control/src/FollowMessages.cpp
@@ -96,6 +96,24 @@
 
 } // namespace
 
+void collectEvidence(rollout::EvidenceReport &Sum,
+                     const rollout::EvidenceReport &Report) {
+  for (const auto &[Key, Counts] : Report.Counts)
+    if (Sum.Counts.size() < MaxCollectedEvidence || Sum.Counts.contains(Key))
+      Sum.Counts[Key] += Counts;
+}
+
+std::vector<rollout::EvidenceReport>
+splitEvidence(const rollout::EvidenceReport &Whole) {
+  std::vector<rollout::EvidenceReport> Parts;
+  for (const auto &[Key, Counts] : Whole.Counts) {
+    if (Parts.empty() || Parts.back().Counts.size() == MaxEvidenceEntries)
+      Parts.emplace_back();
+    Parts.back().Counts.emplace(Key, Counts);
+  }
+  return Parts;
+}
+
 base::Bytes encode(const Subscribe &Value) {
   Builder Out;
   auto Names = writeNames(Out, Value.Services);
--- a/control/src/LeaderDuties.cpp
+++ b/control/src/LeaderDuties.cpp
@@ -10,10 +10,7 @@
 namespace amaranth::control::detail {
 
 void LeaderDuties::addEvidence(const rollout::EvidenceReport &Report) {
-  for (const auto &[Key, Counts] : Report.Counts)
-    if (Collected.Counts.size() < MaxEvidenceEntries ||
-        Collected.Counts.contains(Key))
-      Collected.Counts[Key] += Counts;
+  collectEvidence(Collected, Report);
 }
 
 void LeaderDuties::followTerm() {
@@ -51,9 +48,12 @@
   std::swap(Report.Evidence, Collected);
   if (Leading)
     return take(Report, Mesh);
-  if (Report.Nodes.empty() && Report.Evidence.Counts.empty())
-    return;
-  Log.postToLeader(encode(Report));
+  auto Parts = splitEvidence(Report.Evidence);
+  Report.Evidence.Counts.clear();
+  if (!Report.Nodes.empty())
+    Log.postToLeader(encode(Report));
+  for (rollout::EvidenceReport &Part : Parts)
+    Log.postToLeader(encode(LeaderReport{{}, std::move(Part)}));
 }
 
 void LeaderDuties::tick(const asio::any_io_executor &Executor,
--- a/follower/src/Follower.cpp
+++ b/follower/src/Follower.cpp
@@ -73,10 +73,7 @@
 }
 
 void Follower::report(const rollout::EvidenceReport &Report) {
-  for (const auto &[Key, Counts] : Report.Counts)
-    if (Shared->Evidence.Counts.size() < control::MaxEvidenceEntries ||
-        Shared->Evidence.Counts.contains(Key))
-      Shared->Evidence.Counts[Key] += Counts;
+  control::collectEvidence(Shared->Evidence, Report);
 }
 
 FollowerStatus Follower::status() const { return Shared->status(); }
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -264,9 +264,10 @@
 }
 
 void Follower::Impl::sendEvidence() {
-  if (!isConnected() || Evidence.Counts.empty())
+  if (!isConnected())
     return;
-  post(MessageType::EvidenceReport, 0, control::encode(Evidence));
+  for (const rollout::EvidenceReport &Part : control::splitEvidence(Evidence))
+    post(MessageType::EvidenceReport, 0, control::encode(Part));
   Evidence.Counts.clear();
 }
 
--- /dev/null
+++ b/follower/test/FollowerTcp_test.cpp
@@ -0,0 +1,64 @@
+#include "Simulation.h"
+#include "amaranth/control/NodeService.h"
+#include "amaranth/follower/Follower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+
+namespace asio = boost::asio;
+
+namespace amaranth::follower::testing {
+
+// Guards against a service that works over channels in memory only: heartbeats
+// and the handshake exist on sockets alone.
+TEST_CASE("Follower over TCP follows and keeps its connection") {
+  Simulation Sim(1);
+  Sim.fill(60, 300, 600);
+  protocol::Listener Server(
+      Sim.Context.get_executor(), {"127.0.0.1", 0},
+      {protocol::Role::Control, "1", base::AvailabilityZone("z")},
+      {{protocol::Role::Node, "secret"}}, Sim.Time);
+  auto &Service = *Sim.Controls[0]->Service;
+  asio::co_spawn(Sim.Context,
+                 Server.serve([&](std::shared_ptr<protocol::Channel> Link) {
+                   return Service.serve(std::move(Link));
+                 }),
+                 asio::detached);
+  protocol::TcpDialer Dial(
+      {protocol::Role::Node, "n1", base::AvailabilityZone("z")},
+      {{protocol::Role::Node, "secret"}}, Sim.Time);
+  FollowerSettings Settings;
+  Settings.Node = base::NodeId("n1");
+  Settings.Controls = {{Server.local(), base::AvailabilityZone("z")}};
+  prometheus::Registry Metrics;
+  Follower Node(Settings, Sim.Context.get_executor(), Sim.Time, Dial, Metrics);
+  Node.start();
+  // The simulated time moves slowly, so that sockets can keep up. The limit
+  // only ends a test that would hang.
+  auto runUntil = [&](const std::function<bool()> &Done) {
+    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!Done() && std::chrono::steady_clock::now() < End) {
+      Sim.Time.advance(base::Millis(20));
+      Sim.Context.restart();
+      Sim.Context.run_for(std::chrono::milliseconds(2));
+    }
+    REQUIRE(Done());
+  };
+  runUntil([&] { return Node.current() && *Node.current() == *Sim.Newest; });
+  auto Later = Sim.Time.now() + base::Millis::seconds(8);
+  runUntil([&] { return Sim.Time.now() > Later; });
+  Sim.touch(3);
+  Node.publish(Sim.endpoint(900, "n1"));
+  runUntil([&] {
+    return *Node.current() == *Sim.Newest && Node.status().EndpointsCommitted;
+  });
+  CHECK(Node.status().Connections == 1);
+  Node.stop();
+  Server.stop();
+  runUntil([&] { return !Service.nodes().front().Connected; });
+}
+
+} // namespace amaranth::follower::testing
