--- a/follower/test/FollowerTcp_test.cpp
+++ b/follower/test/FollowerTcp_test.cpp
@@ -38,7 +38,7 @@
   Node.start();
   // The simulated time moves slowly, so that sockets can keep up. The limit
   // only ends a test that would hang.
-  auto runUntil = [&](const std::function<bool()> &Done) {
+  auto RunUntil = [&](const std::function<bool()> &Done) {
     auto End = std::chrono::steady_clock::now() + std::chrono::seconds(30);
     while (!Done() && std::chrono::steady_clock::now() < End) {
       Sim.Time.advance(base::Millis(20));
@@ -47,18 +47,18 @@
     }
     REQUIRE(Done());
   };
-  runUntil([&] { return Node.current() && *Node.current() == *Sim.Newest; });
+  RunUntil([&] { return Node.current() && *Node.current() == *Sim.Newest; });
   auto Later = Sim.Time.now() + base::Millis::seconds(8);
-  runUntil([&] { return Sim.Time.now() > Later; });
+  RunUntil([&] { return Sim.Time.now() > Later; });
   Sim.touch(3);
   Node.publish(Sim.endpoint(900, "n1"));
-  runUntil([&] {
+  RunUntil([&] {
     return *Node.current() == *Sim.Newest && Node.status().EndpointsCommitted;
   });
   CHECK(Node.status().Connections == 1);
   Node.stop();
   Server.stop();
-  runUntil([&] { return !Service.nodes().front().Connected; });
+  RunUntil([&] { return !Service.nodes().front().Connected; });
 }
 
 } // namespace amaranth::follower::testing
--- a/follower/test/Follower_test.cpp
+++ b/follower/test/Follower_test.cpp
@@ -224,6 +224,17 @@
   CHECK(Last.Document == Sim.Newest->Document);
   REQUIRE(Last.Took);
   CHECK(*Last.Took <= base::Millis(10));
+  std::map<std::string, double> Values;
+  for (const auto &Family : first().Metrics->Collect())
+    for (const auto &Metric : Family.metric)
+      Values[Family.name] = Metric.counter.value + Metric.gauge.value +
+                            static_cast<double>(Metric.histogram.sample_count);
+  CHECK(Values["amaranth_control_nodes"] == 1);
+  CHECK(Values["amaranth_control_snapshots_total"] == 1);
+  CHECK(Values["amaranth_control_deltas_total"] == 1);
+  CHECK(Values["amaranth_control_bytes_total"] ==
+        static_cast<double>(Status.BytesSent));
+  CHECK(Values["amaranth_control_convergence_ms"] >= 1);
 }
 
 } // namespace amaranth::follower::testing
