Close a connection that opens while the follower stops

Its heartbeats kept it alive, so the control process went on renewing the lease of a node that was gone.

--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -118,7 +118,11 @@
         Chooser.avoid(Choice, Time.now());
       }
     }
-    if (Use && !Stopped)
+    // A connection that opens while the node stops would stay open: its
+    // heartbeats keep it alive.
+    if (Use && Stopped)
+      Use->Link->close("the node stops");
+    else if (Use)
       co_await follow(Use);
     if (!Stopped && !Replacement)
       co_await Time.sleepFor(backoff());
--- a/follower/test/Follower_test.cpp
+++ b/follower/test/Follower_test.cpp
@@ -208,6 +208,17 @@
   CHECK(*Part.current() == document::filterServices(*Sim.Newest, {Zero, One}));
 }
 
+// Guards against a connection that outlives its node and renews its lease.
+TEST_CASE_METHOD(FollowerTest, "Follower stopped while dialing disconnects") {
+  Follower &Brief = Sim.addNode("n2");
+  Sim.run(base::Millis(1));
+  Brief.stop();
+  Sim.run(base::Millis::seconds(5));
+  CHECK(Brief.status().Connections == 0);
+  for (const auto &Status : first().Service->nodes())
+    CHECK(Status.Connected == (Status.Node.value() == "n1"));
+}
+
 TEST_CASE_METHOD(FollowerTest, "NodeService reports status and convergence") {
   Sim.commit(true, [](document::MeshSnapshot &Mesh) {
     Mesh.Routes.begin()->second.Timeout = base::Millis(7);
