--- a/follower/test/Follower_test.cpp
+++ b/follower/test/Follower_test.cpp
@@ -208,6 +208,17 @@
   CHECK(*Part.current() == document::filterServices(*Sim.Newest, {Zero, One}));
 }
 
+// Guards against a connection that outlives its node and renews its lease.
+TEST_CASE_METHOD(FollowerTest, "Follower stopped while dialing disconnects") {
+  Follower &Brief = Sim.addNode("n2");
+  Sim.run(base::Millis(1));
+  Brief.stop();
+  Sim.run(base::Millis::seconds(5));
+  CHECK(Brief.status().Connections == 0);
+  for (const auto &Status : first().Service->nodes())
+    CHECK(Status.Connected == (Status.Node.value() == "n1"));
+}
+
 TEST_CASE_METHOD(FollowerTest, "NodeService reports status and convergence") {
   Sim.commit(true, [](document::MeshSnapshot &Mesh) {
     Mesh.Routes.begin()->second.Timeout = base::Millis(7);
@@ -224,6 +235,17 @@
   CHECK(Last.Document == Sim.Newest->Document);
   REQUIRE(Last.Took);
   CHECK(*Last.Took <= base::Millis(10));
+  std::map<std::string, double> Values;
+  for (const auto &Family : first().Metrics->Collect())
+    for (const auto &Metric : Family.metric)
+      Values[Family.name] = Metric.counter.value + Metric.gauge.value +
+                            static_cast<double>(Metric.histogram.sample_count);
+  CHECK(Values["amaranth_control_nodes"] == 1);
+  CHECK(Values["amaranth_control_snapshots_total"] == 1);
+  CHECK(Values["amaranth_control_deltas_total"] == 1);
+  CHECK(Values["amaranth_control_bytes_total"] ==
+        static_cast<double>(Status.BytesSent));
+  CHECK(Values["amaranth_control_convergence_ms"] >= 1);
 }
 
 } // namespace amaranth::follower::testing
