--- a/replication/test/ReplicaMembers_test.cpp
+++ b/replication/test/ReplicaMembers_test.cpp
@@ -76,12 +76,12 @@
 TEST_CASE_METHOD(ReplicaMembersTest,
                  "Replica learner is promoted and then counts as a voter") {
   startFour();
-  CHECK(promote(Mesh.at(3).Log->self()) == "");
+  CHECK(promote(Mesh.at(3).Log->self()).empty());
   CHECK(voters() == 4);
   base::ReplicaId Id = Mesh.at(3).Log->self();
   CHECK(change([Id](Replica &Log) {
           return Log.remove(Id, base::Millis(2000));
-        }) == "");
+        }).empty());
   CHECK(voters() == 3);
 }
 
@@ -89,7 +89,7 @@
 // voters.
 TEST_CASE_METHOD(ReplicaMembersTest, "Replica of four needs three voters") {
   startFour();
-  REQUIRE(promote(Mesh.at(3).Log->self()) == "");
+  REQUIRE(promote(Mesh.at(3).Log->self()).empty());
   Mesh.commit("four");
   Mesh.checkAcknowledged();
   Mesh.Net.CutOff = {Mesh.at(0).Address, Mesh.at(1).Address};
@@ -149,7 +149,7 @@
   base::ReplicaId New = Mesh.at(Index).Log->self();
   CHECK(change([&](Replica &Log) {
           return Log.replaceVoter(Lost, New, base::Millis(2000));
-        }) == "");
+        }).empty());
   REQUIRE(Mesh.runUntil([&] { return voters() == 3; }));
   for (const MemberStatus &Each : leader().members())
     CHECK(Each.Id != Lost);
