--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -52,16 +52,17 @@
   explicit ResponseRecorder(const ResponseHead &Head) {
     Stored.Status = static_cast<std::uint16_t>(Head.Status);
     Stored.Headers = Head.Fields;
+    for (const auto &[Name, Value] : Head.Fields)
+      Size += Name.size() + Value.size();
   }
 
   void add(base::ByteView Data) {
-    if (!fits() || Stored.Body.size() + Data.size() > control::MaxStoredBody) {
-      TooLarge = true;
+    Size += Data.size();
+    if (!fits())
       return;
-    }
     Stored.Body.append(base::asText(Data));
   }
-  bool fits() const { return !TooLarge; }
+  bool fits() const { return Size <= control::MaxStoredBody; }
   std::optional<control::StoredResponse> take() {
     if (!fits())
       return std::nullopt;
@@ -70,7 +71,8 @@
 
 private:
   control::StoredResponse Stored;
-  bool TooLarge = false;
+  /// Bytes of the fields and of the body so far.
+  std::size_t Size = 0;
 };
 
 } // namespace
