--- a/dataplane/test/Gate_test.cpp
+++ b/dataplane/test/Gate_test.cpp
@@ -146,9 +146,9 @@
 
 TEST_CASE_METHOD(GateTest, "Full queue refuses as not run") {
   addUpstream(Node, "v1", 1);
-  std::vector<std::shared_ptr<CallerResult>> Calls;
-  for (int I = 0; I < 4; ++I)
-    Calls.push_back(post(Node, "/hold", "x"));
+  std::vector<std::shared_ptr<CallerResult>> Calls(4);
+  for (auto &Call : Calls)
+    Call = post(Node, "/hold", "x");
   auto Refused = [&] {
     return std::count_if(Calls.begin(), Calls.end(), [](const auto &Call) {
       return Call->has("X-Amaranth-Reason: queue-full");
