Let a stopped version be tried again and a rollout be rechecked

A stop now ends after 10 s and doubles. The control state also refused the controller's way from watching back to stepping after an alarm.

--- a/control/src/RolloutTable.cpp
+++ b/control/src/RolloutTable.cpp
@@ -67,7 +67,10 @@
         fmt::format("the rollout has ended as {}", phaseName(Status.Phase)));
   bool BadShare = Decision.Phase == RolloutPhase::Stepping &&
                   (Decision.Share == 0 || Decision.Share > document::FullShare);
-  if (Decision.Phase < Status.Phase || BadShare)
+  // An alarm during the watch lowers the share again to compare the versions.
+  bool Recheck = Status.Phase == RolloutPhase::Watching &&
+                 Decision.Phase == RolloutPhase::Stepping;
+  if ((Decision.Phase < Status.Phase && !Recheck) || BadShare)
     return refuse(ResultCode::Invalid,
                   fmt::format("no decision {} with share {} while {}",
                               phaseName(Decision.Phase), Decision.Share,
--- a/control/test/ControlState_test.cpp
+++ b/control/test/ControlState_test.cpp
@@ -170,6 +170,10 @@
                             RolloutPhase::Stepping, 50'000, 2, ""})
             .Code == ResultCode::Conflict);
   CHECK(decide(RolloutPhase::Waiting).Code == ResultCode::Invalid);
+  // An alarm during the watch leads back to a smaller share.
+  CHECK(decide(RolloutPhase::Watching).Code == ResultCode::Accepted);
+  CHECK(decide(RolloutPhase::Stepping, 200'000).Code == ResultCode::Accepted);
+  CHECK(State.rollouts().at(0).Share == 200'000);
   CHECK(decide(RolloutPhase::RolledBack).Code == ResultCode::Accepted);
   CHECK(decide(RolloutPhase::Done).Code == ResultCode::Conflict);
   CHECK(share("v1") == document::FullShare);
--- a/dataplane/include/amaranth/dataplane/VersionGuard.h
+++ b/dataplane/include/amaranth/dataplane/VersionGuard.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTH_DATAPLANE_VERSIONGUARD_H
 #define AMARANTH_DATAPLANE_VERSIONGUARD_H
 
+#include "amaranth/base/Clock.h"
 #include "amaranth/document/MeshSnapshot.h"
 #include "amaranth/rollout/Evidence.h"
 
@@ -14,9 +15,15 @@
 ///
 /// A cumulative-sum form of the sequential probability ratio test on the new
 /// version's errors, against the error rate of the old version. It may only
-/// stop traffic early; the decision about the rollout is made by control.
+/// stop traffic early; the decision about the rollout is made by control. A
+/// stop ends after 10 s, doubling each time: without new evidence control
+/// could not decide, when the first errors fell into a cold start that it
+/// leaves out.
 class VersionGuard {
 public:
+  /// `Time` must outlive the guard.
+  explicit VersionGuard(const base::Clock &Time) : Time(Time) {}
+
   /// Counts a response. `Entry` is the service's entry in force now.
   void observe(const document::Service &Entry, const base::VersionName &Version,
                bool Error);
@@ -33,9 +40,11 @@
     double OldErrors = 0;
     double Score = 0;
     std::uint64_t NewErrors = 0;
-    bool Stopped = false;
+    base::TimePoint StoppedUntil;
+    std::uint32_t Stops = 0;
   };
 
+  const base::Clock &Time;
   std::map<base::ServiceName, Evidence> Services;
 };
 
--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -17,7 +17,7 @@
       : Executor(Executor), Options(std::move(Settings)), Time(Time),
         Snapshots(Snapshots), Control(Control), Peers(Peers),
         Counters(Counters),
-        Endpoints(Options.Balance, Time, Counters, Options.Seed),
+        Endpoints(Options.Balance, Time, Counters, Options.Seed), Guard(Time),
         Random(Options.Seed + 1) {}
 
   RetryBudget &budget(const base::ServiceName &Service) {
--- a/dataplane/src/VersionGuard.cpp
+++ b/dataplane/src/VersionGuard.cpp
@@ -23,6 +23,9 @@
 constexpr double OldMemory = 1000;
 /// The test tells a rate from at least this much more.
 constexpr double MinIncrease = 0.1;
+/// Length of the first stop, and how often it doubles.
+constexpr base::Millis FirstStop = base::Millis::seconds(10);
+constexpr std::uint32_t MaxDoublings = 5;
 
 } // namespace
 
@@ -44,7 +47,7 @@
     }
     return;
   }
-  if (Version != Entry.Rollout.To || Known.Stopped)
+  if (Version != Entry.Rollout.To || Time.now() < Known.StoppedUntil)
     return;
   double Old = (Known.OldErrors + PriorRate * PriorWeight) /
                (Known.OldRequests + PriorWeight);
@@ -56,10 +59,14 @@
   Known.Score = std::max(0.0, Known.Score);
   if (Known.Score < ScoreLimit || Known.NewErrors < MinErrors)
     return;
-  Known.Stopped = true;
+  std::uint32_t Doublings = std::min(Known.Stops, MaxDoublings);
+  Known.StoppedUntil = Time.now() + FirstStop * (1 << Doublings);
+  ++Known.Stops;
   base::logger("dataplane")
       ->warn("version stopped by own evidence service={} version={} errors={}",
              Entry.Name.value(), Version.value(), Known.NewErrors);
+  Known.Score = 0;
+  Known.NewErrors = 0;
 }
 
 bool VersionGuard::stopped(const document::Service &Entry,
@@ -67,7 +74,7 @@
   if (!Entry.HasRollout || Version != Entry.Rollout.To)
     return false;
   auto Found = Services.find(Entry.Name);
-  return Found != Services.end() && Found->second.Stopped &&
+  return Found != Services.end() && Time.now() < Found->second.StoppedUntil &&
          Found->second.Section == Entry.Rollout.Section;
 }
 
