--- a/control/src/RolloutAdapter.cpp
+++ b/control/src/RolloutAdapter.cpp
@@ -111,10 +111,6 @@
   base::Bytes Answer =
       co_await Log.propose(encodeCommand(Command), DecisionTimeout);
   bool Accepted = decodeResult(Answer).Code == ResultCode::Accepted;
-  base::logger("rollout")->info(
-      "decision service={} phase={} share={} accepted={} reason=\"{}\"",
-      Value.Service.value(), static_cast<int>(Value.Next), Value.Share,
-      Accepted, Value.Reason);
   co_return Accepted ? rollout::DecideResult::Accepted
                      : rollout::DecideResult::Refused;
 }
