--- a/protocol/src/Connection.cpp
+++ b/protocol/src/Connection.cpp
@@ -43,6 +43,9 @@
     if (co_await base::withTimeout(Time, Timeout, Connect()))
       co_return Link;
     Reason = fmt::format("no connection within {} ms", Timeout.count());
+  } catch (const boost::system::system_error &Failure) {
+    // The text of the exception contains source locations.
+    Reason = Failure.code().message();
   } catch (const std::exception &Failure) {
     Reason = Failure.what();
   }
@@ -133,6 +136,8 @@
             co_await Handle(Link);
           } catch (const ChannelClosed &) {
             Reason = "closed";
+          } catch (const boost::system::system_error &Error) {
+            Reason = Error.code().message();
           } catch (const std::exception &Error) {
             Reason = Error.what();
             base::logger("protocol")
