Let operators replace a lost voter

The replica could replace a voter, but no operator could ask for it. Add POST /v1/replace-voter and 'amaranthctl replace-voter', through the interface control::MembershipControl that the control daemon implements with its replica. A lost id that is no voter is refused by the API: the replica would promote the replacement and remove nothing. The client never sends the change again when its outcome is unknown.

--- a/control/include/amaranth/control/OperatorApi.h
+++ b/control/include/amaranth/control/OperatorApi.h
@@ -3,6 +3,7 @@
 
 #include "amaranth/base/Clock.h"
 #include "amaranth/control/ControlState.h"
+#include "amaranth/control/MembershipControl.h"
 #include "amaranth/control/OperatorKeys.h"
 #include "amaranth/control/StatusSource.h"
 #include "amaranth/replication/ReplicatedLog.h"
@@ -36,6 +37,7 @@
 struct ApiTimeouts {
   base::Millis Propose = base::Millis::seconds(5);
   base::Millis Read = base::Millis::seconds(2);
+  base::Millis Membership = base::Millis::seconds(5);
   /// A process that was not current for longer is not ready.
   base::Millis Current = base::Millis::seconds(5);
 };
@@ -45,6 +47,7 @@
 ///     POST /v1/apply     {"operation": ID, "changes": [{"section": NAME,
 ///                         "expected": REVISION, "body": TEXT}]}, where
 ///                         `"delete": true` instead of `body` deletes
+///     POST /v1/replace-voter {"lost": "ID", "replacement": "ID"}
 ///     GET  /v1/document, /v1/status, /v1/versions, /v1/audit?limit=N
 ///     GET  /metrics, /health, /ready (without a key)
 ///
@@ -54,8 +57,9 @@
 public:
   /// The references must outlive the object.
   OperatorApi(replication::ReplicatedLog &Log, const ControlState &State,
-              const StatusSource &Nodes, OperatorKeys Keys,
-              prometheus::Registry &Metrics, ApiTimeouts Timeouts);
+              const StatusSource &Nodes, MembershipControl &Members,
+              OperatorKeys Keys, prometheus::Registry &Metrics,
+              ApiTimeouts Timeouts);
 
   /// Never throws on bad input; such requests get a 4xx response.
   boost::asio::awaitable<ApiResponse> handle(ApiRequest Request);
@@ -64,6 +68,8 @@
   boost::asio::awaitable<ApiResponse> route(const ApiRequest &Request);
   boost::asio::awaitable<ApiResponse> apply(const ApiRequest &Request,
                                             const Operator &Who);
+  boost::asio::awaitable<ApiResponse> replaceVoter(const ApiRequest &Request,
+                                                   const Operator &Who);
   boost::asio::awaitable<ApiResponse> read(const ApiRequest &Request);
   ApiResponse open(const std::string &Path) const;
   ApiResponse ready() const;
@@ -73,6 +79,7 @@
   replication::ReplicatedLog &Log;
   const ControlState &State;
   const StatusSource &Nodes;
+  MembershipControl &Members;
   OperatorKeys Keys;
   prometheus::Registry &Metrics;
   ApiTimeouts Timeouts;
--- a/control/include/amaranth/control/OperatorServer.h
+++ b/control/include/amaranth/control/OperatorServer.h
@@ -36,7 +36,8 @@
   OperatorServer(const boost::asio::any_io_executor &Executor,
                  base::Clock &Time, replication::ReplicatedLog &Log,
                  const ControlState &State, const StatusSource &Nodes,
-                 OperatorKeys Keys, prometheus::Registry &Metrics,
+                 MembershipControl &Members, OperatorKeys Keys,
+                 prometheus::Registry &Metrics,
                  OperatorServerSettings Settings);
   ~OperatorServer();
   OperatorServer(const OperatorServer &) = delete;
--- a/control/src/OperatorApi.cpp
+++ b/control/src/OperatorApi.cpp
@@ -85,6 +85,17 @@
   return Path == "/metrics" || Path == "/health" || Path == "/ready";
 }
 
+bool isVoter(const replication::ReplicatedLog &Log, base::ReplicaId Id) {
+  auto Members = Log.members();
+  return std::any_of(Members.begin(), Members.end(), [Id](const auto &Member) {
+    return Member.Id == Id && Member.Voter;
+  });
+}
+
+bool isWrite(std::string_view Path) {
+  return Path == "/v1/apply" || Path == "/v1/replace-voter";
+}
+
 bool isRead(std::string_view Path) {
   return Path == "/v1/document" || Path == "/v1/status" ||
          Path == "/v1/versions" || Path == "/v1/audit";
@@ -94,10 +105,10 @@
 
 OperatorApi::OperatorApi(replication::ReplicatedLog &Log,
                          const ControlState &State, const StatusSource &Nodes,
-                         OperatorKeys Keys, prometheus::Registry &Metrics,
-                         ApiTimeouts Timeouts)
-    : Log(Log), State(State), Nodes(Nodes), Keys(std::move(Keys)),
-      Metrics(Metrics), Timeouts(Timeouts),
+                         MembershipControl &Members, OperatorKeys Keys,
+                         prometheus::Registry &Metrics, ApiTimeouts Timeouts)
+    : Log(Log), State(State), Nodes(Nodes), Members(Members),
+      Keys(std::move(Keys)), Metrics(Metrics), Timeouts(Timeouts),
       Requests(prometheus::BuildCounter()
                    .Name("amaranth_operator_requests_total")
                    .Help("Requests to the operators' interface by path and "
@@ -108,7 +119,7 @@
   ApiResponse Response = co_await route(Request);
   std::string Path = parseTarget(Request.Target).Path;
   // Callers choose the path; unknown ones share one label.
-  bool Known = isOpen(Path) || isRead(Path) || Path == "/v1/apply";
+  bool Known = isOpen(Path) || isRead(Path) || isWrite(Path);
   Requests
       .Add({{"path", Known ? Path : "other"},
             {"status", std::to_string(Response.Status)}})
@@ -118,11 +129,11 @@
 
 asio::awaitable<ApiResponse> OperatorApi::route(const ApiRequest &Request) {
   Query Parsed = parseTarget(Request.Target);
-  bool Apply = Parsed.Path == "/v1/apply";
-  if (!Apply && !isRead(Parsed.Path) && !isOpen(Parsed.Path))
+  bool Writes = isWrite(Parsed.Path);
+  if (!Writes && !isRead(Parsed.Path) && !isOpen(Parsed.Path))
     co_return failure(404, "unknown path");
-  if (Request.Method != (Apply ? "POST" : "GET"))
-    co_return failure(405, Apply ? "expected POST" : "expected GET");
+  if (Request.Method != (Writes ? "POST" : "GET"))
+    co_return failure(405, Writes ? "expected POST" : "expected GET");
   if (isOpen(Parsed.Path))
     co_return open(Parsed.Path);
   constexpr std::string_view Scheme = "Bearer ";
@@ -133,7 +144,9 @@
   if (!Who)
     co_return failure(401, "expected 'Authorization: Bearer KEY' with the key "
                            "of an operator");
-  if (Apply)
+  if (Parsed.Path == "/v1/replace-voter")
+    co_return co_await replaceVoter(Request, *Who);
+  if (Writes)
     co_return co_await apply(Request, *Who);
   co_return co_await read(Request);
 }
@@ -180,6 +193,50 @@
                     Operation);
 }
 
+asio::awaitable<ApiResponse>
+OperatorApi::replaceVoter(const ApiRequest &Request, const Operator &Who) {
+  detail::Replacement Wanted;
+  try {
+    Wanted = detail::parseReplacement(Request.Body);
+  } catch (const detail::BadRequest &Fault) {
+    co_return failure(400, Fault.what());
+  }
+  ApiResponse Answer;
+  std::string NotCurrent;
+  try {
+    co_await Log.readIndex(Timeouts.Read);
+  } catch (const base::Error &Failure) {
+    NotCurrent = Failure.what();
+  }
+  if (!NotCurrent.empty())
+    co_return failure(503, "the voter was not replaced: " + NotCurrent);
+  // The log would promote the replacement and remove nothing.
+  if (!isVoter(Log, Wanted.Lost))
+    co_return failure(409, fmt::format("replica {} is not a voter; nothing was "
+                                       "changed",
+                                       Wanted.Lost.value()));
+  try {
+    co_await Members.replaceVoter(Wanted.Lost, Wanted.Replacement,
+                                  Timeouts.Membership);
+    Answer.Body = detail::replacementJson(Wanted);
+  } catch (const MembershipRefused &Refusal) {
+    Answer = failure(409, Refusal.what());
+  } catch (const replication::NotLeader &Failure) {
+    Answer = failure(503, fmt::format("the voter was not replaced: {}; send "
+                                      "it again or to another process",
+                                      Failure.what()));
+  } catch (const base::Error &Failure) {
+    Answer = failure(504, fmt::format("the outcome is unknown: {}; check the "
+                                      "members with status",
+                                      Failure.what()));
+  }
+  base::logger("operator")
+      ->info("replace voter operator={} lost={} replacement={} status={}",
+             Who.Name.value(), Wanted.Lost.value(), Wanted.Replacement.value(),
+             Answer.Status);
+  co_return Answer;
+}
+
 asio::awaitable<ApiResponse> OperatorApi::read(const ApiRequest &Request) {
   Query Parsed = parseTarget(Request.Target);
   if (!Parsed.Fault.empty())
--- a/control/src/OperatorJson.cpp
+++ b/control/src/OperatorJson.cpp
@@ -8,6 +8,8 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include <charconv>
+
 namespace json = boost::json;
 
 namespace amaranth::control::detail {
@@ -73,6 +75,28 @@
   return Result;
 }
 
+json::object parseObject(std::string_view Text) {
+  boost::system::error_code Failure;
+  json::value Root =
+      json::parse(json::string_view(Text.data(), Text.size()), Failure);
+  if (Failure)
+    throw BadRequest("the body is no JSON: " + Failure.message());
+  if (!Root.is_object())
+    throw BadRequest("the body must be a JSON object");
+  return std::move(Root.get_object());
+}
+
+base::ReplicaId replicaMember(const json::object &From, std::string_view Name) {
+  std::string Text = textMember(From, Name, "body");
+  std::uint64_t Id = 0;
+  const char *Last = Text.data() + Text.size();
+  auto [End, Code] = std::from_chars(Text.data(), Last, Id);
+  if (Code != std::errc() || End != Last || Id == 0)
+    throw BadRequest(fmt::format(
+        "body: the member \"{}\" must be the id of a replica", Name));
+  return base::ReplicaId(Id);
+}
+
 double percent(std::uint32_t Millionths) {
   return Millionths * 100.0 / document::FullShare;
 }
@@ -151,14 +175,7 @@
 } // namespace
 
 ApplySections parseApply(std::string_view Text) {
-  boost::system::error_code Failure;
-  json::value Root =
-      json::parse(json::string_view(Text.data(), Text.size()), Failure);
-  if (Failure)
-    throw BadRequest("the body is no JSON: " + Failure.message());
-  if (!Root.is_object())
-    throw BadRequest("the body must be a JSON object");
-  const json::object &Top = Root.get_object();
+  json::object Top = parseObject(Text);
   checkMembers(Top, {"operation", "changes"}, "body");
   ApplySections Result;
   std::string Operation = textMember(Top, "operation", "body");
@@ -175,6 +192,20 @@
   return Result;
 }
 
+Replacement parseReplacement(std::string_view Text) {
+  json::object Top = parseObject(Text);
+  checkMembers(Top, {"lost", "replacement"}, "body");
+  return {replicaMember(Top, "lost"), replicaMember(Top, "replacement")};
+}
+
+std::string replacementJson(const Replacement &Done) {
+  json::object Result;
+  Result["result"] = "accepted";
+  Result["lost"] = std::to_string(Done.Lost.value());
+  Result["replacement"] = std::to_string(Done.Replacement.value());
+  return json::serialize(Result);
+}
+
 std::string errorJson(std::string_view Text, std::string_view Operation) {
   json::object Result;
   Result["error"] = json::string_view(Text.data(), Text.size());
--- a/control/src/OperatorJson.h
+++ b/control/src/OperatorJson.h
@@ -19,6 +19,15 @@
 /// Fills `Operation` and `Changes`. Throws `BadRequest`.
 ApplySections parseApply(std::string_view Text);
 
+/// The body of `POST /v1/replace-voter`.
+struct Replacement {
+  base::ReplicaId Lost;
+  base::ReplicaId Replacement;
+};
+/// Throws `BadRequest`.
+Replacement parseReplacement(std::string_view Text);
+std::string replacementJson(const Replacement &Done);
+
 /// `{"error": TEXT}`, with the operation when it is not empty.
 std::string errorJson(std::string_view Text, std::string_view Operation = {});
 std::string resultJson(const CommandResult &Result,
--- a/control/src/OperatorServer.cpp
+++ b/control/src/OperatorServer.cpp
@@ -239,18 +239,16 @@
   bool Stopping = false;
 };
 
-OperatorServer::OperatorServer(const asio::any_io_executor &Executor,
-                               base::Clock &Time,
-                               replication::ReplicatedLog &Log,
-                               const ControlState &State,
-                               const StatusSource &Nodes, OperatorKeys Keys,
-                               prometheus::Registry &Metrics,
-                               OperatorServerSettings Settings)
-    : Self(
-          std::make_unique<Impl>(Executor, Time,
-                                 OperatorApi(Log, State, Nodes, std::move(Keys),
-                                             Metrics, Settings.Api),
-                                 Settings, Metrics)) {}
+OperatorServer::OperatorServer(
+    const asio::any_io_executor &Executor, base::Clock &Time,
+    replication::ReplicatedLog &Log, const ControlState &State,
+    const StatusSource &Nodes, MembershipControl &Members, OperatorKeys Keys,
+    prometheus::Registry &Metrics, OperatorServerSettings Settings)
+    : Self(std::make_unique<Impl>(Executor, Time,
+                                  OperatorApi(Log, State, Nodes, Members,
+                                              std::move(Keys), Metrics,
+                                              Settings.Api),
+                                  Settings, Metrics)) {}
 
 OperatorServer::~OperatorServer() = default;
 
--- a/control/test/FakeLog.h
+++ b/control/test/FakeLog.h
@@ -2,9 +2,13 @@
 #define AMARANTH_CONTROL_TEST_FAKELOG_H
 
 #include "amaranth/control/ControlState.h"
+#include "amaranth/control/MembershipControl.h"
 #include "amaranth/control/StatusSource.h"
 #include "amaranth/replication/ReplicatedLog.h"
 
+#include <functional>
+#include <utility>
+
 namespace amaranth::control {
 
 /// A log of one process that applies each proposal at once.
@@ -75,6 +79,26 @@
   }
 };
 
+/// Records the replacements and fails as `Fail` says.
+class FakeMembers final : public MembershipControl {
+public:
+  boost::asio::awaitable<void> replaceVoter(base::ReplicaId Lost,
+                                            base::ReplicaId Replacement,
+                                            base::Millis /*Timeout*/) override {
+    if (Fail)
+      Fail();
+    Replaced.emplace_back(Lost, Replacement);
+    co_return;
+  }
+  boost::asio::awaitable<void> removeMember(base::ReplicaId /*Id*/,
+                                            base::Millis /*Timeout*/) override {
+    co_return;
+  }
+
+  std::function<void()> Fail;
+  std::vector<std::pair<base::ReplicaId, base::ReplicaId>> Replaced;
+};
+
 } // namespace amaranth::control
 
 #endif
--- a/control/test/OperatorServer_test.cpp
+++ b/control/test/OperatorServer_test.cpp
@@ -23,7 +23,7 @@
   OperatorServerTest()
       : File("[operator ana]\nkey = 0123456789abcdef\nteams = studio\n"),
         Log(Io.get_executor(), State),
-        Server(Io.get_executor(), Time, Log, State, Nodes,
+        Server(Io.get_executor(), Time, Log, State, Nodes, Members,
                OperatorKeys::read(File.path()), Metrics, settings()) {
     asio::co_spawn(Io, Server.run(), asio::detached);
     Io.poll();
@@ -110,6 +110,7 @@
   ControlState State;
   FakeLog Log;
   FakeNodes Nodes;
+  FakeMembers Members;
   prometheus::Registry Metrics;
   OperatorServer Server;
   bool Closed = false;
@@ -252,4 +253,37 @@
   CHECK(has(request("GET /health"), "200 OK"));
 }
 
+TEST_CASE_METHOD(OperatorServerTest,
+                 "replace-voter reports each outcome with its own status") {
+  const std::string Line = "POST /v1/replace-voter";
+  const std::string Body = R"({"lost":"18446744073709551615",)"
+                           R"("replacement":"7"})";
+  CHECK(has(request(Line, Body, "wrong"), " 401 "));
+  for (const char *Bad : {"[]", "{}", R"({"lost":1,"replacement":"7"})",
+                          R"({"lost":"0","replacement":"7"})",
+                          R"({"lost":"x","replacement":"7"})",
+                          R"({"lost":"1","replacement":"7","more":1})"})
+    CHECK(has(request(Line, Bad), " 400 "));
+  CHECK(has(request("GET /v1/replace-voter"), " 405 "));
+  std::string Unknown = request(Line, R"({"lost":"5","replacement":"7"})");
+  CHECK(has(Unknown, " 409 "));
+  CHECK(has(Unknown, "replica 5 is not a voter"));
+  Log.Behaviour = FakeLog::Mode::Timeout;
+  CHECK(has(request(Line, Body), " 503 "));
+  Log.Behaviour = FakeLog::Mode::Normal;
+  CHECK(Members.Replaced.empty());
+  CHECK(has(request(Line, Body), " 200 "));
+  REQUIRE(Members.Replaced.size() == 1);
+  CHECK(Members.Replaced[0].first == base::ReplicaId(~0ULL));
+  CHECK(Members.Replaced[0].second == base::ReplicaId(7));
+  Members.Fail = [] { throw MembershipRefused("lacks 900 entries"); };
+  std::string Refusal = request(Line, Body);
+  CHECK(has(Refusal, " 409 "));
+  CHECK(has(Refusal, "lacks 900 entries"));
+  Members.Fail = [] { throw replication::NotLeader("no leader"); };
+  CHECK(has(request(Line, Body), " 503 "));
+  Members.Fail = [] { throw base::TimeoutError("no answer"); };
+  CHECK(has(request(Line, Body), " 504 "));
+}
+
 } // namespace amaranth::control
--- a/tools/ctl/src/Client.cpp
+++ b/tools/ctl/src/Client.cpp
@@ -53,6 +53,24 @@
                        LastProblem);
 }
 
+HttpReply Client::postOnce(const std::string &Target, const std::string &Body) {
+  HttpRequest Request{"POST", Target, Key, Body};
+  HttpReply Reply;
+  for (const base::Address &Server : Servers) {
+    switch (tryApply(Server, Request, false, Reply)) {
+    case Outcome::Final:
+      return Reply;
+    case Outcome::Unknown:
+      throw UnknownOutcome("the change may or may not have been applied; last "
+                           "problem: " +
+                           LastProblem);
+    case Outcome::NotApplied:
+      break;
+    }
+  }
+  throw Unreachable("the change was not applied; last problem: " + LastProblem);
+}
+
 Client::Outcome Client::tryApply(const base::Address &Server,
                                  const HttpRequest &Request, bool Sent,
                                  HttpReply &Reply) {
--- a/tools/ctl/src/Client.h
+++ b/tools/ctl/src/Client.h
@@ -31,6 +31,11 @@
   /// `UnknownOutcome` at the time limit.
   HttpReply apply(const std::string &Body);
 
+  /// Sends a change that must not be repeated, to one server after the other
+  /// until one may have applied it. Throws `Unreachable` when it was certainly
+  /// not applied and `UnknownOutcome` when it may have been.
+  HttpReply postOnce(const std::string &Target, const std::string &Body);
+
 private:
   enum class Outcome { Final, NotApplied, Unknown };
   Outcome tryApply(const base::Address &Server, const HttpRequest &Request,
--- a/tools/ctl/src/Ctl.cpp
+++ b/tools/ctl/src/Ctl.cpp
@@ -56,6 +56,8 @@
       return get();
     if (Wanted.Command == "diff")
       return diff();
+    if (Wanted.Command == "replace-voter")
+      return replaceVoter();
     return show();
   }
 
@@ -171,6 +173,20 @@
                          Seen.value(), Current.value());
   }
 
+  Exit replaceVoter() {
+    Client Server = client();
+    HttpReply Reply = Server.postOnce(
+        "/v1/replace-voter", replacementBody(Wanted.Lost, Wanted.Replacement));
+    if (Reply.Status != 200)
+      return refused(Reply);
+    if (Wanted.Json)
+      Out << Reply.Body << '\n';
+    else
+      Out << fmt::format("{} is a voter; {} is being removed\n",
+                         Wanted.Replacement.value(), Wanted.Lost.value());
+    return Exit::Ok;
+  }
+
   Exit show() {
     std::string Target = "/v1/" + Wanted.Command;
     if (Wanted.Command == "audit")
--- a/tools/ctl/src/Options.cpp
+++ b/tools/ctl/src/Options.cpp
@@ -21,12 +21,14 @@
   amaranthctl status [options]
   amaranthctl versions [options]
   amaranthctl audit [options] [--limit=N]
+  amaranthctl replace-voter [options] LOST REPLACEMENT
   amaranthctl check [options] FILE
   amaranthctl --help
 
 Options:
   --server=LIST        Control processes as IP:PORT, separated by commas;
-                       tried in turn [default: 127.0.0.1:7300].
+                       tried in turn; status asks all of them
+                       [default: 127.0.0.1:7300].
   --key-file=FILE      File with the operator's key, mode 0600.
   --json               Print JSON.
   --stale              Accept data that may be old (get, diff, status,
@@ -41,6 +43,9 @@
 `get` prints a 'revision = N' line for each section. `apply` expects that
 revision to be the current one; a section without the line is created.
 
+`replace-voter` takes the ids that `status` shows: of the lost voter and of
+the learner that takes its place.
+
 Exit codes: 0 done, 1 refused, 2 usage, 3 no server reachable, 4 outcome
 unknown, 5 conflict with another change.
 )";
@@ -57,6 +62,11 @@
   return Value;
 }
 
+base::ReplicaId parseReplica(const std::string &Text, const char *What) {
+  return base::ReplicaId(
+      parseNumber(Text, 1, std::numeric_limits<std::uint64_t>::max(), What));
+}
+
 Deletion parseDeletion(const std::string &Text) {
   auto At = Text.rfind('@');
   if (At == std::string::npos || At == 0)
@@ -97,14 +107,19 @@
 
 Options fill(const Values &Parsed) {
   Options Result;
-  for (const char *Command :
-       {"apply", "get", "diff", "status", "versions", "audit", "check"})
+  for (const char *Command : {"apply", "get", "diff", "status", "versions",
+                              "audit", "check", "replace-voter"})
     if (flagOf(Parsed, Command))
       Result.Command = Command;
   Result.Servers = parseServers(textOf(Parsed, "--server"));
   Result.KeyFile = textOf(Parsed, "--key-file");
   Result.File = textOf(Parsed, "FILE");
   Result.Section = textOf(Parsed, "SECTION");
+  if (Result.Command == "replace-voter") {
+    Result.Lost = parseReplica(textOf(Parsed, "LOST"), "LOST");
+    Result.Replacement =
+        parseReplica(textOf(Parsed, "REPLACEMENT"), "REPLACEMENT");
+  }
   Result.Operation = textOf(Parsed, "--operation");
   Result.Json = flagOf(Parsed, "--json");
   Result.Stale = flagOf(Parsed, "--stale");
--- a/tools/ctl/src/Options.h
+++ b/tools/ctl/src/Options.h
@@ -30,12 +30,16 @@
 };
 
 struct Options {
-  /// `apply`, `get`, `diff`, `status`, `versions`, `audit` or `check`.
+  /// `apply`, `get`, `diff`, `status`, `versions`, `audit`,
+  /// `check` or `replace-voter`.
   std::string Command;
   std::vector<base::Address> Servers;
   std::string KeyFile;
   std::string File;
   std::string Section;
+  /// Replicas of `replace-voter`.
+  base::ReplicaId Lost;
+  base::ReplicaId Replacement;
   std::vector<Deletion> Deletions;
   std::string Operation;
   std::uint64_t Limit = 0;
--- a/tools/ctl/src/Views.cpp
+++ b/tools/ctl/src/Views.cpp
@@ -175,6 +175,14 @@
   return json::serialize(Root);
 }
 
+std::string replacementBody(base::ReplicaId Lost, base::ReplicaId Replacement) {
+  json::object Root;
+  // The ids have 64 bits; many JSON readers keep only 53.
+  Root["lost"] = std::to_string(Lost.value());
+  Root["replacement"] = std::to_string(Replacement.value());
+  return json::serialize(Root);
+}
+
 std::string diffJson(const std::vector<document::SectionDiff> &Diff) {
   json::array Result;
   for (const document::SectionDiff &Section : Diff) {
--- a/tools/ctl/src/Views.h
+++ b/tools/ctl/src/Views.h
@@ -42,6 +42,9 @@
 std::string applyBody(const std::string &Operation,
                       const std::vector<Change> &Changes);
 
+/// Body of `POST /v1/replace-voter`.
+std::string replacementBody(base::ReplicaId Lost, base::ReplicaId Replacement);
+
 std::string diffJson(const std::vector<document::SectionDiff> &Diff);
 std::string faultsJson(const std::vector<base::FileFault> &Faults);
 
--- a/tools/ctl/test/CtlServer_test.cpp
+++ b/tools/ctl/test/CtlServer_test.cpp
@@ -24,7 +24,7 @@
   CtlServerTest()
       : Keys("[operator ana]\nkey = 0123456789abcdef\nteams = studio\n"),
         Key("0123456789abcdef\n"), Log(Io.get_executor(), State),
-        Server(Io.get_executor(), Time, Log, State, Nodes,
+        Server(Io.get_executor(), Time, Log, State, Nodes, Members,
                control::OperatorKeys::read(Keys.path()), Metrics,
                {{"127.0.0.1", 0}}) {
     Address = Server.address().text();
@@ -60,6 +60,7 @@
   control::ControlState State;
   FakeLog Log;
   control::FakeNodes Nodes;
+  control::FakeMembers Members;
   prometheus::Registry Metrics;
   control::OperatorServer Server;
   std::string Address;
--- a/tools/ctl/test/Ctl_test.cpp
+++ b/tools/ctl/test/Ctl_test.cpp
@@ -189,4 +189,28 @@
   CHECK(Net.Sent.empty());
 }
 
+TEST_CASE_METHOD(CtlTest, "replace-voter is not sent again when unknown") {
+  std::vector<std::string> Call{"replace-voter", "18446744073709551615", "7"};
+  CHECK(call({"replace-voter", "0", "7"}) == Exit::Usage);
+  CHECK(call({"replace-voter", "1", "x"}) == Exit::Usage);
+  CHECK(Net.Sent.empty());
+  answer(503, R"({"error":"no leader"})");
+  answer(200, "{}");
+  CHECK(call(Call) == Exit::Ok);
+  REQUIRE(Net.Sent.size() == 2);
+  CHECK(Net.Sent[1].second.Target == "/v1/replace-voter");
+  CHECK(Net.Sent[1].second.Body ==
+        R"({"lost":"18446744073709551615","replacement":"7"})");
+  answer(409, R"({"error":"lacks 900 entries"})");
+  CHECK(call(Call) == Exit::Refused);
+  CHECK(errHas("lacks 900 entries"));
+  Net.Sent.clear();
+  answer(504, R"({"error":"no answer"})");
+  CHECK(call(Call) == Exit::UnknownOutcome);
+  lose();
+  CHECK(call(Call) == Exit::UnknownOutcome);
+  CHECK(Net.Sent.size() == 2);
+  CHECK(call(Call) == Exit::Unreachable);
+}
+
 } // namespace amaranth::ctl
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -46,6 +46,38 @@
 
 } // namespace
 
+namespace {
+
+/// Gives the operators' interface the replica's membership changes.
+class ReplicaMembership final : public control::MembershipControl {
+public:
+  explicit ReplicaMembership(replication::Replica &Log) : Log(Log) {}
+
+  asio::awaitable<void> replaceVoter(base::ReplicaId Lost,
+                                     base::ReplicaId Replacement,
+                                     base::Millis Timeout) override {
+    try {
+      co_await Log.replaceVoter(Lost, Replacement, Timeout);
+    } catch (const replication::Refused &Refusal) {
+      throw control::MembershipRefused(Refusal.what());
+    }
+  }
+
+  asio::awaitable<void> removeMember(base::ReplicaId Id,
+                                     base::Millis Timeout) override {
+    try {
+      co_await Log.remove(Id, Timeout);
+    } catch (const replication::Refused &Refusal) {
+      throw control::MembershipRefused(Refusal.what());
+    }
+  }
+
+private:
+  replication::Replica &Log;
+};
+
+} // namespace
+
 struct ControlDaemon::Parts {
   Parts(ControlSettings ControlConfig, EventLoop &Loop, base::Clock &Time)
       : Settings(std::move(ControlConfig)), Loop(Loop), Time(Time),
@@ -58,8 +90,8 @@
         Log(Disk, State, Net, replicaSettings(Settings), Time, Executor),
         Nodes(
             {}, Executor, Time, Log, [this] { return State.mesh(); }, Registry),
-        Status(Nodes),
-        Operators(Executor, Time, Log, State, Status,
+        Status(Nodes), Members(Log),
+        Operators(Executor, Time, Log, State, Status, Members,
                   control::OperatorKeys::read(Settings.OperatorKeysFile),
                   Registry, operatorSettings(Settings)),
         Store(Log, State), Evidence(Nodes.evidence(), State, Time),
@@ -87,6 +119,7 @@
   replication::Replica Log;
   control::NodeService Nodes;
   control::ServedNodes Status;
+  ReplicaMembership Members;
   control::OperatorServer Operators;
   control::ReplicatedRolloutStore Store;
   control::ReportedEvidence Evidence;
