Show all nodes, rollouts and the quarantine in status

Each control process knows only the nodes that follow it, so status of one server gave a part of them. 'amaranthctl status' now asks all servers, merges their nodes (a node in two lists once, as heard last), names the servers without an answer, and takes the rest from the leader, which alone knows what the members have stored.

--- a/control/src/OperatorJson.cpp
+++ b/control/src/OperatorJson.cpp
@@ -134,6 +134,33 @@
   return Result;
 }
 
+json::array runningRollouts(const ControlState &State) {
+  json::array Result;
+  for (const RolloutStatus &Status : State.rollouts()) {
+    if (Status.Phase == RolloutPhase::Done ||
+        Status.Phase == RolloutPhase::RolledBack)
+      continue;
+    json::object Item = rolloutJson(Status);
+    Item["service"] = Status.Service.value();
+    Result.push_back(std::move(Item));
+  }
+  return Result;
+}
+
+json::array quarantineList(const ControlState &State) {
+  json::array Result;
+  auto Mesh = State.mesh();
+  for (const auto &[Fingerprint, Entry] : Mesh->Quarantine) {
+    json::object Item;
+    Item["fingerprint"] = base::hex64(Fingerprint);
+    Item["service"] = Entry.Service.value();
+    Item["convicted"] = Entry.Convicted;
+    Item["until"] = document::formatUtcTime(Entry.Until);
+    Result.push_back(std::move(Item));
+  }
+  return Result;
+}
+
 json::array memberList(const replication::ReplicatedLog &Log) {
   json::array Result;
   for (const replication::MemberStatus &Member : Log.members()) {
@@ -264,6 +291,8 @@
   Result["claims"] = State.claimCount();
   Result["members"] = memberList(Log);
   Result["nodes"] = nodesJson(Nodes);
+  Result["quarantine"] = quarantineList(State);
+  Result["rollouts"] = runningRollouts(State);
   return json::serialize(Result);
 }
 
--- a/control/test/OperatorServer_test.cpp
+++ b/control/test/OperatorServer_test.cpp
@@ -286,4 +286,29 @@
   CHECK(has(request(Line, Body), " 504 "));
 }
 
+TEST_CASE_METHOD(OperatorServerTest,
+                 "status lists running rollouts and the quarantine") {
+  CHECK(has(request("GET /v1/status"), R"("quarantine":[],"rollouts":[])"));
+  apply("op1");
+  base::ServiceName Name("s");
+  std::uint64_t Index = 10;
+  for (const Command &Each :
+       {Command(ReportCrash{Name, base::EndpointId("e1"), {171, 172}}),
+        Command(BeginSuspectRun{Name, 171, "a"}),
+        Command(EndSuspectRun{Name, 171, "a", true})}) {
+    base::Bytes Data = encodeCommand(Each);
+    State.apply({base::LogIndex(Index++), base::Term(1),
+                 base::WallTime(1'800'000'000'000), Data});
+  }
+  std::string Answer = request("GET /v1/status");
+  INFO(Answer);
+  CHECK(has(Answer, R"("quarantine":[{"fingerprint":"00000000000000ab",)"
+                    R"("service":"s","convicted":true,)"
+                    R"("until":"2027-01-15T08:10:00Z"},)"
+                    R"({"fingerprint":"00000000000000ac",)"
+                    R"("service":"s","convicted":false,)"));
+  CHECK(has(Answer, R"("phase":"waiting")"));
+  CHECK(has(Answer, R"("deadline":"2027-02-15T08:00:00Z","service":"s"}])"));
+}
+
 } // namespace amaranth::control
--- a/tools/ctl/src/Client.cpp
+++ b/tools/ctl/src/Client.cpp
@@ -32,6 +32,26 @@
   throw Unreachable("no server answered; last problem: " + LastProblem);
 }
 
+std::vector<ServerReply> Client::getAll(const std::string &Target) {
+  HttpRequest Request{"GET", Target, Key, ""};
+  std::vector<ServerReply> Result;
+  for (const base::Address &Server : Servers) {
+    auto Left = static_cast<std::int64_t>(Servers.size() - Result.size());
+    base::Millis Share((Deadline - Net.now()).count() / Left);
+    ServerReply Each{Server.text(), {}, ""};
+    try {
+      Each.Reply = Net.send(Server, Request,
+                            std::clamp(Share, base::Millis(1), PerServer));
+      if (Each.Reply.Status == 503)
+        Each.Problem = Each.Reply.Body;
+    } catch (const base::Error &Failure) {
+      Each.Problem = Failure.what();
+    }
+    Result.push_back(std::move(Each));
+  }
+  return Result;
+}
+
 HttpReply Client::apply(const std::string &Body) {
   HttpRequest Request{"POST", "/v1/apply", Key, Body};
   bool Sent = false;
--- a/tools/ctl/src/Client.h
+++ b/tools/ctl/src/Client.h
@@ -15,6 +15,15 @@
   using base::Error::Error;
 };
 
+/// What one of several servers answered.
+struct ServerReply {
+  std::string Server;
+  /// Status 0 when there was no answer.
+  HttpReply Reply;
+  /// Why the server has no usable answer; empty when it has one.
+  std::string Problem;
+};
+
 /// Talks to the first server that can answer.
 class Client {
 public:
@@ -26,6 +35,10 @@
   /// answers.
   HttpReply get(const std::string &Target);
 
+  /// Asks every server once and shares the rest of the time limit among them.
+  /// Never throws for a server that cannot answer.
+  std::vector<ServerReply> getAll(const std::string &Target);
+
   /// Sends a change, and again with the same body while its outcome is
   /// unknown. Throws `Unreachable` when it was certainly not applied and
   /// `UnknownOutcome` at the time limit.
--- a/tools/ctl/src/Ctl.cpp
+++ b/tools/ctl/src/Ctl.cpp
@@ -56,6 +56,8 @@
       return get();
     if (Wanted.Command == "diff")
       return diff();
+    if (Wanted.Command == "status")
+      return status();
     if (Wanted.Command == "replace-voter")
       return replaceVoter();
     return show();
@@ -187,6 +189,33 @@
     return Exit::Ok;
   }
 
+  /// Asks all servers: each knows only the nodes that follow it.
+  Exit status() {
+    Client Server = client();
+    std::vector<StatusAnswer> Answers;
+    bool Any = false;
+    for (const ServerReply &Each :
+         Server.getAll(Wanted.Stale ? "/v1/status?stale=true" : "/v1/status")) {
+      bool Usable = Each.Problem.empty();
+      if (Usable && Each.Reply.Status != 200)
+        return refused(Each.Reply);
+      Any = Any || Usable;
+      if (Usable && isStale(Each.Reply.Body))
+        Err << "amaranthctl: " << Each.Server << ": the data may be old\n";
+      Answers.push_back(
+          {Each.Server, Usable ? Each.Reply.Body : "", Each.Problem});
+    }
+    if (!Any)
+      throw Unreachable("no server answered; last problem: " +
+                        errorText(Answers.back().Problem));
+    std::string Merged = mergeStatus(Answers);
+    if (Wanted.Json)
+      Out << Merged << '\n';
+    else
+      printStatus(Out, Merged);
+    return Exit::Ok;
+  }
+
   Exit show() {
     std::string Target = "/v1/" + Wanted.Command;
     if (Wanted.Command == "audit")
@@ -196,8 +225,6 @@
       return refused(Reply);
     if (Wanted.Json)
       Out << Reply.Body << '\n';
-    else if (Wanted.Command == "status")
-      printStatus(Out, Reply.Body);
     else if (Wanted.Command == "versions")
       printVersions(Out, Reply.Body);
     else
--- a/tools/ctl/src/Views.cpp
+++ b/tools/ctl/src/Views.cpp
@@ -1,68 +1,13 @@
 #include "Views.h"
 
-#include <boost/json.hpp>
+#include "JsonView.h"
+
 #include <fmt/format.h>
 
 namespace json = boost::json;
 
 namespace amaranth::ctl {
 
-namespace {
-
-json::value parse(const std::string &Text) {
-  boost::system::error_code Failure;
-  json::value Result = json::parse(Text, Failure);
-  if (Failure || !Result.is_object())
-    throw base::Error("the server's answer is no JSON object");
-  return Result;
-}
-
-const json::value &member(const json::value &From, const char *Name) {
-  if (From.is_object())
-    if (const json::value *Value = From.get_object().if_contains(Name))
-      return *Value;
-  throw base::Error(
-      fmt::format("the server's answer lacks the member \"{}\"", Name));
-}
-
-const json::array &list(const json::value &From, const char *Name) {
-  const json::value &Value = member(From, Name);
-  if (!Value.is_array())
-    throw base::Error(fmt::format("the member \"{}\" is no array", Name));
-  return Value.get_array();
-}
-
-std::uint64_t number(const json::value &Value) {
-  if (Value.is_uint64())
-    return Value.get_uint64();
-  if (Value.is_int64() && Value.get_int64() >= 0)
-    return static_cast<std::uint64_t>(Value.get_int64());
-  throw base::Error("the server's answer has no number where one must be");
-}
-
-std::string text(const json::value &From, const char *Name) {
-  const json::value &Value = member(From, Name);
-  if (Value.is_string())
-    return std::string(Value.get_string());
-  return json::serialize(Value);
-}
-
-double percent(const json::value &From) {
-  const json::value &Value = member(From, "share_percent");
-  return Value.is_number() ? Value.to_number<double>() : 0;
-}
-
-void printRollout(std::ostream &Out, const json::value &Rollout) {
-  Out << fmt::format("  rollout {} -> {}: {} at {:g} %, deadline {}, since {}",
-                     text(Rollout, "from"), text(Rollout, "to"),
-                     text(Rollout, "phase"), percent(Rollout),
-                     text(Rollout, "deadline"), text(Rollout, "since"));
-  std::string Reason = text(Rollout, "reason");
-  Out << (Reason.empty() ? "" : ": " + Reason) << '\n';
-}
-
-} // namespace
-
 std::vector<document::SectionText> readDocument(const std::string &Json) {
   json::value Root = parse(Json);
   std::vector<document::SectionText> Result;
@@ -74,34 +19,6 @@
   return Result;
 }
 
-void printStatus(std::ostream &Out, const std::string &Json) {
-  json::value Root = parse(Json);
-  const json::value &Nodes = member(Root, "nodes");
-  Out << fmt::format("document {}, state {}, applied {} of {}, term {}\n",
-                     text(Root, "document"), text(Root, "state"),
-                     text(Root, "applied"), text(Root, "commit"),
-                     text(Root, "term"));
-  Out << fmt::format("leader {}, this process {}, current {} ms ago\n",
-                     text(Root, "leader"), text(Root, "self"),
-                     text(Root, "since_current_ms"));
-  for (const json::value &Item : list(Root, "members"))
-    Out << fmt::format(
-        "member {} {} {} match {}\n", text(Item, "id"), text(Item, "address"),
-        member(Item, "voter").is_bool() && member(Item, "voter").get_bool()
-            ? "voter"
-            : "learner",
-        text(Item, "match"));
-  Out << fmt::format("nodes: {} follow this process, {} have document {}, "
-                     "all after {} ms\n",
-                     text(Nodes, "following"), text(Nodes, "applied"),
-                     text(Nodes, "document"),
-                     text(Nodes, "converged_after_ms"));
-  for (const json::value &Item : list(Nodes, "list"))
-    Out << fmt::format("node {} zone {} document {} heard {} ms ago\n",
-                       text(Item, "node"), text(Item, "zone"),
-                       text(Item, "document"), text(Item, "since_heard_ms"));
-}
-
 void printVersions(std::ostream &Out, const std::string &Json) {
   json::value Root = parse(Json);
   for (const json::value &Service : list(Root, "services")) {
@@ -111,8 +28,10 @@
           "  {} {:g} %{}\n", text(Version, "version"), percent(Version),
           text(Version, "barred") == "true" ? " rolled back" : "");
     if (const json::value &Rollout = member(Service, "rollout");
-        Rollout.is_object())
+        Rollout.is_object()) {
+      Out << "  ";
       printRollout(Out, Rollout);
+    }
   }
 }
 
--- a/tools/ctl/src/Views.h
+++ b/tools/ctl/src/Views.h
@@ -16,6 +16,19 @@
 /// Sections of `GET /v1/document`, with their revisions.
 std::vector<document::SectionText> readDocument(const std::string &Json);
 
+/// Status answers of several servers.
+struct StatusAnswer {
+  std::string Server;
+  /// Body of the answer; empty when there was none.
+  std::string Json;
+  /// Why there was none.
+  std::string Problem;
+};
+/// One object: the answer of the leader, or else the first one, with the
+/// nodes of all answers and a member `servers`. At least one answer must have
+/// a body.
+std::string mergeStatus(const std::vector<StatusAnswer> &Answers);
+/// Prints what `mergeStatus` returned.
 void printStatus(std::ostream &Out, const std::string &Json);
 void printVersions(std::ostream &Out, const std::string &Json);
 void printAudit(std::ostream &Out, const std::string &Json);
--- a/tools/ctl/test/Ctl_test.cpp
+++ b/tools/ctl/test/Ctl_test.cpp
@@ -213,4 +213,66 @@
   CHECK(call(Call) == Exit::Unreachable);
 }
 
+/// A status answer with one node.
+std::string statusOf(const std::string &Self, bool Leader,
+                     const std::string &Node, int Heard) {
+  return R"({"document":4,"stale":false,"state":8,"self":")" + Self +
+         R"(","leader":"1","is_leader":)" + (Leader ? "true" : "false") +
+         R"(,"term":2,"applied":9,"commit":9,"since_current_ms":0,"members":[)"
+         R"({"id":"1","address":"127.0.0.1:7","voter":false,"match":8}],)"
+         R"("nodes":{"document":4,"following":1,"applied":1,)"
+         R"("converged_after_ms":null,"list":[{"node":")" +
+         Node + R"(","zone":"a","document":4,"state":8,"since_heard_ms":)" +
+         std::to_string(Heard) +
+         R"(}]},"quarantine":[{"fingerprint":"00000000000000ab",)"
+         R"("service":"plati","convicted":true,"until":"2027-01-15T08:00:00Z"}],)"
+         R"("rollouts":[{"service":"plati","from":"v1","to":"v2",)"
+         R"("phase":"stepping","share_percent":5,"deadline":"2027-01-16T08:00:00Z",)"
+         R"("since":"2027-01-15T08:00:00Z","reason":"guards hold"}]})";
+}
+
+TEST_CASE_METHOD(CtlTest, "status merges the nodes of all servers") {
+  answer(200, statusOf("2", false, "n1", 5));
+  answer(200, statusOf("1", true, "n2", 6));
+  REQUIRE(call({"status"}) == Exit::Ok);
+  std::string Text = Out.str();
+  INFO(Text);
+  auto Has = [&](const std::string &Part) {
+    return Text.find(Part) != std::string::npos;
+  };
+  CHECK(Net.Sent.size() == 2);
+  CHECK(Has("leader 1, this process 1,"));
+  CHECK(Has("member 1 127.0.0.1:7 learner match 8\n"));
+  CHECK(Has("node n1 zone a document 4 heard 5 ms ago\n"));
+  CHECK(Has("node n2 zone a document 4 heard 6 ms ago\n"));
+  CHECK(Has("quarantine 00000000000000ab service plati convicted until "
+            "2027-01-15T08:00:00Z\n"));
+  CHECK(Has("plati: rollout v1 -> v2: stepping at 5 %, deadline "
+            "2027-01-16T08:00:00Z, since 2027-01-15T08:00:00Z: guards hold\n"));
+  // A node in two lists is shown once, as the server that heard it last.
+  answer(200, statusOf("2", false, "n1", 900));
+  answer(200, statusOf("3", false, "n1", 7));
+  REQUIRE(call({"status"}) == Exit::Ok);
+  Text = Out.str();
+  CHECK(Has("heard 7 ms ago"));
+  CHECK_FALSE(Has("heard 900 ms ago"));
+  CHECK(Has("match known to the leader"));
+}
+
+TEST_CASE_METHOD(CtlTest, "status names the servers that did not answer") {
+  answer(200, statusOf("2", false, "n1", 5));
+  answer(503, R"({"error":"not current"})");
+  REQUIRE(call({"status"}) == Exit::Ok);
+  CHECK(Out.str().find("server 127.0.0.1:2 did not answer: not current\n") !=
+        std::string::npos);
+  answer(200, statusOf("2", false, "n1", 5));
+  REQUIRE(call({"status", "--json"}) == Exit::Ok);
+  CHECK(Out.str().find(R"({"server":"127.0.0.1:2","answered":false,)"
+                       R"("problem":"connection refused"})") !=
+        std::string::npos);
+  CHECK(call({"status"}) == Exit::Unreachable);
+  answer(401, R"({"error":"wrong key"})");
+  CHECK(call({"status"}) == Exit::Refused);
+}
+
 } // namespace amaranth::ctl
