--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -1,5 +1,6 @@
 #include "amaranth/daemon/ControlDaemon.h"
 
+#include "amaranth/base/InvariantMetric.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/control/ControlState.h"
 #include "amaranth/control/NodeService.h"
@@ -82,6 +83,7 @@
   Parts(ControlSettings ControlConfig, EventLoop &Loop, base::Clock &Time)
       : Settings(std::move(ControlConfig)), Loop(Loop), Time(Time),
         Executor(Loop.context().get_executor()), Keys(readKeys(Settings)),
+        Invariants(Registry, Time),
         Disk(Settings.DataFolder, Executor), Self{protocol::Role::Control,
                                                   std::to_string(
                                                       Disk.id().value()),
@@ -111,6 +113,7 @@
   asio::any_io_executor Executor;
   protocol::SharedKeys Keys;
   prometheus::Registry Registry;
+  base::InvariantMetric Invariants;
   replication::LogStorage Disk;
   protocol::Identity Self;
   protocol::TcpDialer Dialer;
@@ -145,6 +148,7 @@
       P.Inner.serve([&P](std::shared_ptr<protocol::Channel> Link) {
         return P.serveInner(std::move(Link));
       }));
+  P.Loop.spawnEssential("invariant metric", P.Invariants.run());
   P.Loop.spawnEssential("operator server", P.Operators.run());
   P.Loop.spawnEssential("rollout controller", P.Rollouts.run());
   base::logger("control")->info(
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -1,6 +1,7 @@
 #include "amaranth/daemon/NodeDaemon.h"
 
 #include "amaranth/base/Digest.h"
+#include "amaranth/base/InvariantMetric.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/daemon/Shutdown.h"
 #include "amaranth/dataplane/AnnounceServer.h"
@@ -67,7 +68,8 @@
         Executor(Loop.context().get_executor()),
         Keys({{protocol::Role::Node,
                base::readSecretFile(Settings.NodeKeyFile)}}),
-        Dialer(identityOf(Settings), Keys, Time), Counters(Registry),
+        Invariants(Registry, Time), Dialer(identityOf(Settings), Keys, Time),
+        Counters(Registry),
         Follow(followerSettings(Settings), Executor, Time, Dialer, Registry),
         Upstream(Executor, gateSettings(Settings), Time, Follow, Follow,
                  Counters),
@@ -89,6 +91,7 @@
   asio::any_io_executor Executor;
   protocol::SharedKeys Keys;
   prometheus::Registry Registry;
+  base::InvariantMetric Invariants;
   protocol::TcpDialer Dialer;
   dataplane::Metrics Counters;
   follower::Follower Follow;
@@ -114,6 +117,7 @@
       P.Inner.serve([&P](std::shared_ptr<protocol::Channel> Link) {
         return P.serveInner(std::move(Link));
       }));
+  P.Loop.spawnEssential("invariant metric", P.Invariants.run());
   P.Loop.spawnEssential("gate", P.Upstream.run());
   P.Loop.spawnEssential("peer pool", P.Peers.run());
   P.Loop.spawnEssential("caller server", P.Entry.serve());
