--- a/control/src/OperatorJson.cpp
+++ b/control/src/OperatorJson.cpp
@@ -8,6 +8,8 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include <charconv>
+
 namespace json = boost::json;
 
 namespace amaranth::control::detail {
@@ -73,6 +75,28 @@
   return Result;
 }
 
+json::object parseObject(std::string_view Text) {
+  boost::system::error_code Failure;
+  json::value Root =
+      json::parse(json::string_view(Text.data(), Text.size()), Failure);
+  if (Failure)
+    throw BadRequest("the body is no JSON: " + Failure.message());
+  if (!Root.is_object())
+    throw BadRequest("the body must be a JSON object");
+  return std::move(Root.get_object());
+}
+
+base::ReplicaId replicaMember(const json::object &From, std::string_view Name) {
+  std::string Text = textMember(From, Name, "body");
+  std::uint64_t Id = 0;
+  const char *Last = Text.data() + Text.size();
+  auto [End, Code] = std::from_chars(Text.data(), Last, Id);
+  if (Code != std::errc() || End != Last || Id == 0)
+    throw BadRequest(fmt::format(
+        "body: the member \"{}\" must be the id of a replica", Name));
+  return base::ReplicaId(Id);
+}
+
 double percent(std::uint32_t Millionths) {
   return Millionths * 100.0 / document::FullShare;
 }
@@ -110,6 +134,33 @@
   return Result;
 }
 
+json::array runningRollouts(const ControlState &State) {
+  json::array Result;
+  for (const RolloutStatus &Status : State.rollouts()) {
+    if (Status.Phase == RolloutPhase::Done ||
+        Status.Phase == RolloutPhase::RolledBack)
+      continue;
+    json::object Item = rolloutJson(Status);
+    Item["service"] = Status.Service.value();
+    Result.push_back(std::move(Item));
+  }
+  return Result;
+}
+
+json::array quarantineList(const ControlState &State) {
+  json::array Result;
+  auto Mesh = State.mesh();
+  for (const auto &[Fingerprint, Entry] : Mesh->Quarantine) {
+    json::object Item;
+    Item["fingerprint"] = base::hex64(Fingerprint);
+    Item["service"] = Entry.Service.value();
+    Item["convicted"] = Entry.Convicted;
+    Item["until"] = document::formatUtcTime(Entry.Until);
+    Result.push_back(std::move(Item));
+  }
+  return Result;
+}
+
 json::array memberList(const replication::ReplicatedLog &Log) {
   json::array Result;
   for (const replication::MemberStatus &Member : Log.members()) {
@@ -151,14 +202,7 @@
 } // namespace
 
 ApplySections parseApply(std::string_view Text) {
-  boost::system::error_code Failure;
-  json::value Root =
-      json::parse(json::string_view(Text.data(), Text.size()), Failure);
-  if (Failure)
-    throw BadRequest("the body is no JSON: " + Failure.message());
-  if (!Root.is_object())
-    throw BadRequest("the body must be a JSON object");
-  const json::object &Top = Root.get_object();
+  json::object Top = parseObject(Text);
   checkMembers(Top, {"operation", "changes"}, "body");
   ApplySections Result;
   std::string Operation = textMember(Top, "operation", "body");
@@ -175,6 +219,20 @@
   return Result;
 }
 
+Replacement parseReplacement(std::string_view Text) {
+  json::object Top = parseObject(Text);
+  checkMembers(Top, {"lost", "replacement"}, "body");
+  return {replicaMember(Top, "lost"), replicaMember(Top, "replacement")};
+}
+
+std::string replacementJson(const Replacement &Done) {
+  json::object Result;
+  Result["result"] = "accepted";
+  Result["lost"] = std::to_string(Done.Lost.value());
+  Result["replacement"] = std::to_string(Done.Replacement.value());
+  return json::serialize(Result);
+}
+
 std::string errorJson(std::string_view Text, std::string_view Operation) {
   json::object Result;
   Result["error"] = json::string_view(Text.data(), Text.size());
@@ -233,6 +291,8 @@
   Result["claims"] = State.claimCount();
   Result["members"] = memberList(Log);
   Result["nodes"] = nodesJson(Nodes);
+  Result["quarantine"] = quarantineList(State);
+  Result["rollouts"] = runningRollouts(State);
   return json::serialize(Result);
 }
 
--- a/control/test/OperatorServer_test.cpp
+++ b/control/test/OperatorServer_test.cpp
@@ -23,7 +23,7 @@
   OperatorServerTest()
       : File("[operator ana]\nkey = 0123456789abcdef\nteams = studio\n"),
         Log(Io.get_executor(), State),
-        Server(Io.get_executor(), Time, Log, State, Nodes,
+        Server(Io.get_executor(), Time, Log, State, Nodes, Members,
                OperatorKeys::read(File.path()), Metrics, settings()) {
     asio::co_spawn(Io, Server.run(), asio::detached);
     Io.poll();
@@ -110,6 +110,7 @@
   ControlState State;
   FakeLog Log;
   FakeNodes Nodes;
+  FakeMembers Members;
   prometheus::Registry Metrics;
   OperatorServer Server;
   bool Closed = false;
@@ -252,4 +253,62 @@
   CHECK(has(request("GET /health"), "200 OK"));
 }
 
+TEST_CASE_METHOD(OperatorServerTest,
+                 "replace-voter reports each outcome with its own status") {
+  const std::string Line = "POST /v1/replace-voter";
+  const std::string Body = R"({"lost":"18446744073709551615",)"
+                           R"("replacement":"7"})";
+  CHECK(has(request(Line, Body, "wrong"), " 401 "));
+  for (const char *Bad : {"[]", "{}", R"({"lost":1,"replacement":"7"})",
+                          R"({"lost":"0","replacement":"7"})",
+                          R"({"lost":"x","replacement":"7"})",
+                          R"({"lost":"1","replacement":"7","more":1})"})
+    CHECK(has(request(Line, Bad), " 400 "));
+  CHECK(has(request("GET /v1/replace-voter"), " 405 "));
+  std::string Unknown = request(Line, R"({"lost":"5","replacement":"7"})");
+  CHECK(has(Unknown, " 409 "));
+  CHECK(has(Unknown, "replica 5 is not a voter"));
+  Log.Behaviour = FakeLog::Mode::Timeout;
+  CHECK(has(request(Line, Body), " 503 "));
+  Log.Behaviour = FakeLog::Mode::Normal;
+  CHECK(Members.Replaced.empty());
+  CHECK(has(request(Line, Body), " 200 "));
+  REQUIRE(Members.Replaced.size() == 1);
+  CHECK(Members.Replaced[0].first == base::ReplicaId(~0ULL));
+  CHECK(Members.Replaced[0].second == base::ReplicaId(7));
+  Members.Fail = [] { throw MembershipRefused("lacks 900 entries"); };
+  std::string Refusal = request(Line, Body);
+  CHECK(has(Refusal, " 409 "));
+  CHECK(has(Refusal, "lacks 900 entries"));
+  Members.Fail = [] { throw replication::NotLeader("no leader"); };
+  CHECK(has(request(Line, Body), " 503 "));
+  Members.Fail = [] { throw base::TimeoutError("no answer"); };
+  CHECK(has(request(Line, Body), " 504 "));
+}
+
+TEST_CASE_METHOD(OperatorServerTest,
+                 "status lists running rollouts and the quarantine") {
+  CHECK(has(request("GET /v1/status"), R"("quarantine":[],"rollouts":[])"));
+  apply("op1");
+  base::ServiceName Name("s");
+  std::uint64_t Index = 10;
+  for (const Command &Each :
+       {Command(ReportCrash{Name, base::EndpointId("e1"), {171, 172}}),
+        Command(BeginSuspectRun{Name, 171, "a"}),
+        Command(EndSuspectRun{Name, 171, "a", true})}) {
+    base::Bytes Data = encodeCommand(Each);
+    State.apply({base::LogIndex(Index++), base::Term(1),
+                 base::WallTime(1'800'000'000'000), Data});
+  }
+  std::string Answer = request("GET /v1/status");
+  INFO(Answer);
+  CHECK(has(Answer, R"("quarantine":[{"fingerprint":"00000000000000ab",)"
+                    R"("service":"s","convicted":true,)"
+                    R"("until":"2027-01-15T08:10:00Z"},)"
+                    R"({"fingerprint":"00000000000000ac",)"
+                    R"("service":"s","convicted":false,)"));
+  CHECK(has(Answer, R"("phase":"waiting")"));
+  CHECK(has(Answer, R"("deadline":"2027-02-15T08:00:00Z","service":"s"}])"));
+}
+
 } // namespace amaranth::control
--- a/tools/ctl/src/Client.cpp
+++ b/tools/ctl/src/Client.cpp
@@ -32,6 +32,26 @@
   throw Unreachable("no server answered; last problem: " + LastProblem);
 }
 
+std::vector<ServerReply> Client::getAll(const std::string &Target) {
+  HttpRequest Request{"GET", Target, Key, ""};
+  std::vector<ServerReply> Result;
+  for (const base::Address &Server : Servers) {
+    auto Left = static_cast<std::int64_t>(Servers.size() - Result.size());
+    base::Millis Share((Deadline - Net.now()).count() / Left);
+    ServerReply Each{Server.text(), {}, ""};
+    try {
+      Each.Reply = Net.send(Server, Request,
+                            std::clamp(Share, base::Millis(1), PerServer));
+      if (Each.Reply.Status == 503)
+        Each.Problem = Each.Reply.Body;
+    } catch (const base::Error &Failure) {
+      Each.Problem = Failure.what();
+    }
+    Result.push_back(std::move(Each));
+  }
+  return Result;
+}
+
 HttpReply Client::apply(const std::string &Body) {
   HttpRequest Request{"POST", "/v1/apply", Key, Body};
   bool Sent = false;
@@ -53,6 +73,24 @@
                        LastProblem);
 }
 
+HttpReply Client::postOnce(const std::string &Target, const std::string &Body) {
+  HttpRequest Request{"POST", Target, Key, Body};
+  HttpReply Reply;
+  for (const base::Address &Server : Servers) {
+    switch (tryApply(Server, Request, false, Reply)) {
+    case Outcome::Final:
+      return Reply;
+    case Outcome::Unknown:
+      throw UnknownOutcome("the change may or may not have been applied; last "
+                           "problem: " +
+                           LastProblem);
+    case Outcome::NotApplied:
+      break;
+    }
+  }
+  throw Unreachable("the change was not applied; last problem: " + LastProblem);
+}
+
 Client::Outcome Client::tryApply(const base::Address &Server,
                                  const HttpRequest &Request, bool Sent,
                                  HttpReply &Reply) {
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -1,5 +1,6 @@
 #include "amaranth/daemon/ControlDaemon.h"
 
+#include "amaranth/base/InvariantMetric.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/control/ControlState.h"
 #include "amaranth/control/NodeService.h"
@@ -46,10 +47,43 @@
 
 } // namespace
 
+namespace {
+
+/// Gives the operators' interface the replica's membership changes.
+class ReplicaMembership final : public control::MembershipControl {
+public:
+  explicit ReplicaMembership(replication::Replica &Log) : Log(Log) {}
+
+  asio::awaitable<void> replaceVoter(base::ReplicaId Lost,
+                                     base::ReplicaId Replacement,
+                                     base::Millis Timeout) override {
+    try {
+      co_await Log.replaceVoter(Lost, Replacement, Timeout);
+    } catch (const replication::Refused &Refusal) {
+      throw control::MembershipRefused(Refusal.what());
+    }
+  }
+
+  asio::awaitable<void> removeMember(base::ReplicaId Id,
+                                     base::Millis Timeout) override {
+    try {
+      co_await Log.remove(Id, Timeout);
+    } catch (const replication::Refused &Refusal) {
+      throw control::MembershipRefused(Refusal.what());
+    }
+  }
+
+private:
+  replication::Replica &Log;
+};
+
+} // namespace
+
 struct ControlDaemon::Parts {
   Parts(ControlSettings ControlConfig, EventLoop &Loop, base::Clock &Time)
       : Settings(std::move(ControlConfig)), Loop(Loop), Time(Time),
         Executor(Loop.context().get_executor()), Keys(readKeys(Settings)),
+        Invariants(Registry, Time),
         Disk(Settings.DataFolder, Executor), Self{protocol::Role::Control,
                                                   std::to_string(
                                                       Disk.id().value()),
@@ -58,8 +92,8 @@
         Log(Disk, State, Net, replicaSettings(Settings), Time, Executor),
         Nodes(
             {}, Executor, Time, Log, [this] { return State.mesh(); }, Registry),
-        Status(Nodes),
-        Operators(Executor, Time, Log, State, Status,
+        Status(Nodes), Members(Log),
+        Operators(Executor, Time, Log, State, Status, Members,
                   control::OperatorKeys::read(Settings.OperatorKeysFile),
                   Registry, operatorSettings(Settings)),
         Store(Log, State), Evidence(Nodes.evidence(), State, Time),
@@ -79,6 +113,7 @@
   asio::any_io_executor Executor;
   protocol::SharedKeys Keys;
   prometheus::Registry Registry;
+  base::InvariantMetric Invariants;
   replication::LogStorage Disk;
   protocol::Identity Self;
   protocol::TcpDialer Dialer;
@@ -87,6 +122,7 @@
   replication::Replica Log;
   control::NodeService Nodes;
   control::ServedNodes Status;
+  ReplicaMembership Members;
   control::OperatorServer Operators;
   control::ReplicatedRolloutStore Store;
   control::ReportedEvidence Evidence;
@@ -112,6 +148,7 @@
       P.Inner.serve([&P](std::shared_ptr<protocol::Channel> Link) {
         return P.serveInner(std::move(Link));
       }));
+  P.Loop.spawnEssential("invariant metric", P.Invariants.run());
   P.Loop.spawnEssential("operator server", P.Operators.run());
   P.Loop.spawnEssential("rollout controller", P.Rollouts.run());
   base::logger("control")->info(
