Add end-to-end tests of the programs on loopback

The tests start control processes, nodes and stand-in upstreams through tools/harness. The stand-in upstream appends each execution's key to a file, so that counts survive a kill, and the harness closes the descriptors of other threads in its children.

--- /dev/null
+++ b/tools/e2e/test/Crash_test.cpp
@@ -0,0 +1,56 @@
+#include "Load.h"
+#include "MeshTest.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace amaranth::e2e {
+
+namespace {
+
+constexpr unsigned VmCount = 6;
+constexpr unsigned Resends = 6;
+
+} // namespace
+
+// Guards against one request that takes down the whole service because its
+// caller sends it again and again.
+TEST_CASE_METHOD(MeshTest,
+                 "Crashing request takes down two upstreams at most") {
+  start(VmCount, {"--time=fixed:20", "--crash-marker=poison"});
+  std::atomic<unsigned> Lost = 0;
+  // Each innocent request is sent until it gets through.
+  Load Innocent(4, [&](unsigned Thread, unsigned Count) {
+    harness::HttpResponse Answer;
+    std::string Target = fmt::format("/bookings/{}/{}", Thread, Count);
+    unsigned Sends = 0;
+    bool Through = harness::waitUntil(
+        [&] {
+          Answer =
+              send(*Mesh.Vms[(Thread + Sends++) % VmCount], "POST", Target);
+          return Answer.Status == 200;
+        },
+        WaitLimit);
+    Lost += Through ? 0 : 1;
+    return Answer;
+  });
+  REQUIRE(Innocent.waitForMore(20));
+  std::string Seen;
+  for (unsigned I = 0; I < Resends; ++I) {
+    auto Answer = send(*Mesh.Vms[I], "POST", "/bookings/poison");
+    CHECK(Answer.Status != 200);
+    Seen += describe(Answer) + "\n";
+  }
+  REQUIRE(Innocent.waitForMore(40));
+  auto Dead = std::count_if(Mesh.Vms.begin(), Mesh.Vms.end(),
+                            [](auto &Vm) { return !Vm->Server->isRunning(); });
+  INFO(Seen);
+  CHECK(Dead >= 1);
+  CHECK(Dead <= 2);
+  Innocent.stop();
+  CHECK(Lost == 0);
+}
+
+} // namespace amaranth::e2e
--- a/tools/harness/src/Process.cpp
+++ b/tools/harness/src/Process.cpp
@@ -24,7 +24,12 @@
 
 class FileActions {
 public:
-  FileActions() { posix_spawn_file_actions_init(&Actions); }
+  FileActions() {
+    posix_spawn_file_actions_init(&Actions);
+    // A connection that another thread has open would stay open in the child
+    // after that thread closed it.
+    posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
+  }
   ~FileActions() { posix_spawn_file_actions_destroy(&Actions); }
   FileActions(const FileActions &) = delete;
   FileActions &operator=(const FileActions &) = delete;
--- a/tools/upstream/include/amaranth/upstream/Options.h
+++ b/tools/upstream/include/amaranth/upstream/Options.h
@@ -59,6 +59,8 @@
   FaultPlan Fault;
   /// The process aborts on a path that contains this text.
   std::string CrashMarker;
+  /// Gets a line with the key of each execution; empty for none.
+  std::string ExecutionsFile;
   /// `/health` says the opposite of the truth.
   bool WrongHealth = false;
   std::uint64_t Seed = 1;
--- a/tools/upstream/include/amaranth/upstream/UpstreamServer.h
+++ b/tools/upstream/include/amaranth/upstream/UpstreamServer.h
@@ -38,6 +38,7 @@
   boost::asio::awaitable<void> download(Link Caller, std::int64_t Bytes);
   dataplane::Headers fields() const;
   std::string executions() const;
+  void countExecution(const std::string &Key);
 
   Options Given;
   base::Clock &Time;
--- a/tools/upstream/src/Options.cpp
+++ b/tools/upstream/src/Options.cpp
@@ -37,6 +37,8 @@
   --slow-by=SPAN         Extra time of a slow request [default: 500ms].
   --crash-marker=TEXT    Abort on a path that contains TEXT.
   --wrong-health         /health says the opposite of the truth.
+  --executions-file=FILE Append the Idempotency-Key of each execution, so that
+                         the count survives a kill.
   --seed=N               Seed of random choices [default: 1].
   --log=LEVEL            trace, debug, info, warn, error or off [default: info].
   -h --help              Show this text.
@@ -147,6 +149,7 @@
   Result.Shed = Given.at("--shed").asBool();
   Result.Fault = faultPlan(Given);
   Result.CrashMarker = text(Given, "--crash-marker");
+  Result.ExecutionsFile = text(Given, "--executions-file");
   Result.WrongHealth = Given.at("--wrong-health").asBool();
   Result.Seed = static_cast<std::uint64_t>(number(Given, "--seed", 0, 1e15));
   Result.LogLevel = text(Given, "--log");
--- a/tools/upstream/src/UpstreamServer.cpp
+++ b/tools/upstream/src/UpstreamServer.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <fstream>
 
 namespace asio = boost::asio;
 using amaranth::dataplane::Headers;
@@ -93,6 +94,15 @@
   return Text + "}\n";
 }
 
+void UpstreamServer::countExecution(const std::string &Key) {
+  ++Executions[Key];
+  if (Given.ExecutionsFile.empty())
+    return;
+  // One flushed line for each execution: the system keeps it when this
+  // process is killed.
+  std::ofstream(Given.ExecutionsFile, std::ios::app) << Key + "\n";
+}
+
 asio::awaitable<void> UpstreamServer::handle(Link Caller, HttpRequest Request) {
   if (Request.Target == "/executions") {
     Headers Json = fields();
@@ -127,7 +137,7 @@
   }
   if (const auto *Key =
           dataplane::findHeader(Request.Fields, "Idempotency-Key"))
-    ++Executions[*Key];
+    countExecution(*Key);
   std::string Body;
   base::Bytes Buffer(dataplane::MaxPieceBytes);
   std::uint64_t Hash = 0;
