Test a draining upstream while a slow request keeps it alive

The first version of the test passed with an upstream that did not announce draining: retries after refused connections hid the fault. The new one holds the upstream with a slow request and checks the work it gets meanwhile.

--- a/tools/e2e/test/Control_test.cpp
+++ b/tools/e2e/test/Control_test.cpp
@@ -16,7 +16,7 @@
   start(3, {});
   applyTimeout(14);
   std::string Before = routeSection();
-  REQUIRE_FALSE(Before.empty());
+  REQUIRE(Before.find("revision = ") != std::string::npos);
   harness::ControlProcess &Old = waitForLeader();
   Load Requests(4, [this](unsigned Thread, unsigned) {
     return send(*Mesh.Vms[Thread % 3], Thread % 2 == 0 ? "GET" : "POST",
--- a/tools/e2e/test/Shutdown_test.cpp
+++ b/tools/e2e/test/Shutdown_test.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <filesystem>
+#include <future>
 
 namespace amaranth::e2e {
 
@@ -48,19 +50,60 @@
   }
 }
 
+class LeavingTest : public MeshTest {
+protected:
+  /// Sends slow requests until one of them runs on the first upstream, so
+  /// that its end has to wait for it.
+  void startSlowRequests() {
+    constexpr unsigned MaxSlow = 9;
+    for (unsigned I = 0; I < MaxSlow && !slowRunsOnFirst(); ++I) {
+      std::size_t Before = executions().size();
+      Slow.push_back(std::async(std::launch::async, [this, I] {
+        return send(*Mesh.Vms[0], "POST", "/bookings/slow",
+                    fmt::format("slow-{}", I));
+      }));
+      REQUIRE(harness::waitUntil([&] { return executions().size() > Before; },
+                                 WaitLimit));
+    }
+    REQUIRE(slowRunsOnFirst());
+  }
+
+  bool slowRunsOnFirst() const {
+    return std::filesystem::exists(Mesh.folder() / "executions-0");
+  }
+
+  bool firstReportsDraining() {
+    harness::HttpRequest Health;
+    Health.Target = "/health";
+    return harness::sendRequest(Mesh.Vms[0]->Upstream, Health, RequestLimit)
+               .Status == 503;
+  }
+
+  std::vector<std::future<harness::HttpResponse>> Slow;
+};
+
 // Guards against requests sent to an upstream that is about to end.
-TEST_CASE_METHOD(MeshTest, "Leaving upstream causes no refusal") {
-  start(3, {"--time=fixed:20"});
+TEST_CASE_METHOD(LeavingTest, "Leaving upstream gets no new work") {
+  start(3, {"--time=fixed:20", "--fault=slow", "--slow-by=8s",
+            "--fault-prefix=/bookings/slow"});
   harness::UpstreamVm &Leaving = *Mesh.Vms.front();
   Load Requests(6, [this](unsigned Thread, unsigned) {
     return send(*Mesh.Vms[Thread % 3], "POST", "/bookings/work");
   });
   REQUIRE(Requests.waitForMore(50));
+  startSlowRequests();
   Leaving.Server->signal(SIGTERM);
-  auto Code = Leaving.Server->wait(WaitLimit);
-  CHECK(Code == 0);
-  std::size_t AtEnd = Requests.answered();
-  REQUIRE(Requests.waitForMore(100));
+  // The upstream reports this a second after it told its node.
+  REQUIRE(
+      harness::waitUntil([&] { return firstReportsDraining(); }, WaitLimit));
+  // Each of the 6 senders may still wait for an answer from before.
+  std::size_t AtDrain = Requests.answered() + 6;
+  REQUIRE(Requests.waitForMore(60));
+  REQUIRE(Leaving.Server->isRunning());
+  CHECK(Leaving.Server->wait(WaitLimit) == 0);
+  REQUIRE(Requests.waitForMore(60));
+  for (auto &Answer : Slow)
+    CHECK(Answer.get().Status == 200);
   auto Answers = Requests.stop();
   bool Used = false;
   for (std::size_t I = 0; I < Answers.size(); ++I) {
@@ -69,9 +112,7 @@
     CHECK(Answers[I].Status == 200);
     bool FromLeaving = Answers[I].header("x-upstream-id") == Leaving.Id;
     Used = Used || FromLeaving;
-    // Answers that arrived at the moment of the end are not told apart.
-    if (I > AtEnd + 6)
-      CHECK_FALSE(FromLeaving);
+    CHECK_FALSE((FromLeaving && I >= AtDrain));
   }
   CHECK(Used);
 }
