--- a/tools/e2e/test/Crash_test.cpp
+++ b/tools/e2e/test/Crash_test.cpp
@@ -17,8 +17,8 @@
 
 // Guards against one request that takes down the whole service because its
 // caller sends it again and again.
-TEST_CASE_METHOD(MeshTest, "Crashing request takes down two upstreams at most",
-                 "[.known-red]") {
+TEST_CASE_METHOD(MeshTest,
+                 "Crashing request takes down two upstreams at most") {
   start(VmCount, {"--time=fixed:20", "--crash-marker=poison"});
   std::atomic<unsigned> Lost = 0;
   // Each innocent request is sent until it gets through.
