Count received control bytes while a connection is open

amaranth_follower_received_bytes_total grew only when a connection ended, so a node that stayed connected showed nothing.

--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -139,9 +139,17 @@
   sendEndpoints(true);
   ConnectionChanged.notifyAll();
   std::string Reason = "closed";
+  std::uint64_t Counted = 0;
+  auto CountBytes = [this, Use, &Counted] {
+    std::uint64_t Now = Use->Link->bytesReceived();
+    ReceivedBytes->Increment(static_cast<double>(Now - Counted));
+    Counted = Now;
+  };
   try {
-    while (Use->Link->isOpen())
+    while (Use->Link->isOpen()) {
       handle(*Use, co_await Use->Link->receive());
+      CountBytes();
+    }
   } catch (const base::Error &Failure) {
     Reason = Failure.what();
   }
@@ -149,7 +157,7 @@
       ->info("connection ended control={} reason=\"{}\"",
              Chooser.process(Use->Choice).Where.text(), Reason);
   Use->Link->close(Reason);
-  ReceivedBytes->Increment(static_cast<double>(Use->Link->bytesReceived()));
+  CountBytes();
   if (!Replacement)
     Chooser.avoid(Use->Choice, Time.now());
   Active = nullptr;
