--- /dev/null
+++ b/tools/daemon/include/amaranth/daemon/DaemonMain.h
@@ -0,0 +1,50 @@
+#ifndef AMARANTH_DAEMON_DAEMONMAIN_H
+#define AMARANTH_DAEMON_DAEMONMAIN_H
+
+#include "amaranth/base/CommandLine.h"
+#include "amaranth/base/Log.h"
+#include "amaranth/daemon/Shutdown.h"
+
+#include <iostream>
+
+namespace amaranth::daemon {
+
+namespace detail {
+
+template <typename Daemon, typename Settings>
+int runDaemon(const char *Usage, Settings (*Read)(const std::string &),
+              int Count, char **Values) {
+  auto Args = base::parseCommandLine(Usage, Count, Values);
+  Settings Config = Read(Args.at("--config").asString());
+  if (Args.at("--check-config").asBool()) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  base::setUpLogging(Config.LogLevel);
+  base::SystemClock Time;
+  EventLoop Loop;
+  Daemon Process(std::move(Config), Loop, Time);
+  Process.start();
+  return Loop.run([&Process] { return Process.stop(); });
+}
+
+} // namespace detail
+
+/// The main function of a daemon: reads the command line and the settings,
+/// and runs the daemon until it is stopped. Returns the exit code; a failure
+/// of settings or start is printed with the program's name and gives 1.
+template <typename Daemon, typename Settings>
+int daemonMain(const char *Program, const char *Usage,
+               Settings (*Read)(const std::string &), int Count,
+               char **Values) {
+  try {
+    return detail::runDaemon<Daemon>(Usage, Read, Count, Values);
+  } catch (const std::exception &Failure) {
+    std::cerr << Program << ": " << Failure.what() << '\n';
+    return 1;
+  }
+}
+
+} // namespace amaranth::daemon
+
+#endif
--- a/tools/daemon/src/ControlMain.cpp
+++ b/tools/daemon/src/ControlMain.cpp
@@ -1,10 +1,6 @@
-#include "amaranth/base/CommandLine.h"
-#include "amaranth/base/Log.h"
 #include "amaranth/daemon/ControlDaemon.h"
+#include "amaranth/daemon/DaemonMain.h"
 #include "amaranth/daemon/DaemonSettings.h"
-#include "amaranth/daemon/Shutdown.h"
-
-#include <iostream>
 
 namespace {
 
@@ -25,29 +21,10 @@
 disk failed, 2 wrong command line, 3 stopped by a second signal.
 )";
 
-int runControl(int Count, char **Values) {
-  using namespace amaranth;
-  auto Args = base::parseCommandLine(Usage, Count, Values);
-  auto Settings = daemon::readControlSettings(Args.at("--config").asString());
-  if (Args.at("--check-config").asBool()) {
-    std::cout << "settings are valid\n";
-    return 0;
-  }
-  base::setUpLogging(Settings.LogLevel);
-  base::SystemClock Time;
-  daemon::EventLoop Loop;
-  daemon::ControlDaemon Control(std::move(Settings), Loop, Time);
-  Control.start();
-  return Loop.run([&Control] { return Control.stop(); });
-}
-
 } // namespace
 
 int main(int Count, char **Values) {
-  try {
-    return runControl(Count, Values);
-  } catch (const std::exception &Failure) {
-    std::cerr << "amaranth-control: " << Failure.what() << '\n';
-    return 1;
-  }
+  using namespace amaranth::daemon;
+  return daemonMain<ControlDaemon>("amaranth-control", Usage,
+                                   readControlSettings, Count, Values);
 }
--- a/tools/daemon/src/NodeMain.cpp
+++ b/tools/daemon/src/NodeMain.cpp
@@ -1,10 +1,6 @@
-#include "amaranth/base/CommandLine.h"
-#include "amaranth/base/Log.h"
+#include "amaranth/daemon/DaemonMain.h"
 #include "amaranth/daemon/DaemonSettings.h"
 #include "amaranth/daemon/NodeDaemon.h"
-#include "amaranth/daemon/Shutdown.h"
-
-#include <iostream>
 
 namespace {
 
@@ -24,29 +20,10 @@
 failed, 2 wrong command line, 3 stopped by a second signal.
 )";
 
-int runNode(int Count, char **Values) {
-  using namespace amaranth;
-  auto Args = base::parseCommandLine(Usage, Count, Values);
-  auto Settings = daemon::readNodeSettings(Args.at("--config").asString());
-  if (Args.at("--check-config").asBool()) {
-    std::cout << "settings are valid\n";
-    return 0;
-  }
-  base::setUpLogging(Settings.LogLevel);
-  base::SystemClock Time;
-  daemon::EventLoop Loop;
-  daemon::NodeDaemon Node(std::move(Settings), Loop, Time);
-  Node.start();
-  return Loop.run([&Node] { return Node.stop(); });
-}
-
 } // namespace
 
 int main(int Count, char **Values) {
-  try {
-    return runNode(Count, Values);
-  } catch (const std::exception &Failure) {
-    std::cerr << "amaranth-node: " << Failure.what() << '\n';
-    return 1;
-  }
+  using namespace amaranth::daemon;
+  return daemonMain<NodeDaemon>("amaranth-node", Usage, readNodeSettings, Count,
+                                Values);
 }
