--- a/tools/daemon/include/amaranth/daemon/DaemonMain.h
+++ b/tools/daemon/include/amaranth/daemon/DaemonMain.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTH_DAEMON_DAEMONMAIN_H
 #define AMARANTH_DAEMON_DAEMONMAIN_H
 
+#include "amaranth/base/Clock.h"
 #include "amaranth/base/CommandLine.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/daemon/Shutdown.h"
