--- a/control/test/ControlState_test.cpp
+++ b/control/test/ControlState_test.cpp
@@ -160,6 +160,17 @@
   CHECK(run(PutEndpoint{Bad}).Code == ResultCode::Invalid);
 }
 
+// Guards against a node that takes over the traffic of another one's upstream.
+TEST_CASE_METHOD(ControlStateTest, "endpoints of another node stay its own") {
+  document::Endpoint Mine = endpoint(1);
+  CHECK(run(PutEndpoint{Mine}).Code == ResultCode::Accepted);
+  document::Endpoint Theirs = endpoint(2);
+  Theirs.Node = base::NodeId("n2");
+  CHECK(run(PutEndpoint{Theirs}).Code == ResultCode::Forbidden);
+  run(ExpireEndpoints{{{Mine.Id, 5, 1}}});
+  CHECK(run(PutEndpoint{Theirs}).Code == ResultCode::Accepted);
+}
+
 TEST_CASE_METHOD(ControlStateTest, "rollout final decision never changes") {
   REQUIRE(apply({put("rollout plati", rolloutBody("v1", "v2"))}).Code ==
           ResultCode::Accepted);
