--- a/control/src/EndpointTable.cpp
+++ b/control/src/EndpointTable.cpp
@@ -57,9 +57,9 @@
                   "a later state of the endpoint is known");
   if (It != Records.end() && It->second.Entry.Node != Entry.Node &&
       !isUnreachable(It->second))
-    return answer(ResultCode::Forbidden,
-                  "the endpoint belongs to node '" +
-                      It->second.Entry.Node.value() + "'");
+    return answer(ResultCode::Forbidden, "the endpoint belongs to node '" +
+                                             It->second.Entry.Node.value() +
+                                             "'");
   if (It == Records.end()) {
     if (Records.size() >= MaxEndpoints && !makeRoom())
       return answer(ResultCode::Busy, "the table of endpoints is full");
