--- a/control/src/ClaimTable.cpp
+++ b/control/src/ClaimTable.cpp
@@ -1,5 +1,6 @@
 #include "ClaimTable.h"
 
+#include "Answer.h"
 #include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
 
@@ -12,14 +13,6 @@
 constexpr std::size_t MaxReleased = 200'000;
 constexpr std::size_t KeyBytes = 16;
 
-CommandResult answer(ResultCode Code, std::string Message = {}) {
-  CommandResult Result;
-  Result.Code = Code;
-  if (!Message.empty())
-    Result.Messages.push_back(std::move(Message));
-  return Result;
-}
-
 bool isId(const std::string &Text) {
   return !Text.empty() && Text.size() <= MaxIdBytes;
 }
--- a/control/src/EndpointTable.cpp
+++ b/control/src/EndpointTable.cpp
@@ -1,5 +1,6 @@
 #include "EndpointTable.h"
 
+#include "Answer.h"
 #include "amaranth/base/Invariant.h"
 #include "amaranth/document/Document.h"
 
@@ -31,14 +32,6 @@
          Entry.Slots <= MaxSlots;
 }
 
-CommandResult answer(ResultCode Code, std::string Message = {}) {
-  CommandResult Result;
-  Result.Code = Code;
-  if (!Message.empty())
-    Result.Messages.push_back(std::move(Message));
-  return Result;
-}
-
 bool isUnreachable(const EndpointTable::Record &Value) {
   return Value.Entry.State == document::EndpointState::Unreachable;
 }
--- a/control/src/QuarantineTable.cpp
+++ b/control/src/QuarantineTable.cpp
@@ -1,5 +1,6 @@
 #include "QuarantineTable.h"
 
+#include "Answer.h"
 #include "amaranth/base/Invariant.h"
 
 namespace amaranth::control::detail {
@@ -8,14 +9,6 @@
 
 constexpr std::size_t MaxIdBytes = 512;
 
-CommandResult answer(ResultCode Code, std::string Message = {}) {
-  CommandResult Result;
-  Result.Code = Code;
-  if (!Message.empty())
-    Result.Messages.push_back(std::move(Message));
-  return Result;
-}
-
 bool isId(const std::string &Text) {
   return !Text.empty() && Text.size() <= MaxIdBytes;
 }
--- a/control/src/RolloutTable.cpp
+++ b/control/src/RolloutTable.cpp
@@ -1,5 +1,6 @@
 #include "RolloutTable.h"
 
+#include "Answer.h"
 #include "AuditLog.h"
 #include "amaranth/base/Invariant.h"
 
@@ -9,13 +10,6 @@
 
 constexpr std::size_t MaxReason = 512;
 
-CommandResult refuse(ResultCode Code, std::string Message) {
-  CommandResult Result;
-  Result.Code = Code;
-  Result.Messages.push_back(std::move(Message));
-  return Result;
-}
-
 /// Share of the new version in a phase; only steps choose one.
 std::uint32_t shareIn(RolloutPhase Phase, std::uint32_t Step) {
   switch (Phase) {
@@ -53,16 +47,16 @@
                                    base::WallTime Now) {
   auto It = Records.find(Decision.Service);
   if (It == Records.end() || It->second.Section != Decision.Section)
-    return refuse(ResultCode::Conflict,
+    return answer(ResultCode::Conflict,
                   "the rollout section has another revision");
   RolloutStatus &Status = It->second;
   if (Status.Epoch != Decision.ExpectedEpoch)
-    return refuse(ResultCode::Conflict,
+    return answer(ResultCode::Conflict,
                   fmt::format("the rollout is at epoch {}, the decision "
                               "expects {}",
                               Status.Epoch, Decision.ExpectedEpoch));
   if (isFinal(Status.Phase))
-    return refuse(
+    return answer(
         ResultCode::Conflict,
         fmt::format("the rollout has ended as {}", phaseName(Status.Phase)));
   bool BadShare = Decision.Phase == RolloutPhase::Stepping &&
@@ -71,7 +65,7 @@
   bool Recheck = Status.Phase == RolloutPhase::Watching &&
                  Decision.Phase == RolloutPhase::Stepping;
   if ((Decision.Phase < Status.Phase && !Recheck) || BadShare)
-    return refuse(ResultCode::Invalid,
+    return answer(ResultCode::Invalid,
                   fmt::format("no decision {} with share {} while {}",
                               phaseName(Decision.Phase), Decision.Share,
                               phaseName(Status.Phase)));
