--- a/base/include/amaranth/base/Settings.h
+++ b/base/include/amaranth/base/Settings.h
@@ -37,6 +37,9 @@
 /// Parses `127.0.0.1:8080` or `[::1]:8080`.
 std::optional<Address> parseAddress(std::string_view Text);
 
+/// Largest value of `SectionReader::seconds`: one day.
+inline constexpr double MaxSeconds = 86'400;
+
 /// Typed access to one section that collects faults instead of stopping at
 /// the first. After all keys were read, `finish` reports the keys that
 /// nobody asked for as unknown.
@@ -51,6 +54,9 @@
   /// Absent key: the default, or a fault when there is none.
   Millis duration(std::string_view Key,
                   std::optional<Millis> Default = std::nullopt);
+  /// A number of seconds without a unit, with an optional fraction, from 0 to
+  /// `MaxSeconds`. An absent or empty value gives the default.
+  Millis seconds(std::string_view Key, Millis Default);
   std::uint64_t byteSize(std::string_view Key,
                          std::optional<std::uint64_t> Default = std::nullopt);
   std::int64_t integer(std::string_view Key, std::int64_t Min, std::int64_t Max,
--- a/base/include/amaranth/base/StrongId.h
+++ b/base/include/amaranth/base/StrongId.h
@@ -54,6 +54,8 @@
 using Term = StrongId<struct TermTag, std::uint64_t>;
 /// Log index of the last accepted change of the document.
 using DocumentVersion = StrongId<struct DocumentVersionTag, std::uint64_t>;
+/// Version label that an operator gave to a whole document; 0 for none.
+using DocumentLabel = StrongId<struct DocumentLabelTag, std::uint64_t>;
 /// Log index that a node's snapshot reflects, endpoints included.
 using StateIndex = StrongId<struct StateIndexTag, std::uint64_t>;
 /// Log index of the last change of one section; 0 for an absent section.
--- a/base/src/Log.cpp
+++ b/base/src/Log.cpp
@@ -1,9 +1,12 @@
 #include "amaranth/base/Log.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <chrono>
 #include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace amaranth::base {
 
@@ -11,11 +14,86 @@
 
 constexpr const char *LinePattern = "%Y-%m-%dT%H:%M:%S.%eZ %l component=%n %v";
 
-const spdlog::sink_ptr &standardErrorSink() {
-  static const auto Sink = [] {
-    spdlog::sink_ptr New = std::make_shared<spdlog::sinks::stderr_sink_mt>();
-    return New;
-  }();
+/// Collects lines for a writer that must not block.
+class BufferSink final : public spdlog::sinks::base_sink<std::mutex> {
+public:
+  /// From now on lines wait for `drain`.
+  void buffer() { Buffered = true; }
+
+  /// Writes as much as standard output takes at once.
+  void drain() {
+    std::lock_guard<std::mutex> Lock(mutex_);
+    while (!Pending.empty() && canWrite()) {
+      // A pipe that is ready takes at least this much.
+      std::size_t Size = std::min<std::size_t>(Pending.size(), 4096);
+      ssize_t Written = ::write(STDOUT_FILENO, Pending.data(), Size);
+      if (Written <= 0)
+        return;
+      Pending.erase(0, static_cast<std::size_t>(Written));
+    }
+  }
+
+  std::uint64_t dropped() {
+    std::lock_guard<std::mutex> Lock(mutex_);
+    return Dropped;
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg &Message) override {
+    if (isOverRate(Message)) {
+      ++Dropped;
+      return;
+    }
+    spdlog::memory_buf_t Line;
+    formatter_->format(Message, Line);
+    if (Pending.size() + Line.size() > MaxLogBuffer) {
+      ++Dropped;
+      return;
+    }
+    Pending.append(Line.data(), Line.size());
+    if (!Buffered)
+      writeAll();
+  }
+  void flush_() override {}
+
+private:
+  static bool canWrite() {
+    pollfd Wanted{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&Wanted, 1, 0) == 1;
+  }
+
+  void writeAll() {
+    while (!Pending.empty()) {
+      ssize_t Written =
+          ::write(STDOUT_FILENO, Pending.data(), Pending.size());
+      if (Written <= 0)
+        return;
+      Pending.erase(0, static_cast<std::size_t>(Written));
+    }
+  }
+
+  bool isOverRate(const spdlog::details::log_msg &Message) {
+    if (Message.logger_name != spdlog::string_view_t(RequestLog))
+      return false;
+    auto Second = std::chrono::time_point_cast<std::chrono::seconds>(
+        Message.time);
+    if (Second != RateSecond) {
+      RateSecond = Second;
+      RateCount = 0;
+    }
+    return ++RateCount > MaxRequestLines;
+  }
+
+  std::string Pending;
+  bool Buffered = false;
+  std::uint64_t Dropped = 0;
+  std::chrono::time_point<std::chrono::system_clock, std::chrono::seconds>
+      RateSecond;
+  std::uint64_t RateCount = 0;
+};
+
+const std::shared_ptr<BufferSink> &outputSink() {
+  static const auto Sink = std::make_shared<BufferSink>();
   return Sink;
 }
 
@@ -23,7 +101,7 @@
 
 void setUpLogging(const std::string &Level) {
   spdlog::set_default_logger(
-      std::make_shared<spdlog::logger>("main", standardErrorSink()));
+      std::make_shared<spdlog::logger>("main", outputSink()));
   spdlog::set_pattern(LinePattern, spdlog::pattern_time_type::utc);
   spdlog::set_level(spdlog::level::from_str(Level));
 }
@@ -33,10 +111,28 @@
   std::lock_guard<std::mutex> Lock(Mutex);
   if (auto Existing = spdlog::get(Component))
     return Existing;
-  auto New = std::make_shared<spdlog::logger>(Component, standardErrorSink());
+  auto New = std::make_shared<spdlog::logger>(Component, outputSink());
   spdlog::initialize_logger(New);
   New->set_pattern(LinePattern, spdlog::pattern_time_type::utc);
   return New;
 }
 
+boost::asio::awaitable<void> flushLogs(Clock &Time) {
+  outputSink()->buffer();
+  std::uint64_t Reported = 0;
+  for (;;) {
+    co_await Time.sleepFor(LogFlushInterval);
+    outputSink()->drain();
+    std::uint64_t Dropped = outputSink()->dropped();
+    if (Dropped == Reported)
+      continue;
+    logger("log")->warn("log lines left out count={}", Dropped - Reported);
+    Reported = Dropped;
+  }
+}
+
+void flushLogsNow() { outputSink()->drain(); }
+
+std::uint64_t droppedLogLines() { return outputSink()->dropped(); }
+
 } // namespace amaranth::base
--- a/base/src/Settings.cpp
+++ b/base/src/Settings.cpp
@@ -145,6 +145,18 @@
   return Default.value_or(Millis());
 }
 
+Millis SectionReader::seconds(std::string_view Key, Millis Default) {
+  const IniEntry *Entry = take(Key);
+  if (!Entry || Entry->Value.empty())
+    return Default;
+  auto Value = parseNumber<double>(Entry->Value);
+  if (Value && *Value >= 0 && *Value <= MaxSeconds)
+    return Millis(std::llround(*Value * 1000));
+  fault(Key, fmt::format("'{}' is no number of seconds from 0 to {}",
+                         Entry->Value, MaxSeconds));
+  return Default;
+}
+
 std::uint64_t SectionReader::byteSize(std::string_view Key,
                                       std::optional<std::uint64_t> Default) {
   const IniEntry *Entry = take(Key, !Default);
--- a/cmake/Amaranth.cmake
+++ b/cmake/Amaranth.cmake
@@ -25,6 +25,9 @@
 # amaranth_test(<package> SOURCES <files> DEPENDS <targets>)
 # One Catch2 program per package, run by CTest.
 function(amaranth_test Package)
+  if(NOT AMARANTH_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${Package}_test ${Arg_SOURCES})
   target_link_libraries(${Package}_test
--- a/control/include/amaranth/control/Commands.h
+++ b/control/include/amaranth/control/Commands.h
@@ -5,6 +5,7 @@
 #include "amaranth/base/Millis.h"
 #include "amaranth/base/StrongId.h"
 #include "amaranth/document/MeshSnapshot.h"
+#include "amaranth/document/WholeDocument.h"
 
 #include <cstdint>
 #include <optional>
@@ -136,9 +137,57 @@
 /// How long a convicted request is refused.
 inline constexpr base::Millis ConvictionTime = base::Millis::seconds(600);
 
-using Command = std::variant<ApplySections, PutEndpoint, ExpireEndpoints, Claim,
-                             FinishClaim, ReleaseClaim, RolloutDecision,
-                             ReportCrash, BeginSuspectRun, EndSuspectRun>;
+/// Replaces the whole document by one that builds on `Change.Base`. Refused
+/// while the document consists of sections.
+struct ReplaceDocument {
+  base::OperatorName Operator;
+  document::WholeChange Change;
+};
+
+/// Moves the traffic of a service to the upstreams of a version within
+/// `Duration`, or back. Sending the same order again is harmless.
+struct StartRollout {
+  base::OperatorName Operator;
+  base::ServiceName Service;
+  base::VersionName To;
+  base::Millis Duration;
+};
+
+/// A `StartRollout` of the same version within this time of the first one is
+/// taken for a resend.
+inline constexpr base::Millis RolloutResendTime = base::Millis::seconds(30);
+
+enum class TimedPhase : std::uint8_t {
+  /// The new version gets a share of the traffic.
+  Active = 1,
+  /// All traffic goes to the new version; nodes may still have requests at
+  /// the old one.
+  Finishing = 2,
+  Complete = 3,
+  RolledBack = 4,
+};
+
+/// A decision about a rollout that `StartRollout` began.
+struct TimedDecision {
+  base::ServiceName Service;
+  /// Log index of the `StartRollout`.
+  base::LogIndex Order;
+  /// Epoch before the decision; a decision made on an older one is refused.
+  std::uint64_t ExpectedEpoch = 0;
+  TimedPhase Phase = TimedPhase::Active;
+  /// Share of the new version in millionths.
+  std::uint32_t Share = 0;
+  /// Time since the start, for a leader that does not know it.
+  base::Millis Elapsed;
+  std::string Reason;
+};
+
+/// The order is that of the union in the schema.
+using Command =
+    std::variant<ApplySections, PutEndpoint, ExpireEndpoints, Claim,
+                 FinishClaim, ReleaseClaim, RolloutDecision, ReportCrash,
+                 BeginSuspectRun, EndSuspectRun, ReplaceDocument, StartRollout,
+                 TimedDecision>;
 
 /// Outcome of a command in the order of severity.
 enum class ResultCode : std::uint8_t {
--- a/control/include/amaranth/control/ControlState.h
+++ b/control/include/amaranth/control/ControlState.h
@@ -57,6 +57,25 @@
   std::string Body;
 };
 
+/// A rollout that an operator ordered with a duration.
+struct TimedRollout {
+  base::ServiceName Service;
+  /// Log index of the order.
+  base::LogIndex Order;
+  base::VersionName From;
+  base::VersionName To;
+  base::Millis Duration;
+  /// Entry time of the order.
+  base::WallTime Started;
+  TimedPhase Phase = TimedPhase::Active;
+  /// Share of the new version in millionths.
+  std::uint32_t Share = 0;
+  std::uint64_t Epoch = 1;
+  /// Time since the start at the last decision.
+  base::Millis Elapsed;
+  std::string Reason;
+};
+
 /// The replicated state machine of the control processes. Queries may be
 /// made at any time on the thread that applies entries.
 class ControlState final : public replication::StateMachine {
@@ -79,6 +98,14 @@
   std::vector<AuditEntry> audit(std::size_t Limit) const;
   std::size_t claimCount() const;
 
+  /// The document that operators replace as a whole; label 0 and empty before
+  /// the first one.
+  std::shared_ptr<const document::WholeDocument> wholeDocument() const;
+  /// Digest of the document that was accepted under a label, if any.
+  std::optional<std::uint64_t> acceptedDigest(base::DocumentLabel Label) const;
+  /// The last timed rollout of each service.
+  std::vector<TimedRollout> timedRollouts() const;
+
   /// The value for nodes. Built once for each state and then shared; changes
   /// of claims alone do not build a new one.
   std::shared_ptr<const document::MeshSnapshot> mesh() const;
--- a/control/include/amaranth/control/FollowMessages.h
+++ b/control/include/amaranth/control/FollowMessages.h
@@ -44,12 +44,17 @@
   base::Millis Delay;
 };
 
-/// Sent each second.
+/// Sent twice a second.
 struct Currency {
   base::LogIndex Applied;
   /// Since the control process last heard from a leader or a majority.
   base::Millis SinceCurrent;
+  /// Addresses of all control processes; empty when they have not changed
+  /// since the last message of the connection.
+  std::vector<std::string> Controls;
 };
+/// Largest accepted number of control processes in one message.
+inline constexpr std::size_t MaxControls = 64;
 
 /// Answer to an endpoint update.
 struct EndpointResult {
--- a/control/include/amaranth/control/OperatorApi.h
+++ b/control/include/amaranth/control/OperatorApi.h
@@ -2,6 +2,7 @@
 #define AMARANTH_CONTROL_OPERATORAPI_H
 
 #include "amaranth/base/Clock.h"
+#include "amaranth/control/ApiHandler.h"
 #include "amaranth/control/ControlState.h"
 #include "amaranth/control/MembershipControl.h"
 #include "amaranth/control/OperatorKeys.h"
@@ -17,22 +18,6 @@
 
 namespace amaranth::control {
 
-/// An HTTP request without its transport.
-struct ApiRequest {
-  std::string Method;
-  /// Path and query.
-  std::string Target;
-  /// Value of the `Authorization` header; never logged.
-  std::string Authorization;
-  std::string Body;
-};
-
-struct ApiResponse {
-  unsigned Status = 200;
-  std::string ContentType = "application/json";
-  std::string Body;
-};
-
 /// How long the API waits for the log.
 struct ApiTimeouts {
   base::Millis Propose = base::Millis::seconds(5);
@@ -53,7 +38,7 @@
 ///
 /// Reads are served once the process has proved that it is current; with
 /// `?stale=true` they are served from its own copy and say `"stale": true`.
-class OperatorApi {
+class OperatorApi final : public ApiHandler {
 public:
   /// The references must outlive the object.
   OperatorApi(replication::ReplicatedLog &Log, const ControlState &State,
@@ -61,8 +46,7 @@
               OperatorKeys Keys, prometheus::Registry &Metrics,
               ApiTimeouts Timeouts);
 
-  /// Never throws on bad input; such requests get a 4xx response.
-  boost::asio::awaitable<ApiResponse> handle(ApiRequest Request);
+  boost::asio::awaitable<ApiResponse> handle(ApiRequest Request) override;
 
 private:
   boost::asio::awaitable<ApiResponse> route(const ApiRequest &Request);
--- a/control/include/amaranth/control/OperatorKeys.h
+++ b/control/include/amaranth/control/OperatorKeys.h
@@ -25,6 +25,9 @@
 /// The operators' keys. Only keyed digests of the keys are kept in memory.
 class OperatorKeys {
 public:
+  /// No operator is known.
+  OperatorKeys();
+
   /// Reads `[operator NAME]` sections with `key` and `teams`. Throws
   /// `base::FileError` with all faults; their texts contain no key. The file
   /// must not be accessible to group or others.
@@ -37,8 +40,6 @@
   std::size_t size() const { return Entries.size(); }
 
 private:
-  OperatorKeys();
-
   void parse(std::string_view Text, const std::string &Path,
              std::vector<base::FileFault> &Faults);
   base::Bytes digestOf(std::string_view Key) const;
--- a/control/include/amaranth/control/OperatorServer.h
+++ b/control/include/amaranth/control/OperatorServer.h
@@ -12,6 +12,10 @@
 
 namespace amaranth::control {
 
+/// Largest request body and header of the operators' interface, in bytes.
+inline constexpr std::size_t MaxOperatorBody = 1U << 20U;
+inline constexpr std::size_t MaxOperatorHeader = 16U << 10U;
+
 struct OperatorServerSettings {
   /// Port 0 takes a free port.
   base::Address Listen;
@@ -21,14 +25,13 @@
   base::Millis TransferTimeout = base::Millis::seconds(10);
   /// Time that a connection may wait for its next request.
   base::Millis IdleTimeout = base::Millis::seconds(30);
+  /// Largest request body in bytes.
+  std::size_t MaxBody = MaxOperatorBody;
   ApiTimeouts Api;
 };
 
-/// Largest request body and header of the operators' interface, in bytes.
-inline constexpr std::size_t MaxOperatorBody = 1U << 20U;
-inline constexpr std::size_t MaxOperatorHeader = 16U << 10U;
-
-/// Serves `OperatorApi` over HTTP/1.1. Single-threaded.
+/// Serves `OperatorApi`, or another `ApiHandler`, over HTTP/1.1.
+/// Single-threaded.
 class OperatorServer {
 public:
   /// Opens the listening socket; throws `boost::system::system_error`. The
@@ -39,6 +42,11 @@
                  MembershipControl &Members, OperatorKeys Keys,
                  prometheus::Registry &Metrics,
                  OperatorServerSettings Settings);
+  /// The same for any interface; `Api` must outlive the object.
+  OperatorServer(const boost::asio::any_io_executor &Executor,
+                 base::Clock &Time, ApiHandler &Api,
+                 prometheus::Registry &Metrics,
+                 OperatorServerSettings Settings);
   ~OperatorServer();
   OperatorServer(const OperatorServer &) = delete;
   OperatorServer &operator=(const OperatorServer &) = delete;
--- a/control/src/Commands.cpp
+++ b/control/src/Commands.cpp
@@ -1,6 +1,7 @@
 #include "amaranth/control/Commands.h"
 
 #include "WireParts.h"
+#include "amaranth/document/SnapshotCodec.h"
 #include "amaranth/protocol/Frame.h"
 
 namespace amaranth::control {
@@ -106,6 +107,38 @@
       .Union();
 }
 
+Offset<void> write(Builder &Out, const ReplaceDocument &Value) {
+  const document::WholeChange &Change = Value.Change;
+  auto Operator = writeText(Out, Value.Operator);
+  auto Changes = Out.CreateVector(document::encodeDelta(Change.Changes));
+  auto Routes = Out.CreateVectorOfStrings(Change.RouteSources);
+  auto Services = Out.CreateVectorOfStrings(Change.ServiceSources);
+  auto Source = Out.CreateString(Change.Source);
+  return wire::CreateReplaceDocument(Out, Operator, Change.Label.value(),
+                                     Change.Base.value(), Change.Digest,
+                                     Changes, Routes, Services, Source)
+      .Union();
+}
+
+Offset<void> write(Builder &Out, const StartRollout &Value) {
+  auto Operator = writeText(Out, Value.Operator);
+  auto Service = writeText(Out, Value.Service);
+  auto To = writeText(Out, Value.To);
+  return wire::CreateStartRollout(Out, Operator, Service, To,
+                                  Value.Duration.count())
+      .Union();
+}
+
+Offset<void> write(Builder &Out, const TimedDecision &Value) {
+  auto Service = writeText(Out, Value.Service);
+  auto Reason = Out.CreateString(Value.Reason);
+  return wire::CreateTimedDecision(
+             Out, Service, Value.Order.value(), Value.ExpectedEpoch,
+             static_cast<std::uint8_t>(Value.Phase), Value.Share,
+             Value.Elapsed.count(), Reason)
+      .Union();
+}
+
 template <typename Id> Id idOf(const flatbuffers::String *Text) {
   return Id(Text->str());
 }
@@ -189,6 +222,39 @@
           Value.attempt()->str(), Value.crashed()};
 }
 
+ReplaceDocument read(const wire::ReplaceDocument &Value) {
+  ReplaceDocument Result;
+  Result.Operator = idOf<base::OperatorName>(Value.operator_name());
+  document::WholeChange &Change = Result.Change;
+  Change.Label = base::DocumentLabel(Value.label());
+  Change.Base = base::DocumentLabel(Value.base());
+  Change.Digest = Value.digest();
+  Change.Changes = document::decodeDelta(
+      base::ByteView(Value.changes()->data(), Value.changes()->size()));
+  Change.RouteSources = detail::readTexts(*Value.route_sources());
+  Change.ServiceSources = detail::readTexts(*Value.service_sources());
+  Change.Source = Value.source()->str();
+  return Result;
+}
+
+StartRollout read(const wire::StartRollout &Value) {
+  return {idOf<base::OperatorName>(Value.operator_name()),
+          idOf<base::ServiceName>(Value.service()),
+          idOf<base::VersionName>(Value.to()),
+          base::Millis(Value.duration_ms())};
+}
+
+TimedDecision read(const wire::TimedDecision &Value) {
+  return {idOf<base::ServiceName>(Value.service()),
+          base::LogIndex(Value.order()),
+          Value.expected_epoch(),
+          detail::readEnum(Value.phase(), TimedPhase::RolledBack,
+                           "phase of a timed rollout"),
+          Value.share(),
+          base::Millis(Value.elapsed_ms()),
+          Value.reason()->str()};
+}
+
 /// The kinds of `Command` and of the union in the schema are in one order.
 wire::CommandBody kindOf(const Command &Value) {
   return static_cast<wire::CommandBody>(Value.index() + 1);
@@ -227,6 +293,12 @@
     return read(*Root.body_as_BeginSuspectRun());
   case wire::CommandBody::EndSuspectRun:
     return read(*Root.body_as_EndSuspectRun());
+  case wire::CommandBody::ReplaceDocument:
+    return read(*Root.body_as_ReplaceDocument());
+  case wire::CommandBody::StartRollout:
+    return read(*Root.body_as_StartRollout());
+  case wire::CommandBody::TimedDecision:
+    return read(*Root.body_as_TimedDecision());
   case wire::CommandBody::NONE:
     break;
   }
--- a/control/src/ControlState.cpp
+++ b/control/src/ControlState.cpp
@@ -1,11 +1,14 @@
 #include "amaranth/control/ControlState.h"
 
+#include "Answer.h"
 #include "AuditLog.h"
 #include "ClaimTable.h"
+#include "DocumentStore.h"
 #include "EndpointTable.h"
 #include "QuarantineTable.h"
 #include "RolloutTable.h"
 #include "SectionBook.h"
+#include "ServiceVersions.h"
 #include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
 #include "amaranth/protocol/Frame.h"
@@ -33,6 +36,8 @@
   detail::EndpointTable Endpoints;
   detail::RolloutTable Rollouts;
   detail::QuarantineTable Quarantine;
+  detail::DocumentStore Whole;
+  detail::ServiceVersions Versions;
   /// Value for nodes; null after a change.
   mutable std::shared_ptr<const document::MeshSnapshot> Mesh;
 
@@ -49,7 +54,71 @@
     }
   }
 
+  base::DocumentVersion documentVersion() const {
+    return std::max(Book.version(), Whole.version());
+  }
+
+  CommandResult handle(const ReplaceDocument &Request,
+                       detail::EntryPlace Place) {
+    CommandResult Result =
+        Book.sections().empty()
+            ? Whole.replace(Request.Change, Place.Index)
+            : detail::answer(ResultCode::Forbidden,
+                             "the document consists of sections");
+    bool Accepted = Result.Code == ResultCode::Accepted;
+    AuditEntry Entry = systemEntry(Place);
+    Entry.Actor = Request.Operator.value();
+    Entry.Section = "document";
+    Entry.OldRevision = base::Revision(Request.Change.Base.value());
+    Entry.NewRevision = base::Revision(Request.Change.Label.value());
+    Entry.Digest = Request.Change.Digest;
+    Entry.Result = Accepted ? "accepted" : "refused";
+    if (!Result.Messages.empty())
+      Entry.Reason = Result.Messages.front();
+    Audit.add(std::move(Entry));
+    Result.Document = documentVersion();
+    changedIf(Accepted, Place);
+    return Result;
+  }
+
+  CommandResult handle(const StartRollout &Request, detail::EntryPlace Place) {
+    if (!Whole.current()->Content.Services.contains(Request.Service))
+      return detail::answer(ResultCode::Invalid,
+                            "the document has no service " +
+                                Request.Service.value());
+    bool Changed = false;
+    CommandResult Result =
+        Versions.start(Request, Place.Index, Place.Time, Changed);
+    auditRollout(Place, Request.Operator.value(), Request.Service, Result,
+                 "started", "to version " + Request.To.value());
+    changedIf(Changed, Place);
+    return Result;
+  }
+
+  CommandResult handle(const TimedDecision &Request, detail::EntryPlace Place) {
+    CommandResult Result = Versions.decide(Request);
+    auditRollout(Place, "system", Request.Service, Result,
+                 detail::phaseName(Request.Phase), Request.Reason);
+    changedIf(Result.Code == ResultCode::Accepted, Place);
+    return Result;
+  }
+
+  void auditRollout(detail::EntryPlace Place, const std::string &Actor,
+                    const base::ServiceName &Service,
+                    const CommandResult &Result, const char *Accepted,
+                    const std::string &Reason) {
+    AuditEntry Entry = systemEntry(Place);
+    Entry.Actor = Actor;
+    Entry.Section = "rollout " + Service.value();
+    Entry.Result = Result.Code == ResultCode::Accepted ? Accepted : "refused";
+    Entry.Reason = Result.Messages.empty() ? Reason : Result.Messages.front();
+    Audit.add(std::move(Entry));
+  }
+
   CommandResult handle(const ApplySections &Request, detail::EntryPlace Place) {
+    if (Whole.version().value() != 0)
+      return detail::answer(ResultCode::Forbidden,
+                            "the document is replaced as a whole here");
     std::uint64_t Content = detail::contentOf(Request);
     if (const auto *First = Operations.find(Request)) {
       if (First->Content == Content)
@@ -72,6 +141,9 @@
   CommandResult handle(const PutEndpoint &Request, detail::EntryPlace Place) {
     bool Changed = false;
     CommandResult Result = Endpoints.put(Request, Changed);
+    if (Result.Code == ResultCode::Accepted)
+      Changed |=
+          Versions.announced(Request.Entry.Service, Request.Entry.Version);
     changedIf(Changed, Place);
     return Result;
   }
@@ -185,8 +257,10 @@
 
   std::shared_ptr<const document::MeshSnapshot> assemble() const {
     auto Result = std::make_shared<document::MeshSnapshot>();
-    Result->Document = Book.version();
+    Result->Document = documentVersion();
     Result->State = State;
+    if (Whole.version().value() != 0)
+      Whole.fillMesh(*Result, Versions);
     Book.document().fillMesh(*Result, Rollouts.traffic(), Rollouts.barred());
     // Endpoints may outlive their service in the document.
     for (const auto &[Id, Record] : Endpoints.records())
@@ -209,11 +283,15 @@
     auto Barred = Rollouts.writeBarred(Out);
     auto QuarantineList = Quarantine.write(Out);
     auto Leases = Quarantine.writeLeases(Out);
+    auto WholeRecord = Whole.write(Out);
+    auto Labels = Whole.writeLabels(Out);
+    auto VersionList = Versions.write(Out);
+    auto TimedList = Versions.writeRollouts(Out);
     Out.Finish(wire::CreateControlSnapshot(
         Out, SnapshotFormat, LastIndex.value(), LastTime.count(),
-        Book.version().value(), State.value(), Sections, OperationList,
+        documentVersion().value(), State.value(), Sections, OperationList,
         AuditList, ClaimList, Released, EndpointList, RolloutList, Barred,
-        QuarantineList, Leases));
+        QuarantineList, Leases, WholeRecord, Labels, VersionList, TimedList));
     return protocol::takeBuffer(Out);
   }
 
@@ -231,6 +309,8 @@
     Endpoints.read(From);
     Rollouts.read(From);
     Quarantine.read(From);
+    Whole.read(From);
+    Versions.read(From);
     checkRollouts();
   }
 
@@ -279,16 +359,33 @@
   Next->decode(*flatbuffers::GetRoot<wire::ControlSnapshot>(Snapshot.data()));
   // Refused rather than asserted: the snapshot may be damaged.
   if (Next->LastIndex < Self->LastIndex || Next->LastTime < Self->LastTime ||
-      Next->Book.version() < Self->Book.version())
+      Next->documentVersion() < Self->documentVersion())
     throw base::ProtocolError("a snapshot is older than the state it replaces");
-  base::DocumentVersion Before = Self->Book.version();
+  base::DocumentVersion Before = Self->documentVersion();
   Self = std::move(Next);
-  AMARANTH_INVARIANT(Self->Book.version() >= Before,
+  AMARANTH_INVARIANT(Self->documentVersion() >= Before,
                      "the document version fell");
 }
 
 base::DocumentVersion ControlState::documentVersion() const {
-  return Self->Book.version();
+  return Self->documentVersion();
+}
+
+std::shared_ptr<const document::WholeDocument>
+ControlState::wholeDocument() const {
+  return Self->Whole.current();
+}
+
+std::optional<std::uint64_t>
+ControlState::acceptedDigest(base::DocumentLabel Label) const {
+  return Self->Whole.acceptedDigest(Label);
+}
+
+std::vector<TimedRollout> ControlState::timedRollouts() const {
+  std::vector<TimedRollout> Result;
+  for (const auto &[Service, Entry] : Self->Versions.rollouts())
+    Result.push_back(Entry);
+  return Result;
 }
 
 base::StateIndex ControlState::stateIndex() const { return Self->State; }
--- /dev/null
+++ b/control/src/DocumentService.cpp
@@ -0,0 +1,164 @@
+#include "amaranth/control/DocumentService.h"
+
+#include "amaranth/base/Log.h"
+
+#include <fmt/format.h>
+
+namespace asio = boost::asio;
+
+namespace amaranth::control {
+
+namespace {
+
+std::string joined(const std::vector<std::string> &Texts) {
+  std::string Result;
+  for (const std::string &Text : Texts) {
+    if (!Result.empty())
+      Result += "; ";
+    Result += Text;
+  }
+  return Result;
+}
+
+const char *outcomeName(ChangeOutcome Outcome) {
+  switch (Outcome) {
+  case ChangeOutcome::Accepted:
+    return "accepted";
+  case ChangeOutcome::Conflict:
+    return "conflict";
+  case ChangeOutcome::Invalid:
+    return "invalid";
+  case ChangeOutcome::Unavailable:
+    return "unavailable";
+  case ChangeOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+ChangeResult resultOf(const CommandResult &Answer) {
+  std::string Reason = joined(Answer.Messages);
+  switch (Answer.Code) {
+  case ResultCode::Accepted:
+    return {ChangeOutcome::Accepted, Reason};
+  case ResultCode::Conflict:
+    return {ChangeOutcome::Conflict, Reason};
+  case ResultCode::Busy:
+    return {ChangeOutcome::Unavailable, Reason};
+  default:
+    return {ChangeOutcome::Invalid, Reason};
+  }
+}
+
+} // namespace
+
+asio::awaitable<bool> DocumentService::isCurrent(const char *Purpose) {
+  std::string Reason;
+  try {
+    co_await Log.readIndex(Timeouts.Read);
+    co_return true;
+  } catch (const base::Error &Failure) {
+    Reason = Failure.what();
+  }
+  base::logger("operator")
+      ->warn("not current purpose={} applied={} "
+             "since_current_ms={} reason=\"{}\"",
+             Purpose, Log.appliedIndex().value(), Log.sinceCurrent().count(),
+             Reason);
+  co_return false;
+}
+
+asio::awaitable<ChangeResult> DocumentService::propose(Command Request) {
+  ChangeResult Result;
+  try {
+    base::Bytes Encoded = encodeCommand(Request);
+    base::Bytes Answer =
+        co_await Log.propose(std::move(Encoded), Timeouts.Propose);
+    Result = resultOf(decodeResult(Answer));
+  } catch (const replication::NotLeader &Failure) {
+    Result = {ChangeOutcome::Unavailable, Failure.what()};
+  } catch (const base::Error &Failure) {
+    Result = {ChangeOutcome::Unknown, Failure.what()};
+  }
+  co_return Result;
+}
+
+asio::awaitable<ChangeResult>
+DocumentService::replace(base::OperatorName Who, document::WholeDocument Next,
+                         base::DocumentLabel Base) {
+  ChangeResult Result;
+  base::DocumentLabel Label = Next.Label;
+  std::uint64_t Digest = Next.digest();
+  std::vector<std::string> Faults = Next.faults();
+  bool IsCurrent = false;
+  if (Faults.empty())
+    IsCurrent = co_await isCurrent("replace");
+  if (!Faults.empty()) {
+    Result = {ChangeOutcome::Invalid, joined(Faults)};
+  } else if (!IsCurrent) {
+    Result = {ChangeOutcome::Unavailable,
+              "this process cannot prove that it is current"};
+  } else if (auto Known = State.acceptedDigest(Label)) {
+    Result = *Known == Digest
+                 ? ChangeResult{ChangeOutcome::Accepted, "accepted before"}
+                 : ChangeResult{ChangeOutcome::Conflict,
+                                "another document has this label"};
+  } else {
+    auto Current = State.wholeDocument();
+    if (Base != Current->Label)
+      Result = {ChangeOutcome::Conflict, "another document is current"};
+    else if (Label <= Current->Label)
+      Result = {ChangeOutcome::Invalid,
+                "the label is not above the current one"};
+    else {
+      ReplaceDocument Request{Who, document::changeBetween(*Current, Next)};
+      Command Proposal(std::move(Request));
+      Result = co_await propose(std::move(Proposal));
+    }
+  }
+  base::logger("operator")
+      ->info("document replacement operator={} label={} base={} current={} "
+             "digest={:x} outcome={} applied={} reason=\"{}\"",
+             Who.value(), Label.value(), Base.value(),
+             State.wholeDocument()->Label.value(), Digest,
+             outcomeName(Result.Outcome), Log.appliedIndex().value(),
+             Result.Reason.substr(0, 200));
+  co_return Result;
+}
+
+asio::awaitable<std::shared_ptr<const document::WholeDocument>>
+DocumentService::read() {
+  // g++ 12 miscompiles a `co_return` of a null pointer here.
+  std::shared_ptr<const document::WholeDocument> Result;
+  bool Current = co_await isCurrent("read");
+  if (Current)
+    Result = State.wholeDocument();
+  co_return Result;
+}
+
+asio::awaitable<ChangeResult>
+DocumentService::startRollout(StartRollout Order) {
+  std::string Service = Order.Service.value();
+  std::string To = Order.To.value();
+  base::Millis Duration = Order.Duration;
+  Command Proposal(std::move(Order));
+  ChangeResult Result = co_await propose(std::move(Proposal));
+  base::logger("operator")
+      ->info("rollout order service={} to={} duration_ms={} outcome={} "
+             "reason=\"{}\"",
+             Service, To, Duration.count(), outcomeName(Result.Outcome),
+             Result.Reason);
+  co_return Result;
+}
+
+asio::awaitable<RolloutAnswer>
+DocumentService::rollout(base::ServiceName Service) {
+  RolloutAnswer Result;
+  Result.Current = co_await isCurrent("rollout");
+  for (TimedRollout &Entry : State.timedRollouts())
+    if (Entry.Service == Service)
+      Result.Last = std::move(Entry);
+  co_return Result;
+}
+
+} // namespace amaranth::control
--- /dev/null
+++ b/control/src/DocumentStore.cpp
@@ -0,0 +1,116 @@
+#include "DocumentStore.h"
+
+#include "Answer.h"
+#include "amaranth/base/Invariant.h"
+#include "amaranth/document/SnapshotCodec.h"
+
+namespace amaranth::control::detail {
+
+CommandResult DocumentStore::replace(const document::WholeChange &Change,
+                                     base::LogIndex Index) {
+  if (auto Known = acceptedDigest(Change.Label))
+    return *Known == Change.Digest
+               ? answer(ResultCode::Accepted, "accepted before")
+               : answer(ResultCode::Conflict,
+                        "another document was accepted under this label");
+  if (Change.Base != Current->Label)
+    return answer(ResultCode::Conflict,
+                  fmt::format("document {} is current, the change builds on {}",
+                              Current->Label.value(), Change.Base.value()));
+  if (Change.Label <= Current->Label)
+    return answer(ResultCode::Invalid,
+                  fmt::format("label {} is not above the current {}",
+                              Change.Label.value(), Current->Label.value()));
+  try {
+    auto Next = std::make_shared<document::WholeDocument>(
+        document::applyChange(*Current, Change));
+    if (auto Faults = Next->faults(); !Faults.empty()) {
+      CommandResult Refused = answer(ResultCode::Invalid);
+      Refused.Messages = std::move(Faults);
+      return Refused;
+    }
+    Current = std::move(Next);
+  } catch (const document::DeltaMismatch &Mismatch) {
+    return answer(ResultCode::Invalid, Mismatch.what());
+  }
+  AMARANTH_INVARIANT(Index.value() > Version.value(),
+                     "the document version fell");
+  Version = base::DocumentVersion(Index.value());
+  Labels[Change.Label] = Change.Digest;
+  if (Labels.size() > MaxAcceptedLabels)
+    Labels.erase(Labels.begin());
+  return answer(ResultCode::Accepted);
+}
+
+std::optional<std::uint64_t>
+DocumentStore::acceptedDigest(base::DocumentLabel Label) const {
+  auto Found = Labels.find(Label);
+  if (Found == Labels.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void DocumentStore::fillMesh(document::MeshSnapshot &Mesh,
+                             const ServiceVersions &Versions) const {
+  Mesh.Routes = Current->Content.Routes;
+  Mesh.Services = Current->Content.Services;
+  Mesh.Limits = Current->Content.Limits;
+  for (auto &[Name, Entry] : Mesh.Services)
+    Versions.fill(Entry);
+}
+
+Offset<wire::WholeDocumentRecord> DocumentStore::write(Builder &Out) const {
+  const document::MeshSnapshot &Content = Current->Content;
+  std::vector<std::string> Routes;
+  for (const auto &[Name, Text] : Current->RouteSources)
+    Routes.push_back(Text);
+  std::vector<std::string> Services;
+  for (const auto &[Name, Text] : Current->ServiceSources)
+    Services.push_back(Text);
+  auto Bytes =
+      Out.CreateVector(document::encodeSnapshot(Content, Content.digest()));
+  auto RouteSources = Out.CreateVectorOfStrings(Routes);
+  auto ServiceSources = Out.CreateVectorOfStrings(Services);
+  auto Source = Out.CreateString(Current->Source);
+  return wire::CreateWholeDocumentRecord(Out, Current->Label.value(), Bytes,
+                                         RouteSources, ServiceSources, Source);
+}
+
+Offset<flatbuffers::Vector<Offset<wire::AcceptedLabel>>>
+DocumentStore::writeLabels(Builder &Out) const {
+  std::vector<Offset<wire::AcceptedLabel>> List;
+  for (const auto &[Label, Digest] : Labels)
+    List.push_back(wire::CreateAcceptedLabel(Out, Label.value(), Digest));
+  return Out.CreateVector(List);
+}
+
+void DocumentStore::read(const wire::ControlSnapshot &From) {
+  if (From.labels())
+    for (const wire::AcceptedLabel *Item : *From.labels())
+      Labels[base::DocumentLabel(Item->label())] = Item->digest();
+  const wire::WholeDocumentRecord *Record = From.whole();
+  if (!Record || Record->label() == 0)
+    return;
+  auto Next = std::make_shared<document::WholeDocument>();
+  Next->Label = base::DocumentLabel(Record->label());
+  Next->Content = *document::decodeSnapshot(
+      base::ByteView(Record->content()->data(), Record->content()->size()));
+  Next->Source = Record->source()->str();
+  auto Routes = readTexts(*Record->route_sources());
+  auto Services = readTexts(*Record->service_sources());
+  if (Routes.size() != Next->Content.Routes.size() ||
+      Services.size() != Next->Content.Services.size())
+    throw base::ProtocolError("a snapshot lacks the sources of some parts");
+  std::size_t Place = 0;
+  for (const auto &[Name, Entry] : Next->Content.Routes)
+    Next->RouteSources[Name] = std::move(Routes[Place++]);
+  Place = 0;
+  for (const auto &[Name, Entry] : Next->Content.Services)
+    Next->ServiceSources[Name] = std::move(Services[Place++]);
+  if (!Next->faults().empty() || acceptedDigest(Next->Label) != Next->digest())
+    throw base::ProtocolError("invalid whole document in a snapshot");
+  Current = std::move(Next);
+  Version = base::DocumentVersion(From.document());
+}
+
+} // namespace amaranth::control::detail
--- /dev/null
+++ b/control/src/DocumentStore.h
@@ -0,0 +1,51 @@
+#ifndef AMARANTH_CONTROL_SRC_DOCUMENTSTORE_H
+#define AMARANTH_CONTROL_SRC_DOCUMENTSTORE_H
+
+#include "ServiceVersions.h"
+#include "WireParts.h"
+#include "amaranth/document/WholeDocument.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace amaranth::control::detail {
+
+/// Accepted labels that are remembered, so that a resend is recognised. At
+/// 3,600 changes a day they last for four weeks.
+inline constexpr std::size_t MaxAcceptedLabels = 100'000;
+
+/// The document that operators replace as a whole.
+class DocumentStore {
+public:
+  DocumentStore() : Current(std::make_shared<document::WholeDocument>()) {}
+
+  /// `Accepted` also for a change that was accepted before.
+  CommandResult replace(const document::WholeChange &Change,
+                        base::LogIndex Index);
+
+  const std::shared_ptr<const document::WholeDocument> &current() const {
+    return Current;
+  }
+  std::optional<std::uint64_t> acceptedDigest(base::DocumentLabel Label) const;
+  /// Log index of the last accepted replacement; 0 before the first one.
+  base::DocumentVersion version() const { return Version; }
+
+  void fillMesh(document::MeshSnapshot &Mesh,
+                const ServiceVersions &Versions) const;
+
+  Offset<wire::WholeDocumentRecord> write(Builder &Out) const;
+  Offset<flatbuffers::Vector<Offset<wire::AcceptedLabel>>>
+  writeLabels(Builder &Out) const;
+  /// Throws `base::ProtocolError`.
+  void read(const wire::ControlSnapshot &From);
+
+private:
+  std::shared_ptr<const document::WholeDocument> Current;
+  std::map<base::DocumentLabel, std::uint64_t> Labels;
+  base::DocumentVersion Version;
+};
+
+} // namespace amaranth::control::detail
+
+#endif
--- a/control/src/FollowMessages.cpp
+++ b/control/src/FollowMessages.cpp
@@ -172,14 +172,27 @@
 
 base::Bytes encode(const Currency &Value) {
   Builder Out;
+  flatbuffers::Offset<
+      flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>>
+      Controls;
+  if (!Value.Controls.empty())
+    Controls = Out.CreateVectorOfStrings(Value.Controls);
   return finish(Out, wire::CreateCurrency(Out, Value.Applied.value(),
-                                          Value.SinceCurrent.count()));
+                                          Value.SinceCurrent.count(),
+                                          Controls));
 }
 
 Currency decodeCurrency(base::ByteView Data) {
   const auto &In = readTable<wire::Currency>(Data);
-  return {base::LogIndex(In.applied_index()),
-          base::Millis(In.since_current_ms())};
+  Currency Value{base::LogIndex(In.applied_index()),
+                 base::Millis(In.since_current_ms()),
+                 {}};
+  if (!In.controls())
+    return Value;
+  checkCount(*In.controls(), MaxControls);
+  for (const auto *Address : *In.controls())
+    Value.Controls.push_back(Address->str());
+  return Value;
 }
 
 base::Bytes encode(const EndpointResult &Value) {
--- a/control/src/NodeService.cpp
+++ b/control/src/NodeService.cpp
@@ -12,7 +12,10 @@
 
 namespace {
 
-constexpr base::Millis TickInterval = base::Millis::seconds(1);
+/// Reports go to the leader at this interval.
+constexpr base::Millis TickInterval = base::Millis(250);
+/// Ticks between two messages about currency to each node.
+constexpr unsigned CurrencyTicks = 2;
 
 } // namespace
 
@@ -55,8 +58,10 @@
     // A session that closes itself stays in the map until `serve` resumes.
     for (const auto &[Node, Session] : Sessions) {
       Heard.push_back(Node);
-      Session->tick();
+      if (Ticks % CurrencyTicks == 0)
+        Session->tick();
     }
+    ++Ticks;
     Parts->Statistics.prune();
     if (const auto &Newest = Parts->History.current())
       Parts->Duties->tick(Parts->Executor, std::move(Heard), *Newest);
@@ -64,6 +69,7 @@
 
   std::shared_ptr<detail::ServiceParts> Parts;
   std::map<base::NodeId, std::shared_ptr<detail::NodeSession>> Sessions;
+  unsigned Ticks = 0;
   bool Stopped = false;
 };
 
--- a/control/src/NodeSession.cpp
+++ b/control/src/NodeSession.cpp
@@ -77,9 +77,15 @@
 }
 
 void NodeSession::tick() {
-  Link->post(
-      MessageType::Currency, 0,
-      encode(Currency{Parts->Log.appliedIndex(), Parts->Log.sinceCurrent()}));
+  Currency Message{Parts->Log.appliedIndex(), Parts->Log.sinceCurrent(), {}};
+  std::vector<std::string> Controls;
+  for (const replication::MemberStatus &Member : Parts->Log.members())
+    Controls.push_back(Member.Address);
+  if (Controls != ToldControls && Controls.size() <= MaxControls) {
+    Message.Controls = Controls;
+    ToldControls = std::move(Controls);
+  }
+  Link->post(MessageType::Currency, 0, encode(Message));
   countBytes();
   if (Outstanding &&
       Parts->Time.now() - Outstanding->SentAt > Parts->Settings.AnswerTimeout)
--- a/control/src/NodeSession.h
+++ b/control/src/NodeSession.h
@@ -120,6 +120,8 @@
   unsigned RefusedInSequence = 0;
   std::size_t CallsInFlight = 0;
   std::uint64_t BytesCounted = 0;
+  /// Control processes that the node was told.
+  std::vector<std::string> ToldControls;
 };
 
 } // namespace amaranth::control::detail
--- a/control/src/OperatorServer.cpp
+++ b/control/src/OperatorServer.cpp
@@ -71,7 +71,7 @@
 std::optional<ApiResponse> refusalFor(const boost::system::error_code &Code) {
   if (Code == http::error::body_limit)
     return ApiResponse{413, "application/json",
-                       detail::errorJson("the body exceeds 1 MiB")};
+                       detail::errorJson("the body is too large")};
   if (Code == http::error::header_limit)
     return ApiResponse{431, "application/json",
                        detail::errorJson("the header exceeds 16 KiB")};
@@ -94,10 +94,11 @@
 } // namespace
 
 struct OperatorServer::Impl {
+  /// `Owned` may be null when `Api` belongs to somebody else.
   Impl(const asio::any_io_executor &Executor, base::Clock &Time,
-       OperatorApi Api, OperatorServerSettings Settings,
-       prometheus::Registry &Metrics)
-      : Executor(Executor), Time(Time), Api(std::move(Api)),
+       std::unique_ptr<ApiHandler> Owned, ApiHandler &Api,
+       OperatorServerSettings Settings, prometheus::Registry &Metrics)
+      : Executor(Executor), Time(Time), Owned(std::move(Owned)), Api(Api),
         Settings(std::move(Settings)),
         Acceptor(openAcceptor(Executor, this->Settings.Listen)),
         Ended(Executor),
@@ -146,7 +147,7 @@
   asio::awaitable<bool> serveOne(std::shared_ptr<Connection> Link) {
     Parser Input;
     Input.header_limit(MaxOperatorHeader);
-    Input.body_limit(MaxOperatorBody);
+    Input.body_limit(Settings.MaxBody);
     if (!co_await waitForByte(Link) || Stopping)
       co_return false;
     Link->Idle = false;
@@ -230,7 +231,8 @@
 
   asio::any_io_executor Executor;
   base::Clock &Time;
-  OperatorApi Api;
+  std::unique_ptr<ApiHandler> Owned;
+  ApiHandler &Api;
   OperatorServerSettings Settings;
   tcp::acceptor Acceptor;
   base::Signal Ended;
@@ -244,11 +246,20 @@
     replication::ReplicatedLog &Log, const ControlState &State,
     const StatusSource &Nodes, MembershipControl &Members, OperatorKeys Keys,
     prometheus::Registry &Metrics, OperatorServerSettings Settings)
-    : Self(std::make_unique<Impl>(Executor, Time,
-                                  OperatorApi(Log, State, Nodes, Members,
-                                              std::move(Keys), Metrics,
-                                              Settings.Api),
-                                  Settings, Metrics)) {}
+{
+  auto Api = std::make_unique<OperatorApi>(
+      Log, State, Nodes, Members, std::move(Keys), Metrics, Settings.Api);
+  ApiHandler &Handler = *Api;
+  Self = std::make_unique<Impl>(Executor, Time, std::move(Api), Handler,
+                                Settings, Metrics);
+}
+
+OperatorServer::OperatorServer(const asio::any_io_executor &Executor,
+                               base::Clock &Time, ApiHandler &Api,
+                               prometheus::Registry &Metrics,
+                               OperatorServerSettings Settings)
+    : Self(std::make_unique<Impl>(Executor, Time, nullptr, Api, Settings,
+                                  Metrics)) {}
 
 OperatorServer::~OperatorServer() = default;
 
--- a/control/src/WireParts.cpp
+++ b/control/src/WireParts.cpp
@@ -55,4 +55,12 @@
   return Result;
 }
 
+std::vector<std::string> readTexts(const WireTexts &Value) {
+  std::vector<std::string> Result;
+  Result.reserve(Value.size());
+  for (const flatbuffers::String *Text : Value)
+    Result.push_back(Text->str());
+  return Result;
+}
+
 } // namespace amaranth::control::detail
--- a/control/src/WireParts.h
+++ b/control/src/WireParts.h
@@ -21,6 +21,9 @@
 /// Throws `base::ProtocolError` on an unknown state.
 document::Endpoint readEndpoint(const wire::Endpoint &Value);
 
+using WireTexts = flatbuffers::Vector<Offset<flatbuffers::String>>;
+std::vector<std::string> readTexts(const WireTexts &Value);
+
 /// Strings of a strong id.
 template <typename Id>
 Offset<flatbuffers::String> writeText(Builder &Out, const Id &Value) {
--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -13,8 +13,13 @@
 
 namespace amaranth::dataplane {
 
-/// Chooses endpoints by zone, load, slow start and this node's experience
-/// with them. Single-threaded.
+/// Chooses endpoints by zone, expected time, slow start and this node's
+/// experience with them. Single-threaded.
+///
+/// A queue length says little where upstreams differ in speed: the expected
+/// time is what a request is expected to take there, waiting included. An
+/// endpoint that refuses or fails fast looks idle, so its time counts in
+/// inverse proportion to the part of requests that it serves.
 class Balancer {
 public:
   struct Settings {
@@ -53,6 +58,8 @@
   void failed(const document::MeshSnapshot &Mesh, const base::EndpointId &Id,
               bool Certain);
   bool ejected(const base::EndpointId &Id) const;
+  /// Expected time of a request at the endpoint; 0 when unknown.
+  base::Millis expectedService(const base::EndpointId &Id) const;
   /// Forgets endpoints that the snapshot does not have any more.
   void prune(const document::MeshSnapshot &Mesh);
 
@@ -62,12 +69,15 @@
     Load Reported;
     base::TimePoint ReportedAt;
     unsigned FailuresInRow = 0;
+    /// Moving average of the part of requests that the endpoint served.
+    double Served = 1;
     unsigned Ejections = 0;
     base::TimePoint EjectedUntil{0};
   };
   using Candidates = std::vector<const document::Endpoint *>;
 
-  double load(const document::Endpoint &Entry) const;
+  /// Expected time of one more request, relative to the other candidates.
+  double cost(const document::Endpoint &Entry) const;
   double work(const State &Known) const;
   const document::Endpoint *pick(const Candidates &From);
   Candidates localOnes(const Candidates &From) const;
--- a/dataplane/include/amaranth/dataplane/EntryServer.h
+++ b/dataplane/include/amaranth/dataplane/EntryServer.h
@@ -5,12 +5,15 @@
 #include "amaranth/base/Settings.h"
 #include "amaranth/dataplane/Balancer.h"
 #include "amaranth/dataplane/HttpConnection.h"
+#include "amaranth/dataplane/HttpDialect.h"
 #include "amaranth/dataplane/Metrics.h"
 #include "amaranth/dataplane/PeerPool.h"
+#include "amaranth/dataplane/RetryBudget.h"
 #include "amaranth/follower/ControlCalls.h"
 #include "amaranth/follower/SnapshotSource.h"
 
 #include <memory>
+#include <optional>
 
 namespace amaranth::dataplane {
 
@@ -22,6 +25,17 @@
   unsigned MaxAttempts = 3;
   /// Larger request bodies are refused when their length is announced.
   std::int64_t MaxBodyBytes = std::int64_t{1} << 30U;
+  /// Service that runs beside this node; empty when unknown.
+  base::ServiceName CallerService;
+  /// The retry budget of all nodes together; each node has its own otherwise.
+  std::optional<SharedBudget> Shared;
+  /// Responses up to this size are read whole before a byte of them is passed
+  /// on, so that one that breaks off can be retried. 0 passes every byte on at
+  /// once.
+  std::size_t HoldBytes = 0;
+  /// After `drain` began, callers are still served for this time, so that
+  /// they learn of it from a response and not from a closed connection.
+  base::Millis LameDuck = base::Millis(0);
   /// Seed of the random choices of endpoints and versions.
   std::uint64_t Seed = 1;
 };
@@ -36,7 +50,7 @@
               EntrySettings Options, base::Clock &Time,
               follower::SnapshotSource &Snapshots,
               follower::ControlCalls &Control, PeerPool &Peers,
-              Metrics &Counters);
+              Metrics &Counters, const HttpDialect &Dialect);
   ~EntryServer();
 
   base::Address local() const;
--- a/dataplane/include/amaranth/dataplane/Gate.h
+++ b/dataplane/include/amaranth/dataplane/Gate.h
@@ -4,6 +4,7 @@
 #include "amaranth/base/Clock.h"
 #include "amaranth/base/Settings.h"
 #include "amaranth/base/StrongId.h"
+#include "amaranth/dataplane/HttpDialect.h"
 #include "amaranth/dataplane/Messages.h"
 #include "amaranth/dataplane/Metrics.h"
 #include "amaranth/dataplane/ServerExchange.h"
@@ -16,6 +17,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace amaranth::dataplane {
 
@@ -32,6 +34,8 @@
   /// pair that is not above the last one is ignored.
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
+  /// Id of the upstream's process; empty when it has none.
+  std::string Instance;
 };
 
 struct GateSettings {
@@ -49,6 +53,11 @@
   base::Millis ClaimTimeout = base::Millis::seconds(2);
   /// Longest time for which answers are withheld after a crash.
   base::Millis CrashCommit = base::Millis::seconds(1);
+  /// False: requests that were running at a crash are not isolated.
+  bool IsolateCrashes = true;
+  /// Slots that the queue holds at most, as a multiple of the slots. Longer
+  /// queues only add waiting time, since callers have deadlines.
+  std::uint32_t QueueFactor = 2;
   UpstreamClient::Settings Client;
 };
 
@@ -59,7 +68,8 @@
   /// The references must outlive the gate and the exchanges that it serves.
   Gate(const boost::asio::any_io_executor &Executor, GateSettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
-       follower::ControlCalls &Control, Metrics &Counters);
+       follower::ControlCalls &Control, Metrics &Counters,
+       const HttpDialect &Dialect);
   ~Gate();
 
   /// Follows the upstream's silence and slow start; runs until cancelled.
@@ -68,12 +78,20 @@
   /// Applies an announcement. False when it is out of date.
   bool announce(const Announcement &News);
 
+  /// The upstream's process `Instance` leaves without further announcements.
+  /// It gets no more work; what it runs goes on. Ignored for a process other
+  /// than the announced one, which `Incarnation` tells apart when given.
+  void leave(const std::string &Instance,
+             std::optional<std::uint64_t> Incarnation);
+
   /// Serves one exchange to its end; never throws.
   boost::asio::awaitable<void> serve(std::shared_ptr<ServerExchange> Exchange);
 
-  /// Refuses new work, reports the endpoint as draining, and waits until
-  /// nothing runs, at most `Limit`. True when nothing runs.
-  boost::asio::awaitable<bool> drain(base::Millis Limit);
+  /// Reports the endpoint as draining, takes work for `Accept` more, so that
+  /// the others can learn of it, then refuses new work and waits until nothing
+  /// runs. `Limit` bounds the whole time. True when nothing runs.
+  boost::asio::awaitable<bool> drain(base::Millis Limit,
+                                     base::Millis Accept = base::Millis(0));
 
   UpstreamState state() const;
   Load load() const;
--- a/dataplane/include/amaranth/dataplane/HttpConnection.h
+++ b/dataplane/include/amaranth/dataplane/HttpConnection.h
@@ -25,6 +25,10 @@
   std::int64_t BodyLength = 0;
 };
 
+/// Checks that the head says unambiguously where its message ends and names
+/// one host, as RFC 9112 demands. Throws `HttpError` with 400.
+void checkFraming(const HttpRequest &Request);
+
 /// A request that cannot be served; `Status` is the answer.
 class HttpError : public base::Error {
 public:
@@ -114,6 +118,10 @@
   base::Address local() const;
   /// Accepts until `stop`; each connection runs in its own task.
   boost::asio::awaitable<void> serve(Handler Handle);
+  /// Time for a request head, from now on.
+  void setHeadTimeout(base::Millis Timeout);
+  /// Tells callers with each response that its connection ends.
+  void closeAfterResponses();
   /// Stops accepting. Idle connections are closed, active ones after their
   /// response.
   void stop();
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -60,6 +60,12 @@
   Malformed = 26,
   Cancelled = 27,
   Overloaded = 28,
+  /// A slot is not expected to be free within the request's patience.
+  WaitTooLong = 29,
+  /// The upstream refused the request without running it.
+  UpstreamShed = 30,
+  /// Another process has the upstream's address.
+  UpstreamReplaced = 31,
 };
 
 /// `queue-full` and the like, for headers, logs and metrics.
@@ -71,6 +77,10 @@
   std::uint32_t InFlight = 0;
   std::uint32_t Queued = 0;
   std::uint32_t Slots = 0;
+  /// Expected time of a request that has a slot; 0 when unknown.
+  base::Millis Service;
+  /// Expected wait of a new request for a slot.
+  base::Millis Wait;
 };
 
 struct Refusal {
@@ -79,6 +89,8 @@
   std::string Text;
   base::Millis RetryAfter;
   Load Work;
+  /// The endpoint that refused, at the entry node.
+  base::EndpointId At;
 };
 
 struct RequestHead {
@@ -89,11 +101,25 @@
   Headers Fields;
   /// Time left until the response head is due.
   base::Millis Remaining;
+  /// Unique for one attempt at one upstream.
   std::string Attempt;
   std::optional<std::string> IdempotencyKey;
   std::uint64_t RequestHash = 0;
   std::uint64_t Fingerprint = 0;
   std::int64_t BodyLength = UnknownLength;
+  /// Service that runs beside the entry node; empty when unknown.
+  base::ServiceName CallerService;
+  base::RouteName Route;
+  /// Id of the caller's attempt, the same at every upstream.
+  std::string CallerAttempt;
+  /// Time left in which a response is wanted; may be negative.
+  base::Millis Objective;
+  /// Rank under load; 0 is served first.
+  std::uint32_t Priority = 0;
+  /// Longest acceptable wait for a slot; nothing for any.
+  std::optional<base::Millis> Patience;
+  /// The request may run at most once.
+  bool RunsOnce = false;
 };
 
 struct ResponseHead {
--- a/dataplane/include/amaranth/dataplane/RetryBudget.h
+++ b/dataplane/include/amaranth/dataplane/RetryBudget.h
@@ -7,15 +7,30 @@
 
 namespace amaranth::dataplane {
 
-/// Retries that one service may get: 10 % of its requests plus 3 per second,
-/// with at most ten seconds' worth of the latter saved up.
+/// Retries that one service may get from this node: a part of its requests
+/// plus a constant rate, with a bound on what is saved up.
+///
+/// In any span, at most `MaxTokens + PerSecond * span + PerRequest * requests`
+/// retries are made.
 class RetryBudget {
 public:
-  explicit RetryBudget(base::TimePoint Now) : Last(Now) {}
+  struct Rates {
+    double PerRequest = 0.1;
+    double PerSecond = 3;
+    /// Ten seconds' worth of the constant rate.
+    double MaxTokens = 30;
+  };
+
+  explicit RetryBudget(base::TimePoint Now) : RetryBudget(Now, Rates()) {}
+  RetryBudget(base::TimePoint Now, Rates Allowed)
+      : Last(Now), Allowed(Allowed),
+        Tokens(std::min(Allowed.PerSecond, Allowed.MaxTokens)) {}
+
+  void setRates(Rates Value) { Allowed = Value; }
 
   void request(base::TimePoint Now) {
     refill(Now);
-    Tokens = std::min(MaxTokens, Tokens + PerRequest);
+    Tokens = std::min(Allowed.MaxTokens, Tokens + Allowed.PerRequest);
   }
 
   bool available(base::TimePoint Now) {
@@ -33,18 +48,34 @@
   }
 
 private:
-  static constexpr double PerRequest = 0.1;
-  static constexpr double PerSecond = 3;
-  static constexpr double MaxTokens = 30;
-
   void refill(base::TimePoint Now) {
     double Seconds = static_cast<double>((Now - Last).count()) / 1000;
-    Tokens = std::min(MaxTokens, Tokens + Seconds * PerSecond);
+    Tokens = std::min(Allowed.MaxTokens, Tokens + Seconds * Allowed.PerSecond);
     Last = Now;
   }
 
   base::TimePoint Last;
-  double Tokens = PerSecond;
+  Rates Allowed;
+  double Tokens;
+};
+
+/// A budget that all nodes share, without a message between them.
+struct SharedBudget {
+  /// Retries allowed as a part of a service's requests.
+  double Ratio = 0;
+  /// Retries allowed besides, for all nodes together, in each window.
+  double Floor = 0;
+  base::Millis Window;
+
+  /// The part of one of `Nodes` nodes. Half of the floor comes at a constant
+  /// rate and half may be saved up, so that no window exceeds the floor. A
+  /// tenth stays unused, because calls of a repeated request count as well.
+  RetryBudget::Rates partOf(std::size_t Nodes) const {
+    constexpr double Used = 0.9;
+    double Part = Used * Floor / static_cast<double>(std::max<std::size_t>(1, Nodes));
+    double Seconds = std::max(0.001, static_cast<double>(Window.count()) / 1000);
+    return {Used * Ratio, Part / 2 / Seconds, std::max(1.0, Part / 2)};
+  }
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/include/amaranth/dataplane/ServerExchange.h
+++ b/dataplane/include/amaranth/dataplane/ServerExchange.h
@@ -14,7 +14,8 @@
                  std::shared_ptr<protocol::Channel> Link, std::uint64_t Stream,
                  RequestHead Request, base::TimePoint Deadline)
       : Head(std::move(Request)), Deadline(Deadline),
-        Body(Executor, std::move(Link), Stream, ExchangeEnd::Side::Gate) {}
+        Objective(Deadline - Head.Remaining + Head.Objective),
+        Arrived(Deadline - Head.Remaining), Body(Executor, std::move(Link), Stream, ExchangeEnd::Side::Gate) {}
 
   /// The entry node cancelled, or the connection to it ended.
   void end(Refusal Why) {
@@ -25,6 +26,11 @@
 
   const RequestHead Head;
   const base::TimePoint Deadline;
+  /// When a response is wanted.
+  const base::TimePoint Objective;
+  const base::TimePoint Arrived;
+  /// When the request got a slot; empty before.
+  std::optional<base::TimePoint> Started;
   ExchangeEnd Body;
   /// Called once when the exchange is ended from outside.
   std::function<void()> OnEnd;
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -4,44 +4,66 @@
 #include "amaranth/base/Clock.h"
 #include "amaranth/dataplane/ExchangeEnd.h"
 
-#include <map>
 #include <memory>
-#include <utility>
+#include <vector>
 
 namespace amaranth::dataplane {
 
-/// The slots of an upstream and the exchanges that wait for one, the earliest
-/// deadline first. Single-threaded.
+/// What the order of waiting requests depends on.
+struct WaitingWork {
+  /// Rank; 0 goes first.
+  std::uint32_t Priority = 0;
+  /// When a response is wanted.
+  base::TimePoint Objective;
+  /// When a response is of no more use.
+  base::TimePoint Deadline;
+  /// Order of arrival.
+  std::uint64_t Sequence = 0;
+};
+
+/// The slots of an upstream and the exchanges that wait for one, in the order
+/// of `goesFirst`. Single-threaded.
 class SlotQueue {
 public:
   enum class Result : std::uint8_t { Granted, Expired, Ended, Dropped };
 
   explicit SlotQueue(base::Clock &Time) : Time(Time) {}
 
-  /// Waits for a slot until `Deadline`. With `Alone`, waits until nothing
+  /// Waits for a slot until `LatestStart`. With `Alone`, waits until nothing
   /// else holds a slot and keeps all others waiting until the release.
+  boost::asio::awaitable<Result> acquire(std::shared_ptr<ExchangeEnd> Waiting,
+                                         WaitingWork Work,
+                                         base::TimePoint LatestStart,
+                                         bool Alone);
+  /// As above for a request whose objective is its deadline.
   boost::asio::awaitable<Result> acquire(std::shared_ptr<ExchangeEnd> Waiting,
                                          base::TimePoint Deadline, bool Alone);
   void release();
   /// Running work is not touched when the limit falls.
   void setLimit(std::uint32_t Slots);
+  /// Expected time of one request, for the order of the waiting ones.
+  void setService(base::Millis Expected) { Service = Expected; }
   /// Ends all waits with `Dropped`.
   void dropWaiting();
 
   std::uint32_t inFlight() const { return Running; }
   std::uint32_t limit() const { return Limit; }
   std::size_t queued() const { return Waiters.size(); }
+  /// Waiting requests that would go before `Work`.
+  std::size_t ahead(const WaitingWork &Work) const;
 
 private:
   struct Waiter {
     std::shared_ptr<ExchangeEnd> Exchange;
+    WaitingWork Work;
     bool Alone = false;
     bool Granted = false;
     bool Dropped = false;
   };
-  using Key = std::pair<base::TimePoint, std::uint64_t>;
+  using Waiting = std::vector<std::shared_ptr<Waiter>>;
 
   bool available(bool Alone) const;
+  Waiting::iterator next();
   void grantNext();
 
   base::Clock &Time;
@@ -49,7 +71,8 @@
   std::uint32_t Running = 0;
   bool AloneHeld = false;
   std::uint64_t NextSequence = 0;
-  std::map<Key, std::shared_ptr<Waiter>> Waiters;
+  base::Millis Service;
+  Waiting Waiters;
 };
 
 /// Gives a granted slot back at the end of a scope.
--- a/dataplane/include/amaranth/dataplane/UpstreamClient.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamClient.h
@@ -36,12 +36,16 @@
 
   virtual boost::asio::awaitable<void> writeBody(base::ByteView Data) = 0;
   virtual boost::asio::awaitable<void> writeEnd() = 0;
-  /// Informational heads are skipped.
+  /// Informational heads are skipped. A head without a length has a body that
+  /// ends with the connection.
   virtual boost::asio::awaitable<ResponseHead> readHead() = 0;
   /// Reads the next part of the response body; 0 at its end. A body that is
   /// shorter than announced is an error.
   virtual boost::asio::awaitable<std::size_t>
   readBody(std::span<std::uint8_t> Into) = 0;
+  /// Reads the rest of a response that belongs to another request. The next
+  /// head may be the right one; the connection is not used again.
+  virtual boost::asio::awaitable<void> skipResponse() = 0;
   /// Closes the connection unless the whole response was read; pending
   /// operations fail.
   virtual void abort() = 0;
@@ -50,8 +54,8 @@
 /// HTTP/1.1 client to the local upstream with a pool of connections.
 ///
 /// A connection returns to the pool only after the whole request was written
-/// and the whole response was read. A response that ends only with its
-/// connection is refused, since its completeness cannot be told.
+/// and the whole response was read. A response without a length is complete
+/// when its connection ends in order, and broken when it is reset.
 class UpstreamClient {
 public:
   struct Settings {
@@ -59,6 +63,12 @@
     /// Longest time without a byte from the upstream.
     base::Millis Silence = base::Millis::seconds(30);
     std::size_t MaxIdle = 256;
+    /// A connection that was idle for longer is not used again: an upstream
+    /// may have dropped it without a notice.
+    base::Millis MaxIdleAge = base::Millis::seconds(4);
+    /// The same for requests that may run once only, where a dropped
+    /// connection leaves the outcome unknown.
+    base::Millis MaxIdleAgeOnce = base::Millis(1000);
   };
 
   /// `Time` must outlive the client and its calls.
@@ -69,15 +79,17 @@
   /// Another address drops the pooled connections.
   void setAddress(const base::Address &Upstream);
   /// Connects when needed and writes the head. `BodyLength` decides the
-  /// framing of the body.
+  /// framing of the body. `Once` tells that the request may run once only.
   boost::asio::awaitable<std::shared_ptr<UpstreamCall>>
   begin(std::string Method, std::string Target, Headers Fields,
-        std::int64_t BodyLength);
+        std::int64_t BodyLength, bool Once);
   /// True when a new connection is refused, which means that no process
   /// listens; false when it is accepted or nothing is known.
   boost::asio::awaitable<bool> refusesConnections();
   void dropIdle();
   std::size_t idle() const;
+  /// Connections opened so far.
+  std::uint64_t connects() const;
 
 private:
   struct Impl;
--- a/dataplane/src/AnnounceServer.cpp
+++ b/dataplane/src/AnnounceServer.cpp
@@ -18,13 +18,6 @@
 
 constexpr std::size_t MaxBodyBytes = 16U << 10U;
 
-/// A response without header fields other than its type.
-struct Reply {
-  unsigned Status = 200;
-  std::string Body;
-  std::string Type = "text/plain";
-};
-
 std::string text(const json::object &Fields, const char *Name) {
   const json::value *Found = Fields.if_contains(Name);
   if (!Found || !Found->is_string() || Found->get_string().empty())
@@ -92,61 +85,56 @@
 
 } // namespace
 
+bool AnnounceHandler::authorized(const LocalRequest &Request) const {
+  if (Key.empty())
+    return true;
+  std::string Expected = "Bearer " + Key;
+  return base::equalConstantTime(base::asBytes(Request.Authorization),
+                                 base::asBytes(Expected));
+}
+
+std::optional<LocalReply>
+AnnounceHandler::handle(const LocalRequest &Request) {
+  if (Request.Target != "/v1/announce" || Request.Method != "POST")
+    return std::nullopt;
+  if (!Request.Loopback)
+    return LocalReply{403, "announcements are taken from this VM only\n"};
+  if (!authorized(Request))
+    return LocalReply{401, "wrong or missing key\n"};
+  try {
+    if (Upstream.announce(parse(Request.Body)))
+      return LocalReply{204, ""};
+  } catch (const base::Error &Fault) {
+    return LocalReply{400, std::string(Fault.what()) + "\n"};
+  }
+  return LocalReply{409, "announcement is out of date\n"};
+}
+
 struct AnnounceServer::Impl {
-  Impl(const asio::any_io_executor &Executor, AnnounceSettings Settings,
-       base::Clock &Time, Gate &Upstream, prometheus::Registry &Registry,
+  Impl(const asio::any_io_executor &Executor, const base::Address &Listen,
+       base::Clock &Time, LocalHandler *Handler, prometheus::Registry &Registry,
        std::function<bool()> Ready)
-      : Server(Executor, Settings.Listen, {}, Time),
-        Options(std::move(Settings)), Upstream(Upstream), Registry(Registry),
-        Ready(std::move(Ready)) {}
+      : Server(Executor, Listen, {}, Time), Handler(Handler),
+        Registry(Registry), Ready(std::move(Ready)) {}
 
   asio::awaitable<void> handle(std::shared_ptr<HttpConnection> Link,
                                HttpRequest Request);
-  asio::awaitable<Reply> announce(std::shared_ptr<HttpConnection> Link,
-                                  const HttpRequest &Request);
-  Reply status(const HttpRequest &Request) const;
-  bool authorized(const HttpRequest &Request) const;
+  LocalReply status(const LocalRequest &Request) const;
 
   HttpServer Server;
-  AnnounceSettings Options;
-  Gate &Upstream;
+  LocalHandler *Handler;
   prometheus::Registry &Registry;
   std::function<bool()> Ready;
 };
 
-bool AnnounceServer::Impl::authorized(const HttpRequest &Request) const {
-  if (Options.Key.empty())
-    return true;
-  const std::string *Value = findHeader(Request.Fields, "Authorization");
-  std::string Expected = "Bearer " + Options.Key;
-  return Value && base::equalConstantTime(base::asBytes(*Value),
-                                          base::asBytes(Expected));
-}
-
-asio::awaitable<Reply>
-AnnounceServer::Impl::announce(std::shared_ptr<HttpConnection> Link,
-                               const HttpRequest &Request) {
-  if (!Link->peer().address().is_loopback())
-    co_return Reply{403, "announcements are taken from this VM only\n"};
-  if (!authorized(Request))
-    co_return Reply{401, "wrong or missing key\n"};
-  std::string Body = co_await readAll(Link);
-  try {
-    if (Upstream.announce(parse(Body)))
-      co_return Reply{204, ""};
-  } catch (const base::Error &Fault) {
-    co_return Reply{400, std::string(Fault.what()) + "\n"};
-  }
-  co_return Reply{409, "announcement is out of date\n"};
-}
-
-Reply AnnounceServer::Impl::status(const HttpRequest &Request) const {
+LocalReply AnnounceServer::Impl::status(const LocalRequest &Request) const {
   if (Request.Method != "GET" && Request.Method != "HEAD")
     return {405, "method is not allowed\n"};
   if (Request.Target == "/health")
     return {200, "ok\n"};
   if (Request.Target == "/ready")
-    return Ready() ? Reply{200, "ready\n"} : Reply{503, "not ready\n"};
+    return Ready() ? LocalReply{200, "ready\n"}
+                   : LocalReply{503, "not ready\n"};
   if (Request.Target != "/metrics")
     return {404, "no such page\n"};
   std::ostringstream Text;
@@ -157,29 +145,38 @@
 asio::awaitable<void>
 AnnounceServer::Impl::handle(std::shared_ptr<HttpConnection> Link,
                              HttpRequest Request) {
-  Reply Answer;
+  LocalReply Answer;
   std::optional<HttpError> Fault;
+  LocalRequest Call;
+  Call.Method = Request.Method;
+  Call.Target = Request.Target;
+  Call.Loopback = Link->peer().address().is_loopback();
+  if (const std::string *Value = findHeader(Request.Fields, "Authorization"))
+    Call.Authorization = *Value;
   try {
-    if (Request.Target == "/v1/announce" && Request.Method == "POST")
-      Answer = co_await announce(Link, Request);
-    else
-      Answer = status(Request);
+    Call.Body = co_await readAll(Link);
   } catch (const HttpError &Failure) {
     Fault = Failure;
   }
-  if (Fault)
-    Answer = Reply{Fault->status(), Fault->what()};
+  if (Fault) {
+    Link->closeAfterResponse();
+    Answer = LocalReply{Fault->status(), Fault->what()};
+  } else {
+    auto Own = Handler ? Handler->handle(Call) : std::nullopt;
+    Answer = Own ? std::move(*Own) : status(Call);
+  }
   Headers Fields = {{"Content-Type", Answer.Type}};
   co_await Link->respond(Answer.Status, std::move(Fields),
                          std::move(Answer.Body));
 }
 
 AnnounceServer::AnnounceServer(const asio::any_io_executor &Executor,
-                               AnnounceSettings Options, base::Clock &Time,
-                               Gate &Upstream, prometheus::Registry &Registry,
+                               base::Address Listen, base::Clock &Time,
+                               LocalHandler *Handler,
+                               prometheus::Registry &Registry,
                                std::function<bool()> Ready)
-    : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Upstream,
-                                  Registry, std::move(Ready))) {}
+    : Self(std::make_shared<Impl>(Executor, Listen, Time, Handler, Registry,
+                                  std::move(Ready))) {}
 
 AnnounceServer::~AnnounceServer() { stop(); }
 
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -17,6 +17,14 @@
 constexpr base::Millis ReportLife = base::Millis::seconds(2);
 /// An endpoint in slow start counts as having at least this part of its slots.
 constexpr double MinSlowStart = 0.1;
+/// Time of a request at an endpoint that has not reported one.
+constexpr double UnknownServiceMs = 100;
+/// Part of the expected time by which a fully loaded endpoint looks worse than
+/// an idle one, although no request waits: some upstreams slow down.
+constexpr double LoadWeight = 0.3;
+/// Weight of the newest result in the part of requests that were served.
+constexpr double ResultWeight = 0.1;
+constexpr double MinServed = 0.05;
 
 } // namespace
 
@@ -29,9 +37,16 @@
          Weight * (Known.Reported.InFlight + Known.Reported.Queued);
 }
 
-double Balancer::load(const Endpoint &Entry) const {
+double Balancer::cost(const Endpoint &Entry) const {
   auto Found = States.find(Entry.Id);
   double Work = Found == States.end() ? 0 : work(Found->second);
+  double Service = UnknownServiceMs;
+  double Served = 1;
+  if (Found != States.end()) {
+    Served = std::max(MinServed, Found->second.Served);
+    if (Found->second.Reported.Service > base::Millis(0))
+      Service = static_cast<double>(Found->second.Reported.Service.count());
+  }
   double Slots = std::max<std::uint32_t>(1, Entry.Slots);
   std::int64_t Since = Time.wallNow().count() - Entry.ReadySince;
   if (Since < Options.SlowStart.count())
@@ -39,7 +54,14 @@
                         MinSlowStart, 1.0);
   // The request to be placed counts, so that an idle endpoint in slow start
   // loses against an idle warm one.
-  return (Work + 1) / Slots;
+  double Load = (Work + 1) / Slots;
+  return Service * (std::max(1.0, Load) + LoadWeight * Load) / Served;
+}
+
+base::Millis Balancer::expectedService(const base::EndpointId &Id) const {
+  auto Found = States.find(Id);
+  return Found == States.end() ? base::Millis(0)
+                               : Found->second.Reported.Service;
 }
 
 const Endpoint *Balancer::pick(const Candidates &From) {
@@ -53,7 +75,7 @@
   std::size_t Second = Other(Random);
   if (Second >= First)
     ++Second;
-  return load(*From[First]) <= load(*From[Second]) ? From[First] : From[Second];
+  return cost(*From[First]) <= cost(*From[Second]) ? From[First] : From[Second];
 }
 
 Balancer::Candidates Balancer::localOnes(const Candidates &From) const {
@@ -117,6 +139,7 @@
 void Balancer::succeeded(const base::EndpointId &Id) {
   State &Known = States[Id];
   Known.FailuresInRow = 0;
+  Known.Served += ResultWeight * (1 - Known.Served);
   constexpr base::Millis Forget = base::Millis::seconds(60);
   if (Known.Ejections != 0 && Time.now() - Known.EjectedUntil > Forget)
     Known.Ejections = 0;
@@ -126,6 +149,7 @@
                       const base::EndpointId &Id, bool Certain) {
   State &Known = States[Id];
   ++Known.FailuresInRow;
+  Known.Served -= ResultWeight * Known.Served;
   if (!Certain && Known.FailuresInRow < Options.FailuresToEject)
     return;
   auto Entry = Mesh.Endpoints.find(Id);
--- a/dataplane/src/CrashGuard.cpp
+++ b/dataplane/src/CrashGuard.cpp
@@ -24,10 +24,10 @@
 } // namespace
 
 CrashGuard::CrashGuard(const asio::any_io_executor &Executor, base::Clock &Time,
-                       ClaimClient &Calls, UpstreamClient &Client,
+                       ClaimClient &Calls, UpstreamClient &Client, bool Report,
                        std::function<void()> OnCrash)
     : Executor(Executor), Time(Time), Calls(Calls), Client(Client),
-      OnCrash(std::move(OnCrash)) {}
+      Report(Report), OnCrash(std::move(OnCrash)) {}
 
 CrashGuard::Tracked::Tracked(CrashGuard &Owner, std::uint64_t Fingerprint)
     : Owner(Owner), Id(Owner.NextId++) {
@@ -86,7 +86,7 @@
         ->warn("upstream crashed endpoint={} suspects={}", Upstream.value(),
                Fingerprints.size());
     OnCrash();
-    if (!Fingerprints.empty())
+    if (!Fingerprints.empty() && Report)
       co_await report(Service, Upstream, std::move(Fingerprints), Limit);
   }
   Current.reset();
@@ -115,7 +115,7 @@
     if (Time.now() - At <= BreakMemory)
       Fingerprints.push_back(Fingerprint);
   RecentBreaks.clear();
-  if (Fingerprints.empty())
+  if (Fingerprints.empty() || !Report)
     return;
   OnCrash();
   Calls.commitInBackground(
--- a/dataplane/src/CrashGuard.h
+++ b/dataplane/src/CrashGuard.h
@@ -16,9 +16,10 @@
 /// the requests that were running reported before their callers get answers.
 class CrashGuard {
 public:
-  /// `OnCrash` runs once for each crash that is found.
+  /// `OnCrash` runs once for each crash that is found. Without `Report` the
+  /// requests are not reported and answers are not withheld.
   CrashGuard(const boost::asio::any_io_executor &Executor, base::Clock &Time,
-             ClaimClient &Calls, UpstreamClient &Client,
+             ClaimClient &Calls, UpstreamClient &Client, bool Report,
              std::function<void()> OnCrash);
 
   /// A request that may have reached the upstream. Running until destroyed,
@@ -72,6 +73,7 @@
   base::Clock &Time;
   ClaimClient &Calls;
   UpstreamClient &Client;
+  bool Report;
   std::function<void()> OnCrash;
   std::map<std::uint64_t, std::uint64_t> Running;
   std::uint64_t NextId = 0;
--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -2,8 +2,12 @@
 #define AMARANTH_DATAPLANE_SRC_ENTRYCONTEXT_H
 
 #include "amaranth/dataplane/EntryServer.h"
+#include "amaranth/dataplane/HttpDialect.h"
 #include "amaranth/dataplane/RetryBudget.h"
 #include "amaranth/dataplane/VersionGuard.h"
+#include "amaranth/document/RouteIndex.h"
+
+#include <set>
 
 namespace amaranth::dataplane {
 
@@ -13,15 +17,38 @@
                EntrySettings Settings, base::Clock &Time,
                follower::SnapshotSource &Snapshots,
                follower::ControlCalls &Control, PeerPool &Peers,
-               Metrics &Counters)
+               Metrics &Counters, const HttpDialect &Dialect)
       : Executor(Executor), Options(std::move(Settings)), Time(Time),
         Snapshots(Snapshots), Control(Control), Peers(Peers),
-        Counters(Counters),
+        Counters(Counters), Dialect(Dialect),
         Endpoints(Options.Balance, Time, Counters, Options.Seed), Guard(Time),
         Random(Options.Seed + 1) {}
 
+  /// The routes in force, or null before the first configuration.
+  std::shared_ptr<const document::RouteIndex> routes() {
+    auto Current = Snapshots.current();
+    if (Current && (!Routes || &Routes->mesh() != Current.get()))
+      Routes = std::make_shared<const document::RouteIndex>(Current);
+    return Routes;
+  }
+
   RetryBudget &budget(const base::ServiceName &Service) {
-    return Budgets.try_emplace(Service, Time.now()).first->second;
+    auto Found = Budgets.find(Service);
+    if (Found != Budgets.end())
+      return Found->second;
+    return Budgets.emplace(Service, RetryBudget(Time.now(), retryRates()))
+        .first->second;
+  }
+
+  RetryBudget::Rates retryRates() const {
+    if (!Options.Shared)
+      return {};
+    std::set<base::NodeId> Nodes;
+    if (auto Current = Snapshots.current())
+      for (const auto &[Id, Entry] : Current->Endpoints)
+        if (Entry.State != document::EndpointState::Unreachable)
+          Nodes.insert(Entry.Node);
+    return Options.Shared->partOf(Nodes.size());
   }
 
   boost::asio::any_io_executor Executor;
@@ -31,11 +58,13 @@
   follower::ControlCalls &Control;
   PeerPool &Peers;
   Metrics &Counters;
+  const HttpDialect &Dialect;
   Balancer Endpoints;
   VersionGuard Guard;
   std::mt19937_64 Random;
   std::map<base::ServiceName, RetryBudget> Budgets;
   rollout::EvidenceReport Evidence;
+  std::shared_ptr<const document::RouteIndex> Routes;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/EntryRefusal.cpp
+++ b/dataplane/src/EntryRefusal.cpp
@@ -2,37 +2,6 @@
 
 namespace amaranth::dataplane {
 
-unsigned statusOf(const Refusal &Why) {
-  switch (Why.Why) {
-  case Reason::NoRoute:
-    return 404;
-  case Reason::DeadlineExceeded:
-  case Reason::DeadlineUnreachable:
-  case Reason::UpstreamSilent:
-    return 504;
-  case Reason::ClaimTaken:
-  case Reason::KeyConflict:
-    return 409;
-  case Reason::KeyRequired:
-  case Reason::Malformed:
-    return 400;
-  case Reason::TooLarge:
-    return 413;
-  default:
-    return Why.What == Outcome::NotRun ? 503 : 502;
-  }
-}
-
-Headers refusalFields(const Refusal &Why) {
-  Headers Fields = {{"Content-Type", "text/plain"},
-                    {"X-Amaranth-Outcome", std::string(outcomeText(Why.What))},
-                    {"X-Amaranth-Reason", reasonText(Why.Why)}};
-  if (Why.RetryAfter > base::Millis(0))
-    Fields.emplace_back("Retry-After",
-                        std::to_string((Why.RetryAfter.count() + 999) / 1000));
-  return Fields;
-}
-
 bool isFinal(const Refusal &Why) {
   switch (Why.Why) {
   case Reason::DeadlineExceeded:
@@ -41,6 +10,8 @@
   case Reason::KeyConflict:
   case Reason::Quarantined:
   case Reason::SuspectBusy:
+  case Reason::NoConfiguration:
+  case Reason::NoRoute:
   case Reason::Malformed:
   case Reason::TooLarge:
   case Reason::NoEndpoint:
@@ -54,19 +25,32 @@
   }
 }
 
+bool isBusy(Reason Why) {
+  return Why == Reason::WaitTooLong || Why == Reason::QueueFull ||
+         Why == Reason::DeadlineUnreachable;
+}
+
+bool reachedUpstream(const Refusal &Why) {
+  return Why.What == Outcome::Unknown || Why.Why == Reason::UpstreamShed ||
+         Why.Why == Reason::UpstreamReplaced;
+}
+
 bool isCertainFault(Reason Why) {
   return Why == Reason::PeerUnreachable || Why == Reason::ConnectionLost ||
          Why == Reason::UpstreamAbsent || Why == Reason::UpstreamCrashed ||
-         Why == Reason::UpstreamUnreachable;
+         Why == Reason::UpstreamUnreachable || Why == Reason::WrongUpstream ||
+         Why == Reason::UpstreamReplaced;
 }
 
 bool isEndpointFault(Reason Why) {
   return isCertainFault(Why) || Why == Reason::UpstreamBroken ||
+         Why == Reason::UpstreamShed ||
          Why == Reason::UpstreamSilent || Why == Reason::DeadlineExceeded;
 }
 
 bool isVersionFault(Reason Why) {
   return Why == Reason::UpstreamBroken || Why == Reason::UpstreamSilent ||
+         Why == Reason::UpstreamShed ||
          Why == Reason::UpstreamCrashed || Why == Reason::DeadlineExceeded;
 }
 
--- a/dataplane/src/EntryRefusal.h
+++ b/dataplane/src/EntryRefusal.h
@@ -5,12 +5,12 @@
 
 namespace amaranth::dataplane {
 
-/// HTTP status of a refusal.
-unsigned statusOf(const Refusal &Why);
-/// Header fields of a refusal.
-Headers refusalFields(const Refusal &Why);
 /// Another endpoint would refuse for the same reason.
 bool isFinal(const Refusal &Why);
+/// The endpoint has no room for the request at present.
+bool isBusy(Reason Why);
+/// An upstream got the request, though it may have refused to run it.
+bool reachedUpstream(const Refusal &Why);
 /// The refusal speaks against the endpoint.
 bool isEndpointFault(Reason Why);
 /// The endpoint cannot work at present, so that one failure is enough.
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -3,12 +3,13 @@
 #include "EntryRefusal.h"
 #include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
+#include "amaranth/base/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace asio = boost::asio;
 
@@ -20,9 +21,23 @@
 constexpr std::size_t PrefixBytes = 64U << 10U;
 /// Longer keys are refused; control keeps a hash of the key only.
 constexpr std::size_t MaxKeyBytes = 256;
+/// Without any limit of the route or the caller.
+constexpr base::Millis DefaultTimeout = base::Millis::seconds(60);
 
-std::string pathOf(const std::string &Target) {
-  return Target.substr(0, Target.find_first_of("?#"));
+std::string_view pathOf(const std::string &Target) {
+  return std::string_view(Target).substr(0, Target.find_first_of("?#"));
+}
+
+/// Host names are compared without their port and in lower case.
+std::string hostOf(const Headers &Fields) {
+  const std::string *Value = findHeader(Fields, "Host");
+  if (!Value)
+    return {};
+  std::string Host = Value->substr(0, Value->rfind(':'));
+  std::ranges::transform(Host, Host.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Host;
 }
 
 std::uint64_t hashOf(std::initializer_list<std::string_view> Parts) {
@@ -74,18 +89,20 @@
   Arrived = Shared->Time.now();
   MaybeRefusal Refused = prepare();
   if (!Refused) {
-    Shared->budget(Via.Service).request(Arrived);
-    co_await readPrefix();
+    Shared->budget(Service).request(Arrived);
+    Refused = co_await readPrefix();
+  }
+  if (!Refused) {
     do
       Refused = co_await attempt();
-    while (Refused && retryAllowed(*Refused));
+    while (Refused && tryAgain(*Refused));
   }
   Caller->stopWatch();
   if (!Refused)
     co_return;
   if (CallerGone) {
-    Shared->Counters.request(Via.Service, "broken",
-                             Shared->Time.now() - Arrived);
+    finished("caller-gone", 0);
+    Shared->Counters.request(Service, "broken", Shared->Time.now() - Arrived);
     Caller->abort();
     co_return;
   }
@@ -95,71 +112,125 @@
 }
 
 EntryRequest::MaybeRefusal EntryRequest::prepare() {
-  auto Current = Shared->Snapshots.current();
-  if (!Current)
+  CallerTerms Terms;
+  try {
+    Terms = Shared->Dialect.callerTerms(Request.Fields);
+  } catch (const HttpError &Fault) {
+    return notRun(Reason::Malformed, Fault.what());
+  }
+  Id = Terms.Attempt;
+  if (auto Refused = findRoute())
+    return Refused;
+  if (auto Refused = checkLimits())
+    return Refused;
+  setTimes(Terms);
+  if (Deadline <= Arrived)
+    return notRun(Reason::DeadlineExceeded, "the deadline has passed");
+  chooseService();
+  return std::nullopt;
+}
+
+EntryRequest::MaybeRefusal EntryRequest::findRoute() {
+  Routes = Shared->routes();
+  if (!Routes)
     return notRun(Reason::NoConfiguration, "this node has no configuration");
-  const document::Route *Found = Current->match(pathOf(Request.Target));
+  const document::Route *Found =
+      Routes->match(hostOf(Request.Fields), pathOf(Request.Target));
   if (!Found)
-    return notRun(Reason::NoRoute, "no route matches the path");
+    return notRun(Reason::NoRoute, "no route matches the host and path");
   Via = *Found;
+  Service = Via.Service;
+  return std::nullopt;
+}
+
+EntryRequest::MaybeRefusal EntryRequest::checkLimits() {
   if (const std::string *Value = findHeader(Request.Fields, "Idempotency-Key"))
     Key = *Value;
+  if (Via.Kind != document::RequestKind::ByMethod)
+    Key.reset();
   if (Key && (Key->empty() || Key->size() > MaxKeyBytes))
     return notRun(Reason::Malformed, "malformed Idempotency-Key");
   if (!Key && Via.RequireIdempotencyKey && !isIdempotent(Request.Method))
     return notRun(Reason::KeyRequired, "this route needs an Idempotency-Key");
-  if (Request.BodyLength > Shared->Options.MaxBodyBytes)
+  auto Limit = static_cast<std::int64_t>(Routes->mesh().Limits.MaxBodyBytes);
+  if (Limit == 0)
+    Limit = Shared->Options.MaxBodyBytes;
+  if (Request.BodyLength > Limit)
     return notRun(Reason::TooLarge, "request body is too large");
-  return readDeadline();
+  return std::nullopt;
 }
 
-EntryRequest::MaybeRefusal EntryRequest::readDeadline() {
-  base::Millis Limit = Via.Timeout;
-  if (const std::string *Value =
-          findHeader(Request.Fields, "X-Request-Deadline-Ms")) {
-    std::int64_t Asked = 0;
-    auto [Rest, Fault] =
-        std::from_chars(Value->data(), Value->data() + Value->size(), Asked);
-    if (Fault != std::errc() || Rest != Value->data() + Value->size())
-      return notRun(Reason::Malformed, "malformed X-Request-Deadline-Ms");
-    Limit = std::min(Limit, base::Millis(Asked));
-  }
+void EntryRequest::setTimes(const CallerTerms &Terms) {
+  base::Millis Limit = DefaultTimeout;
+  if (Via.Timeout > base::Millis(0))
+    Limit = Via.Timeout;
+  if (Terms.Wait)
+    Limit = std::min(Limit, *Terms.Wait);
   Deadline = Arrived + Limit;
-  if (Limit <= base::Millis(0))
-    return notRun(Reason::DeadlineExceeded, "the deadline has passed");
-  return std::nullopt;
+  Objective = Via.Objective > base::Millis(0)
+                  ? std::min(Deadline, Arrived + Via.Objective)
+                  : Deadline;
 }
 
-asio::awaitable<void> EntryRequest::readPrefix() {
+void EntryRequest::chooseService() {
+  if (Via.Split.empty())
+    return;
+  std::uint64_t Sum = 0;
+  for (const document::WeightedService &Part : Via.Split)
+    Sum += Part.Weight;
+  if (Sum == 0)
+    return;
+  std::uniform_int_distribution<std::uint64_t> Any(0, Sum - 1);
+  std::uint64_t Draw = Any(Shared->Random);
+  for (const document::WeightedService &Part : Via.Split) {
+    if (Draw < Part.Weight) {
+      Service = Part.Service;
+      return;
+    }
+    Draw -= Part.Weight;
+  }
+}
+
+asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::readPrefix() {
   base::Bytes Buffer(Request.BodyLength == 0 ? 0 : PrefixBytes);
   std::size_t Filled = 0;
-  while (!Caller->bodyComplete() && Filled < Buffer.size()) {
-    std::span<std::uint8_t> Rest(Buffer.data() + Filled,
-                                 Buffer.size() - Filled);
-    std::size_t Count = co_await Caller->readBody(Rest);
-    if (Count == 0)
-      break;
-    Filled += Count;
+  std::string Malformed;
+  try {
+    while (!Caller->bodyComplete() && Filled < Buffer.size()) {
+      std::span<std::uint8_t> Rest(Buffer.data() + Filled,
+                                   Buffer.size() - Filled);
+      std::size_t Count = co_await Caller->readBody(Rest);
+      if (Count == 0)
+        break;
+      Filled += Count;
+    }
+  } catch (const HttpError &Fault) {
+    Malformed = Fault.what();
+  }
+  if (!Malformed.empty()) {
+    Caller->closeAfterResponse();
+    co_return notRun(Reason::Malformed, std::move(Malformed));
   }
   PrefixComplete = Caller->bodyComplete();
   Buffer.resize(Filled);
   Prefix = std::move(Buffer);
   RequestHash = hashOf({Request.Method, Request.Target});
-  Fingerprint = hashOf({Via.Service.value(), Request.Method, Request.Target,
+  Fingerprint = hashOf({Service.value(), Request.Method, Request.Target,
                         base::asText(Prefix)});
+  co_return std::nullopt;
 }
 
 const document::Endpoint *
 EntryRequest::choose(const document::MeshSnapshot &Current) {
-  auto Entry = Current.Services.find(Via.Service);
+  auto Entry = Current.Services.find(Service);
   if (Entry == Current.Services.end())
     return nullptr;
   std::set<base::VersionName> Empty;
   // A version without a usable endpoint is left out and the choice repeated.
   while (const document::VersionShare *Version = chooseVersion(
              Entry->second, Shared->Guard, Empty, Shared->Random)) {
-    if (const auto *Found = Shared->Endpoints.choose(Current, Via.Service,
-                                                     Version->Version, Avoid))
+    if (const auto *Found = Shared->Endpoints.choose(
+            Current, Service, Version->Version, Plan.avoided()))
       return Found;
     Empty.insert(Version->Version);
   }
@@ -170,23 +241,30 @@
   // A retry uses the newest configuration.
   Mesh Current = Shared->Snapshots.current();
   const document::Endpoint *Found = choose(*Current);
+  if (!Found && Plan.exhausted())
+    Found = choose(*Current);
   if (!Found)
     co_return notRun(Reason::NoEndpoint, "no endpoint takes requests");
-  ++Attempts;
   document::Endpoint Target = *Found;
-  Avoid.insert(Target.Id);
+  Plan.begin(Target.Id);
   Counted = false;
   InFlight Placed(Shared->Endpoints, Target.Id);
   base::TimePoint Started = Shared->Time.now();
   MaybeRefusal Refused = co_await exchange(Current, Target);
-  if (Refused)
+  Trail += fmt::format("{}{}@{}:{}:{}ms", Trail.empty() ? "" : ",",
+                       Target.Version.value(), Target.Id.value(),
+                       Refused ? reasonText(Refused->Why) : "answered",
+                       (Shared->Time.now() - Started).count());
+  if (Refused) {
     learn(*Current, Target, *Refused, Started);
+    Refused->At = Target.Id;
+  }
   co_return Refused;
 }
 
 RequestHead EntryRequest::headFor(const document::Endpoint &Target) const {
   RequestHead Head;
-  Head.Service = Via.Service;
+  Head.Service = Service;
   Head.Version = Target.Version;
   Head.Method = Request.Method;
   Head.Target = Request.Target;
@@ -197,6 +275,17 @@
   Head.RequestHash = RequestHash;
   Head.Fingerprint = Fingerprint;
   Head.BodyLength = Request.BodyLength;
+  Head.CallerService = Shared->Options.CallerService;
+  Head.Route = Via.Name;
+  Head.CallerAttempt = Id;
+  Head.Objective = Objective - Shared->Time.now();
+  Head.Priority = Via.Priority;
+  Head.RunsOnce = !repeatable();
+  if (Plan.patient() && Objective < Deadline) {
+    base::Millis Service = Shared->Endpoints.expectedService(Target.Id);
+    Head.Patience =
+        std::max(base::Millis(0), Objective - Shared->Time.now() - Service);
+  }
   return Head;
 }
 
@@ -248,33 +337,65 @@
                       "upstream answered " + std::to_string(Head.Status)};
   }
   eraseConnectionHeaders(Head.Fields);
-  std::string Class = std::to_string(Head.Status / 100) + "xx";
+  Shared->Dialect.cleanResponse(Head.Fields);
+  unsigned Status = Head.Status;
+  // A response that breaks off while it is held may be retried; the exception
+  // says so to the caller of this function.
+  base::Bytes Held;
+  bool End = false;
+  while (!End && Held.size() <= Shared->Options.HoldBytes) {
+    BodyPiece Piece = co_await Running->Body.readData();
+    End = Piece.End;
+    Held.insert(Held.end(), Piece.Data.begin(), Piece.Data.end());
+  }
+  bool Whole = End;
+  if (End && Request.Method != "HEAD") {
+    // Ends the pump of a request body that the upstream did not want.
+    Running->Body.end({Outcome::Unknown, Reason::Cancelled, "finished"});
+    Caller->stopWatch();
+    co_await Caller->respond(Status, std::move(Head.Fields),
+                             std::string(base::asText(Held)));
+  } else if (End) {
+    Caller->stopWatch();
+    co_await Caller->writeHead(Status, std::move(Head.Fields),
+                               Head.BodyLength);
+    co_await Caller->writeEnd();
+  } else {
+    Whole = co_await stream(Running, std::move(Head), std::move(Held));
+  }
+  base::Millis Took = Shared->Time.now() - Arrived;
+  std::string Class =
+      Whole ? std::to_string(Status / 100) + "xx" : std::string("broken");
+  Shared->Counters.request(Service, Class, Took);
+  finished(Whole ? "answered" : "broken", Status);
+  co_return std::nullopt;
+}
+
+asio::awaitable<bool> EntryRequest::stream(Exchange Running, ResponseHead Head,
+                                           base::Bytes First) {
   co_await Caller->writeHead(Head.Status, std::move(Head.Fields),
                              Head.BodyLength);
-  std::optional<ExchangeEnded> Broken;
+  bool Broken = false;
   try {
+    co_await Caller->writeBody(First);
     for (bool End = false; !End;) {
       BodyPiece Piece = co_await Running->Body.readData();
       End = Piece.End;
       co_await Caller->writeBody(Piece.Data);
     }
-  } catch (const ExchangeEnded &Failure) {
-    Broken = Failure;
+  } catch (const ExchangeEnded &) {
+    Broken = true;
   }
-  base::Millis Took = Shared->Time.now() - Arrived;
   if (Broken) {
     // The caller sees a reset and cannot take the part for the whole.
-    Shared->Counters.request(Via.Service, "broken", Took);
     Caller->abort();
-    co_return std::nullopt;
+    co_return false;
   }
   AMARANTH_INVARIANT(Running->Body.bodyComplete(),
                      "incomplete response passed as complete");
-  // Ends the pump of a request body that the upstream did not want.
   Running->Body.end({Outcome::Unknown, Reason::Cancelled, "finished"});
   co_await Caller->writeEnd();
-  Shared->Counters.request(Via.Service, Class, Took);
-  co_return std::nullopt;
+  co_return true;
 }
 
 asio::awaitable<void> EntryRequest::pump(Exchange To) {
@@ -316,37 +437,59 @@
 }
 
 bool EntryRequest::repeatable() const {
+  switch (Via.Kind) {
+  case document::RequestKind::Idempotent:
+  case document::RequestKind::Download:
+    return true;
+  case document::RequestKind::NonIdempotent:
+    return false;
+  case document::RequestKind::ByMethod:
+    break;
+  }
   // Control grants a key to one attempt only, so a keyed request may be sent
   // again without running twice.
   return Key.has_value() || isIdempotent(Request.Method);
 }
 
+unsigned EntryRequest::maxAttempts() const {
+  return Via.MaxAttempts != 0 ? Via.MaxAttempts : Shared->Options.MaxAttempts;
+}
+
 bool EntryRequest::retryStatus(unsigned Status) {
-  bool Temporary = Status == 502 || Status == 503 || Status == 504;
+  bool Temporary = Status == 500 || Status == 502 || Status == 503 ||
+                   Status == 504;
+  // An upstream of a route that is decided by the method may answer 500 to
+  // what it will never serve.
+  if (Status == 500 && Via.Kind == document::RequestKind::ByMethod)
+    return false;
   // A keyed request that got a response keeps it: the response is stored.
-  if (!Temporary || Key || !isIdempotent(Request.Method) || !replayable() ||
-      Attempts >= Shared->Options.MaxAttempts ||
-      Shared->Time.now() >= Deadline ||
-      !Shared->budget(Via.Service).available(Shared->Time.now()))
+  if (!Temporary || Key || !repeatable() || !replayable() ||
+      Plan.sends() + 1 >= maxAttempts() || Shared->Time.now() >= Deadline ||
+      !Shared->budget(Service).available(Shared->Time.now()))
     return false;
   auto Current = Shared->Snapshots.current();
   return choose(*Current) != nullptr;
 }
 
-bool EntryRequest::retryAllowed(const Refusal &Why) {
+bool EntryRequest::tryAgain(const Refusal &Why) {
   // A missing endpoint is no attempt, hence leaves what is known unchanged.
   if (Why.What == Outcome::Unknown)
     MayHaveRun = true;
-  if (CallerGone || Attempts == 0 || Attempts >= Shared->Options.MaxAttempts ||
-      !replayable() || Shared->Time.now() >= Deadline || isFinal(Why))
+  if (CallerGone || Plan.tries() == 0 || !replayable() ||
+      Shared->Time.now() >= Deadline)
     return false;
-  if (Why.What == Outcome::Unknown && !repeatable())
+  auto Next = Plan.refused(Why.At, Why, repeatable(), maxAttempts());
+  if (Next == AttemptPlan::Step::Stop)
     return false;
   auto Current = Shared->Snapshots.current();
-  if (!choose(*Current) ||
-      !Shared->budget(Via.Service).take(Shared->Time.now()))
+  if (!choose(*Current) && (!Plan.exhausted() || !choose(*Current)))
+    return false;
+  // What reached an upstream once counts as a retry at the second one.
+  bool Repeats = Next == AttemptPlan::Step::Retry || Plan.sends() > 0;
+  if (Repeats && !Shared->budget(Service).take(Shared->Time.now()))
     return false;
-  Shared->Counters.retry(Via.Service);
+  if (Repeats)
+    Shared->Counters.retry(Service);
   return true;
 }
 
@@ -359,31 +502,50 @@
     return;
   if (isEndpointFault(Why.Why))
     Shared->Endpoints.failed(Current, Target.Id, isCertainFault(Why.Why));
-  if (Why.What == Outcome::Unknown && !Counted && isVersionFault(Why.Why))
+  if (reachedUpstream(Why) && !Counted && isVersionFault(Why.Why))
     countEvidence(Current, Target, true, Started);
 }
 
 void EntryRequest::countEvidence(const document::MeshSnapshot &Current,
                                  const document::Endpoint &Target, bool Error,
                                  base::TimePoint Started) {
-  auto Entry = Current.Services.find(Via.Service);
+  auto Entry = Current.Services.find(Service);
   if (Entry == Current.Services.end() || !Entry->second.HasRollout)
     return;
   base::Millis Took = Shared->Time.now() - Started;
-  rollout::EvidenceKey Place{Via.Service, Target.Version, Via.Name};
+  rollout::EvidenceKey Place{Service, Target.Version, Via.Name};
   Shared->Evidence.Counts[Place].add(Error, Took);
   Shared->Guard.observe(Entry->second, Target.Version, Error);
 }
 
 asio::awaitable<void> EntryRequest::refuse(Refusal Why) {
+  if (Why.What == Outcome::NotRun && Why.Why != Reason::NoRoute) {
+    std::uniform_real_distribution<double> Jitter(-1, 1);
+    Why.RetryAfter = retryAfter(Plan.room(), Deadline - Shared->Time.now(),
+                                Jitter(Shared->Random));
+  }
+  unsigned Status = Shared->Dialect.statusOf(Why);
   Shared->Counters.refusal("entry", Why);
-  Shared->Counters.request(Via.Service, "refused",
-                           Shared->Time.now() - Arrived);
+  Shared->Counters.request(Service, "refused", Shared->Time.now() - Arrived);
+  finished(fmt::format("{} {} \"{}\"", outcomeText(Why.What),
+                       reasonText(Why.Why), Why.Text),
+           Status);
   if (!Caller->bodyComplete())
     Caller->closeAfterResponse();
   std::string Body = reasonText(Why.Why) + ": " + Why.Text + "\n";
-  Headers Fields = refusalFields(Why);
-  co_await Caller->respond(statusOf(Why), std::move(Fields), std::move(Body));
+  Headers Fields = Shared->Dialect.refusalFields(Why, Id);
+  co_await Caller->respond(Status, std::move(Fields), std::move(Body));
+}
+
+void EntryRequest::finished(const std::string &Outcome, unsigned Status) {
+  auto Log = base::logger(base::RequestLog);
+  const document::MeshSnapshot *Mesh = Routes ? &Routes->mesh() : nullptr;
+  Log->info("request id={} route={} service={} method={} document={} state={} "
+            "attempts={} trail={} took_ms={} left_ms={} status={} outcome={}",
+            Id, Via.Name.value(), Service.value(), Request.Method,
+            Mesh ? Mesh->Document.value() : 0, Mesh ? Mesh->State.value() : 0,
+            Plan.tries(), Trail, (Shared->Time.now() - Arrived).count(),
+            (Deadline - Shared->Time.now()).count(), Status, Outcome);
 }
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTH_DATAPLANE_SRC_ENTRYREQUEST_H
 #define AMARANTH_DATAPLANE_SRC_ENTRYREQUEST_H
 
+#include "AttemptPlan.h"
 #include "EntryContext.h"
 
 #include <memory>
@@ -32,22 +33,29 @@
 
   /// Route, deadline and limits; nothing is read from the caller.
   MaybeRefusal prepare();
-  MaybeRefusal readDeadline();
-  boost::asio::awaitable<void> readPrefix();
+  MaybeRefusal findRoute();
+  MaybeRefusal checkLimits();
+  void setTimes(const CallerTerms &Terms);
+  void chooseService();
+  boost::asio::awaitable<MaybeRefusal> readPrefix();
   boost::asio::awaitable<MaybeRefusal> attempt();
   boost::asio::awaitable<MaybeRefusal> exchange(Mesh Current,
                                                 document::Endpoint Target);
   boost::asio::awaitable<MaybeRefusal> forward(Exchange Running,
                                                ResponseHead Head);
+  /// Passes the body on as it comes, after `First`. True when it was complete.
+  boost::asio::awaitable<bool> stream(Exchange Running, ResponseHead Head,
+                                      base::Bytes First);
   boost::asio::awaitable<void> pump(Exchange To);
   boost::asio::awaitable<void> refuse(Refusal Why);
 
   const document::Endpoint *choose(const document::MeshSnapshot &Current);
   RequestHead headFor(const document::Endpoint &Target) const;
-  bool retryAllowed(const Refusal &Why);
+  bool tryAgain(const Refusal &Why);
   bool retryStatus(unsigned Status);
   bool repeatable() const;
   bool replayable() const { return PrefixComplete || !ReadBeyondPrefix; }
+  unsigned maxAttempts() const;
   void learn(const document::MeshSnapshot &Current,
              const document::Endpoint &Target, const Refusal &Why,
              base::TimePoint Started);
@@ -55,13 +63,20 @@
                      const document::Endpoint &Target, bool Error,
                      base::TimePoint Started);
   void watchCaller(const Exchange &Running);
+  void finished(const std::string &Outcome, unsigned Status);
 
   std::shared_ptr<EntryContext> Shared;
   std::shared_ptr<HttpConnection> Caller;
   HttpRequest Request;
+  /// Keeps the snapshot of `Via` alive.
+  std::shared_ptr<const document::RouteIndex> Routes;
   document::Route Via;
+  /// The service of the route, or the one that the split chose.
+  base::ServiceName Service;
+  std::string Id;
   base::TimePoint Arrived;
   base::TimePoint Deadline;
+  base::TimePoint Objective;
   std::optional<std::string> Key;
   /// The first part of the body, kept for retries and the fingerprint.
   base::Bytes Prefix;
@@ -70,12 +85,13 @@
   bool CallerGone = false;
   std::uint64_t RequestHash = 0;
   std::uint64_t Fingerprint = 0;
-  unsigned Attempts = 0;
   /// The evidence of the last attempt was counted with its response head.
   bool Counted = false;
   /// Some attempt may have run, so that no later refusal may say not-run.
   bool MayHaveRun = false;
-  std::set<base::EndpointId> Avoid;
+  AttemptPlan Plan;
+  /// Endpoints and outcomes so far, for the log line.
+  std::string Trail;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr base::Millis ReportInterval = base::Millis(1000);
+constexpr base::Millis ReportInterval = base::Millis(250);
 constexpr base::Millis DrainPoll = base::Millis(20);
 
 } // namespace
@@ -14,11 +14,12 @@
 struct EntryServer::Impl {
   Impl(const asio::any_io_executor &Executor, EntrySettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
-       follower::ControlCalls &Control, PeerPool &Peers, Metrics &Counters)
+       follower::ControlCalls &Control, PeerPool &Peers, Metrics &Counters,
+       const HttpDialect &Dialect)
       : Server(Executor, Options.Listen, Options.Http, Time),
         Shared(std::make_shared<EntryContext>(Executor, std::move(Options),
                                               Time, Snapshots, Control, Peers,
-                                              Counters)) {}
+                                              Counters, Dialect)) {}
 
   HttpServer Server;
   std::shared_ptr<EntryContext> Shared;
@@ -28,9 +29,9 @@
                          EntrySettings Options, base::Clock &Time,
                          follower::SnapshotSource &Snapshots,
                          follower::ControlCalls &Control, PeerPool &Peers,
-                         Metrics &Counters)
+                         Metrics &Counters, const HttpDialect &Dialect)
     : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Snapshots,
-                                  Control, Peers, Counters)) {}
+                                  Control, Peers, Counters, Dialect)) {}
 
 EntryServer::~EntryServer() = default;
 
@@ -62,6 +63,10 @@
     std::erase_if(Shared->Budgets, [&](const auto &Entry) {
       return !Current->Services.contains(Entry.first);
     });
+    for (auto &[Service, Budget] : Shared->Budgets)
+      Budget.setRates(Shared->retryRates());
+    if (Current->Limits.IdleTimeout > base::Millis(0))
+      Self->Server.setHeadTimeout(Current->Limits.IdleTimeout);
   }
 }
 
@@ -69,6 +74,11 @@
 
 asio::awaitable<bool> EntryServer::drain(base::Millis Limit) {
   auto Keep = Self;
+  if (Keep->Shared->Options.LameDuck > base::Millis(0)) {
+    Keep->Server.closeAfterResponses();
+    co_await Keep->Shared->Time.sleepFor(Keep->Shared->Options.LameDuck);
+    Limit = Limit - Keep->Shared->Options.LameDuck;
+  }
   Keep->Server.stop();
   base::TimePoint End = Keep->Shared->Time.now() + Limit;
   while (Keep->Server.connections() != 0 && Keep->Shared->Time.now() < End)
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -1,4 +1,5 @@
 #include "GateImpl.h"
+#include "WorkOrder.h"
 #include "amaranth/base/Log.h"
 
 #include <algorithm>
@@ -11,13 +12,33 @@
 namespace {
 
 constexpr base::Millis TickInterval = base::Millis(250);
-/// The queue holds this many times the slots. Longer queues only add waiting
-/// time, since callers have deadlines.
-constexpr std::uint32_t QueueFactor = 2;
+/// Earliest time at which a caller that was refused for lack of room should
+/// come back, when the expected wait is not known.
 constexpr base::Millis BusyRetryAfter = base::Millis(100);
+/// A request is given up this part of its expected time before it could
+/// finish by its deadline, in percent: half of the requests take less.
+constexpr std::int64_t LatestStartPercent = 60;
 /// Larger announcements are taken for a mistake.
 constexpr std::uint32_t MaxSlots = 100'000;
 
+const char *stateName(UpstreamState State) {
+  switch (State) {
+  case UpstreamState::Absent:
+    return "absent";
+  case UpstreamState::Starting:
+    return "starting";
+  case UpstreamState::Ready:
+    return "ready";
+  case UpstreamState::Draining:
+    return "draining";
+  case UpstreamState::Crashed:
+    return "crashed";
+  case UpstreamState::Stopped:
+    return "stopped";
+  }
+  return "unknown";
+}
+
 UpstreamEvent eventOf(Announcement::State What) {
   switch (What) {
   case Announcement::State::Starting:
@@ -50,12 +71,13 @@
 
 Gate::Impl::Impl(const asio::any_io_executor &Executor, GateSettings Settings,
                  base::Clock &Time, follower::SnapshotSource &Snapshots,
-                 follower::ControlCalls &Control, Metrics &Counters)
+                 follower::ControlCalls &Control, Metrics &Counters,
+                 const HttpDialect &Dialect)
     : Executor(Executor), Options(std::move(Settings)), Time(Time),
       Snapshots(Snapshots), Control(Control), Counters(Counters),
-      Claims(Executor, Control, Time, Counters),
+      Dialect(Dialect), Claims(Executor, Control, Time, Counters),
       Client(Executor, Options.Client, Time),
-      Crashes(Executor, Time, Claims, Client,
+      Crashes(Executor, Time, Claims, Client, Options.IsolateCrashes,
               [this] {
                 this->Counters.crash();
                 Client.dropIdle();
@@ -81,8 +103,14 @@
       Crashes.restarted(Last->Service, Options.Endpoint);
     Client.dropIdle();
     Lifecycle = UpstreamLifecycle();
-    Times = ServiceTimes();
+    Times = RouteTimes();
   }
+  if (!Last || Restarted || Last->Instance != News.Instance)
+    base::logger("gate")->info(
+        "upstream announced service={} version={} instance={} slots={} "
+        "incarnation={} address={}",
+        News.Service.value(), News.Version.value(), News.Instance, News.Slots,
+        News.Incarnation, News.Upstream.text());
   bool Changed = !Last || Last->Slots != News.Slots ||
                  Last->Version != News.Version || Last->Service != News.Service;
   Last = News;
@@ -96,13 +124,24 @@
   return true;
 }
 
+void Gate::Impl::leave(const std::string &Instance,
+                       std::optional<std::uint64_t> Incarnation) {
+  bool Current = Last && Last->Instance == Instance &&
+                 Incarnation.value_or(Last->Incarnation) == Last->Incarnation;
+  base::logger("gate")->info("upstream leaves instance={} current={}", Instance,
+                             Current);
+  if (Current)
+    enter(UpstreamEvent::AnnouncedStopped);
+}
+
 void Gate::Impl::enter(UpstreamEvent Event) {
   if (!Lifecycle.apply(Event))
     return;
   UpstreamState State = Lifecycle.state();
-  base::logger("dataplane")
-      ->info("upstream state={} endpoint={}", static_cast<int>(State),
-             Options.Endpoint.value());
+  base::logger("gate")->info(
+      "upstream state={} endpoint={} instance={} in_flight={} queued={}",
+      stateName(State), Options.Endpoint.value(), Last ? Last->Instance : "",
+      Slots.inFlight(), Slots.queued());
   if (State == UpstreamState::Ready) {
     ReadyAt = Time.now();
     ReadyWall = Time.wallNow();
@@ -117,6 +156,18 @@
 void Gate::Impl::publish() {
   if (!Last)
     return;
+  // The time of day may have been set back since an earlier process of this
+  // node published its endpoint.
+  if (auto Snapshot = Snapshots.current()) {
+    auto Known = Snapshot->Endpoints.find(Options.Endpoint);
+    if (Known != Snapshot->Endpoints.end() &&
+        Known->second.Incarnation > Incarnation) {
+      base::logger("gate")->warn(
+          "a later incarnation of this endpoint is known, own={} known={}",
+          Incarnation, Known->second.Incarnation);
+      Incarnation = Known->second.Incarnation + 1;
+    }
+  }
   document::Endpoint Entry;
   Entry.Id = Options.Endpoint;
   Entry.Node = Options.Node;
@@ -125,7 +176,7 @@
   Entry.Version = Last->Version;
   Entry.Zone = Options.Zone;
   Entry.Slots = Last->Slots;
-  Entry.State = published(Lifecycle.state(), NodeDraining);
+  Entry.State = published(Lifecycle.state(), NodeDraining || Leaving);
   Entry.Incarnation = Incarnation;
   Entry.Sequence = ++Sequence;
   Entry.ReadySince = ReadyWall.count();
@@ -143,6 +194,7 @@
                                         Options.SlowStart.count()));
   }
   // Work in flight keeps its slots when the limit falls.
+  Slots.setService(Times.expected().value_or(base::Millis(0)));
   Slots.setLimit(Limit);
   Counters.gateLoad(load());
 }
@@ -154,8 +206,33 @@
 }
 
 Load Gate::Impl::load() const {
-  return {Slots.inFlight(), static_cast<std::uint32_t>(Slots.queued()),
-          Last ? Last->Slots : 0};
+  Load Work{Slots.inFlight(), static_cast<std::uint32_t>(Slots.queued()),
+            Last ? Last->Slots : 0};
+  Work.Service = Times.expected().value_or(base::Millis(0));
+  Work.Wait = expectedWait(Slots.queued(), Slots.inFlight(), Slots.limit(),
+                           Work.Service);
+  return Work;
+}
+
+base::Millis Gate::Impl::expectedService(const RequestHead &Head) const {
+  return Times.expected(Head.Route).value_or(base::Millis(0));
+}
+
+WaitingWork Gate::Impl::workOf(const ServerExchange &Exchange) const {
+  return {Exchange.Head.Priority, Exchange.Objective, Exchange.Deadline, 0};
+}
+
+base::Millis Gate::Impl::expectedWaitOf(const ServerExchange &Exchange) const {
+  return expectedWait(Slots.ahead(workOf(Exchange)), Slots.inFlight(),
+                      Slots.limit(),
+                      Times.expected().value_or(base::Millis(0)));
+}
+
+base::TimePoint
+Gate::Impl::latestStart(const ServerExchange &Exchange) const {
+  // An idle upstream takes a request in any case; see `deadlineReachable`.
+  return Exchange.Deadline -
+         expectedService(Exchange.Head) * LatestStartPercent / 100;
 }
 
 std::optional<Refusal> Gate::Impl::refusal(Outcome What, Reason Why,
@@ -223,18 +300,11 @@
   base::Millis Left = Exchange.Deadline - Time.now();
   if (Left <= base::Millis(0))
     return false;
-  auto Expected = Times.expected();
   // An idle upstream takes one request in any case; otherwise a median from
   // a slow period would never be replaced.
-  if (!Expected || Slots.inFlight() == 0)
+  if (Slots.inFlight() == 0)
     return true;
-  auto Limit = std::max<std::int64_t>(1, Slots.limit());
-  auto Waiting = static_cast<std::int64_t>(Slots.queued());
-  bool Waits = Slots.inFlight() >= Slots.limit();
-  base::Millis Needed = *Expected;
-  if (Waits)
-    Needed = Needed + *Expected * (Waiting + 1) / Limit;
-  return Needed <= Left;
+  return expectedWaitOf(Exchange) + expectedService(Exchange.Head) <= Left;
 }
 
 std::optional<Refusal>
@@ -247,23 +317,30 @@
                    "another service or version runs here");
   if (auto Refused = quarantineRefusal(Head))
     return Refused;
+  base::Millis Wait = expectedWaitOf(Exchange);
+  auto Busy = [&](Reason Why, const char *Text) {
+    auto Refused = refusal(Outcome::NotRun, Why, Text);
+    Refused->RetryAfter = std::max(Wait, BusyRetryAfter);
+    return Refused;
+  };
   if (!deadlineReachable(Exchange))
-    return refusal(Outcome::NotRun, Reason::DeadlineUnreachable,
-                   "the deadline cannot be met");
+    return Busy(Reason::DeadlineUnreachable, "the deadline cannot be met");
+  if (Head.Patience && Wait > *Head.Patience)
+    return Busy(Reason::WaitTooLong, "no slot is expected in time");
+  // The least urgent requests leave the queue to the others when it is full.
   bool Waits = Slots.inFlight() >= Slots.limit();
-  if (Waits && Slots.queued() >= std::size_t{QueueFactor} * Last->Slots) {
-    auto Full = refusal(Outcome::NotRun, Reason::QueueFull, "queue is full");
-    Full->RetryAfter = BusyRetryAfter;
-    return Full;
-  }
+  if (Waits && Slots.ahead(workOf(Exchange)) >=
+                   std::size_t{Options.QueueFactor} * Last->Slots)
+    return Busy(Reason::QueueFull, "queue is full");
   return std::nullopt;
 }
 
 Gate::Gate(const asio::any_io_executor &Executor, GateSettings Options,
            base::Clock &Time, follower::SnapshotSource &Snapshots,
-           follower::ControlCalls &Control, Metrics &Counters)
+           follower::ControlCalls &Control, Metrics &Counters,
+           const HttpDialect &Dialect)
     : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Snapshots,
-                                  Control, Counters)) {}
+                                  Control, Counters, Dialect)) {}
 
 Gate::~Gate() = default;
 
@@ -277,12 +354,23 @@
 
 bool Gate::announce(const Announcement &News) { return Self->announce(News); }
 
+void Gate::leave(const std::string &Instance,
+                 std::optional<std::uint64_t> Incarnation) {
+  Self->leave(Instance, Incarnation);
+}
+
 asio::awaitable<void> Gate::serve(std::shared_ptr<ServerExchange> Exchange) {
   co_await Self->serve(std::move(Exchange));
 }
 
-asio::awaitable<bool> Gate::drain(base::Millis Limit) {
+asio::awaitable<bool> Gate::drain(base::Millis Limit, base::Millis Accept) {
   auto Keep = Self;
+  if (Accept > base::Millis(0)) {
+    Keep->Leaving = true;
+    Keep->publish();
+    co_await Keep->Time.sleepFor(Accept);
+    Limit = Limit - Accept;
+  }
   constexpr base::Millis Poll = base::Millis(20);
   constexpr base::Millis FlushTime = base::Millis(200);
   if (!std::exchange(Keep->NodeDraining, true)) {
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -14,10 +14,13 @@
 struct Gate::Impl : std::enable_shared_from_this<Gate::Impl> {
   Impl(const boost::asio::any_io_executor &Executor, GateSettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
-       follower::ControlCalls &Control, Metrics &Counters);
+       follower::ControlCalls &Control, Metrics &Counters,
+       const HttpDialect &Dialect);
 
   // Gate.cpp: lifecycle and admission.
   bool announce(const Announcement &News);
+  void leave(const std::string &Instance,
+             std::optional<std::uint64_t> Incarnation);
   void enter(UpstreamEvent Event);
   void publish();
   void updateLimit();
@@ -30,6 +33,10 @@
   std::optional<Refusal> quarantineRefusal(const RequestHead &Head) const;
   bool deadlineReachable(const ServerExchange &Exchange) const;
   bool isSuspect(const RequestHead &Head) const;
+  base::Millis expectedService(const RequestHead &Head) const;
+  base::Millis expectedWaitOf(const ServerExchange &Exchange) const;
+  WaitingWork workOf(const ServerExchange &Exchange) const;
+  base::TimePoint latestStart(const ServerExchange &Exchange) const;
 
   // GateRun.cpp: one exchange.
   using Shared = std::shared_ptr<ServerExchange>;
@@ -43,6 +50,8 @@
     bool RunsToEnd = false;
     bool Suspect = false;
     bool Crashed = false;
+    /// The response head arrived.
+    bool Answered = false;
   };
   /// The last chance to refuse before a byte is sent.
   std::optional<Refusal> lastRefusal(const ServerExchange &Exchange) const;
@@ -55,9 +64,19 @@
   boost::asio::awaitable<void> replay(Shared Exchange,
                                       control::StoredResponse Stored);
   boost::asio::awaitable<std::shared_ptr<UpstreamCall>> begin(Shared Exchange);
-  boost::asio::awaitable<void> forward(Shared Exchange,
-                                       std::shared_ptr<UpstreamCall> Call,
-                                       const Run &State);
+  /// The head of this request's own response, before the deadline.
+  boost::asio::awaitable<ResponseHead> ownHead(Shared Exchange,
+                                               std::shared_ptr<UpstreamCall> Call);
+  /// Reads the rest of a response that is not passed on, so that its
+  /// connection can be used again.
+  boost::asio::awaitable<void> drainBody(std::shared_ptr<UpstreamCall> Call);
+  Answer forward(Shared Exchange, std::shared_ptr<UpstreamCall> Call,
+                 Run &State);
+  boost::asio::awaitable<void> passBody(Shared Exchange,
+                                        std::shared_ptr<UpstreamCall> Call,
+                                        ResponseHead Head, const Run &State);
+  void logEnd(const ServerExchange &Exchange,
+              const std::optional<Refusal> &Refused) const;
   Headers requestFields(const ServerExchange &Exchange) const;
 
   boost::asio::any_io_executor Executor;
@@ -66,11 +85,12 @@
   follower::SnapshotSource &Snapshots;
   follower::ControlCalls &Control;
   Metrics &Counters;
+  const HttpDialect &Dialect;
   ClaimClient Claims;
   UpstreamClient Client;
   CrashGuard Crashes;
   SlotQueue Slots;
-  ServiceTimes Times;
+  RouteTimes Times;
   UpstreamLifecycle Lifecycle;
   std::optional<Announcement> Last;
   base::TimePoint LastHeard;
@@ -79,6 +99,8 @@
   std::uint64_t Incarnation;
   std::uint64_t Sequence = 0;
   bool NodeDraining = false;
+  /// The endpoint is published as leaving, but still takes work.
+  bool Leaving = false;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -85,12 +85,13 @@
   } catch (const ExchangeEnded &) {
     // The entry node has gone or has cancelled; nobody waits for an answer.
   } catch (const std::exception &Failure) {
-    base::logger("dataplane")
-        ->error("exchange failed error=\"{}\"", Failure.what());
+    base::logger("gate")->error("exchange failed id={} error=\"{}\"",
+                                Exchange->Head.CallerAttempt, Failure.what());
     Refused = refusal(Outcome::Unknown, Reason::UpstreamBroken, "internal");
   }
   Counters.gateLoad(load());
   Exchange->OnEnd = nullptr;
+  logEnd(*Exchange, Refused);
   if (!Refused || Exchange->Body.ended())
     co_return;
   Counters.refusal("gate", *Refused);
@@ -98,6 +99,29 @@
                              encode(*Refused));
 }
 
+void Gate::Impl::logEnd(const ServerExchange &Exchange,
+                        const std::optional<Refusal> &Refused) const {
+  base::TimePoint Now = Time.now();
+  base::TimePoint Started = Exchange.Started.value_or(Now);
+  std::string Outcome = "answered";
+  if (Exchange.Body.ended())
+    Outcome = "cancelled";
+  if (Refused)
+    Outcome = std::string(outcomeText(Refused->What)) + " " +
+              reasonText(Refused->Why);
+  base::logger(base::RequestLog)
+      ->info("exchange id={} route={} priority={} waited_ms={} ran_ms={} "
+             "left_ms={} in_flight={} queued={} slots={} service_ms={} "
+             "instance={} outcome=\"{}\" detail=\"{}\"",
+             Exchange.Head.CallerAttempt, Exchange.Head.Route.value(),
+             Exchange.Head.Priority, (Started - Exchange.Arrived).count(),
+             (Now - Started).count(), (Exchange.Deadline - Now).count(),
+             Slots.inFlight(), Slots.queued(), Slots.limit(),
+             expectedService(Exchange.Head).count(),
+             Last ? Last->Instance : std::string(), Outcome,
+             Refused ? Refused->Text : std::string());
+}
+
 Gate::Impl::Answer Gate::Impl::attempt(Shared Exchange) {
   if (auto Refused = admission(*Exchange))
     co_return Refused;
@@ -108,7 +132,8 @@
   // The exchange owns the object that the queue waits on.
   std::shared_ptr<ExchangeEnd> Waiting(Exchange, &Exchange->Body);
   auto Granted =
-      co_await Slots.acquire(std::move(Waiting), Exchange->Deadline, Suspect);
+      co_await Slots.acquire(std::move(Waiting), workOf(*Exchange),
+                             latestStart(*Exchange), Suspect);
   if (Granted == SlotQueue::Result::Granted)
     co_return co_await runWithSlot(Exchange, Suspect);
   if (Suspect)
@@ -117,7 +142,7 @@
     co_return std::nullopt;
   if (Granted == SlotQueue::Result::Expired)
     co_return refusal(Outcome::NotRun, Reason::DeadlineExceeded,
-                      "no slot was free before the deadline");
+                      "no slot was free early enough for the deadline");
   auto Refused = stateRefusal();
   co_return Refused ? Refused
                     : refusal(Outcome::NotRun, Reason::Overloaded,
@@ -126,6 +151,7 @@
 
 Gate::Impl::Answer Gate::Impl::runWithSlot(Shared Exchange, bool Suspect) {
   SlotHold Hold(Slots);
+  Exchange->Started = Time.now();
   auto Refused = lastRefusal(*Exchange);
   if (!Refused)
     Refused = quarantineRefusal(Exchange->Head);
@@ -170,7 +196,8 @@
   std::string Method = Head.Method;
   std::string Target = Head.Target;
   co_return co_await Client.begin(std::move(Method), std::move(Target),
-                                  std::move(Fields), Head.BodyLength);
+                                  std::move(Fields), Head.BodyLength,
+                                  Head.RunsOnce);
 }
 
 Gate::Impl::Answer Gate::Impl::execute(Shared Exchange, Run &State) {
@@ -181,6 +208,7 @@
   std::optional<UpstreamError> Failure;
   std::shared_ptr<UpstreamCall> Call;
   std::exception_ptr Ended;
+  std::optional<Refusal> Refused;
   try {
     Call = co_await begin(Exchange);
     if (!State.RunsToEnd)
@@ -188,7 +216,7 @@
     if (Exchange->Body.ended() && !State.RunsToEnd)
       Call->abort();
     asio::co_spawn(Executor, pumpRequest(Exchange, Call), asio::detached);
-    co_await forward(Exchange, Call, State);
+    Refused = co_await forward(Exchange, Call, State);
     Tracked.reset();
   } catch (const UpstreamError &Error) {
     Failure = Error;
@@ -208,7 +236,7 @@
   if (Ended)
     std::rethrow_exception(Ended);
   if (!Failure)
-    co_return std::nullopt;
+    co_return Refused;
   if (!Failure->sent())
     Tracked.reset();
   co_return co_await failed(Exchange, *Failure, State);
@@ -238,23 +266,76 @@
                     Failure.what());
 }
 
-asio::awaitable<void> Gate::Impl::forward(Shared Exchange,
-                                          std::shared_ptr<UpstreamCall> Call,
-                                          const Run &State) {
+asio::awaitable<ResponseHead>
+Gate::Impl::ownHead(Shared Exchange, std::shared_ptr<UpstreamCall> Call) {
+  for (;;) {
+    base::Millis Left =
+        std::max(base::Millis(1), Exchange->Deadline - Time.now());
+    auto Answered = co_await base::withTimeout(Time, Left, Call->readHead());
+    if (!Answered) {
+      Call->abort();
+      throw UpstreamError(true, Reason::DeadlineExceeded,
+                          "no response before the deadline");
+    }
+    if (Dialect.verdict(*Answered, Exchange->Head.CallerAttempt) !=
+        UpstreamVerdict::Foreign)
+      co_return std::move(*Answered);
+    base::logger("gate")->warn("response of another request skipped id={}",
+                               Exchange->Head.CallerAttempt);
+    co_await Call->skipResponse();
+  }
+}
+
+asio::awaitable<void>
+Gate::Impl::drainBody(std::shared_ptr<UpstreamCall> Call) {
+  base::Bytes Buffer(MaxPieceBytes);
+  while (co_await Call->readBody(Buffer) != 0)
+    ;
+}
+
+Gate::Impl::Answer Gate::Impl::forward(Shared Exchange,
+                                       std::shared_ptr<UpstreamCall> Call,
+                                       Run &State) {
   base::TimePoint Started = Time.now();
-  base::Millis Left =
-      std::max(base::Millis(1), Exchange->Deadline - Time.now());
-  auto Answered = co_await base::withTimeout(Time, Left, Call->readHead());
+  ResponseHead Head;
+  std::exception_ptr Late;
+  try {
+    Head = co_await ownHead(Exchange, Call);
+  } catch (const UpstreamError &) {
+    Late = std::current_exception();
+  }
+  auto What = Late ? UpstreamVerdict::Ran
+                   : Dialect.verdict(Head, Exchange->Head.CallerAttempt);
   // A request that ran into its deadline counts too, or else an upstream that
-  // became slow would keep its good median.
-  Times.add(Time.now() - Started);
-  if (!Answered) {
-    Call->abort();
-    throw UpstreamError(true, Reason::DeadlineExceeded,
-                        "no response before the deadline");
+  // became slow would keep its good median. One that was not run says nothing.
+  if (What == UpstreamVerdict::Ran)
+    Times.add(Exchange->Head.Route, Time.now() - Started);
+  if (Late)
+    std::rethrow_exception(Late);
+  if (What == UpstreamVerdict::Suspicious)
+    throw UpstreamError(true, Reason::UpstreamBroken,
+                        "response without a sign of this upstream");
+  State.Answered = true;
+  if (What == UpstreamVerdict::Ran) {
+    co_await passBody(Exchange, std::move(Call), std::move(Head), State);
+    co_return std::nullopt;
   }
-  ResponseHead Head = std::move(*Answered);
+  if (Exchange->Head.IdempotencyKey)
+    Claims.release(Exchange->Head);
+  co_await drainBody(Call);
+  if (What == UpstreamVerdict::NotRun)
+    co_return refusal(Outcome::NotRun, Reason::UpstreamShed,
+                      "upstream answered " + std::to_string(Head.Status) +
+                          " without running the request");
+  co_return refusal(Outcome::NotRun, Reason::UpstreamReplaced,
+                    "another process has the upstream's address");
+}
+
+asio::awaitable<void>
+Gate::Impl::passBody(Shared Exchange, std::shared_ptr<UpstreamCall> Call,
+                     ResponseHead Head, const Run &State) {
   eraseConnectionHeaders(Head.Fields);
+  Dialect.cleanResponse(Head.Fields);
   Head.Work = load();
   bool Keyed = Exchange->Head.IdempotencyKey.has_value();
   ResponseRecorder Recorder(Head);
@@ -267,7 +348,8 @@
   for (;;) {
     std::size_t Count = co_await Call->readBody(Buffer);
     base::ByteView Part(Buffer.data(), Count);
-    Recorder.add(Part);
+    if (Keyed)
+      Recorder.add(Part);
     if (Count == 0 && Keyed)
       Claims.finish(Exchange->Head, Recorder.take());
     if (Attached) {
@@ -293,10 +375,13 @@
 Headers Gate::Impl::requestFields(const ServerExchange &Exchange) const {
   Headers Fields = Exchange.Head.Fields;
   eraseConnectionHeaders(Fields);
-  // The upstream passes the rest of the deadline on to its own calls.
-  eraseHeader(Fields, "X-Request-Deadline-Ms");
-  base::Millis Left = std::max(base::Millis(0), Exchange.Deadline - Time.now());
-  Fields.emplace_back("X-Request-Deadline-Ms", std::to_string(Left.count()));
+  UpstreamTerms Terms;
+  Terms.Attempt = Exchange.Head.CallerAttempt;
+  Terms.Remaining =
+      std::max(base::Millis(0), Exchange.Deadline - Time.now());
+  Terms.Instance = Last ? Last->Instance : std::string();
+  Terms.CallerService = Exchange.Head.CallerService.value();
+  Dialect.setUpstreamFields(Fields, Terms);
   if (!findHeader(Fields, "Host"))
     Fields.emplace_back("Host", Exchange.Head.Service.value());
   return Fields;
--- a/dataplane/src/Headers.cpp
+++ b/dataplane/src/Headers.cpp
@@ -30,11 +30,9 @@
   return Found;
 }
 
-// Fields of one connection (RFC 9110, section 7.6.1), the length, which is
-// carried beside the fields, and the outcome fields: an upstream that passes
-// on the refusal of a nested call has run, so its copy must not reach the
-// caller.
-constexpr std::array<std::string_view, 12> ConnectionHeaders = {
+// Fields of one connection (RFC 9110, section 7.6.1), and the length, which
+// is carried beside the fields.
+constexpr std::array<std::string_view, 11> ConnectionHeaders = {
     "Connection",
     "Keep-Alive",
     "Proxy-Authenticate",
@@ -45,8 +43,7 @@
     "Upgrade",
     "Content-Length",
     "Expect",
-    "Proxy-Connection",
-    "X-Amaranth-Outcome"};
+    "Proxy-Connection"};
 
 } // namespace
 
@@ -71,7 +68,6 @@
         Named.push_back(std::move(Word));
   for (std::string_view Name : ConnectionHeaders)
     eraseHeader(Fields, Name);
-  eraseHeader(Fields, "X-Amaranth-Reason");
   for (const std::string &Name : Named)
     eraseHeader(Fields, Name);
 }
--- a/dataplane/src/HttpConnection.cpp
+++ b/dataplane/src/HttpConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -49,6 +50,9 @@
   bool EndWritten = false;
   bool Chunked = false;
   bool NoBody = false;
+  /// `respond` writes the head together with the body.
+  bool Joined = false;
+  std::string Head;
   std::int64_t Remaining = 0;
 };
 
@@ -69,6 +73,35 @@
   return Request;
 }
 
+bool isChunked(std::string_view Value) {
+  return boost::beast::iequals(Value, "chunked");
+}
+
+} // namespace
+
+void checkFraming(const HttpRequest &Request) {
+  std::size_t Hosts = 0;
+  std::size_t Encodings = 0;
+  for (const auto &[Name, Value] : Request.Fields) {
+    Hosts += boost::beast::iequals(Name, "Host") ? 1 : 0;
+    if (!boost::beast::iequals(Name, "Transfer-Encoding"))
+      continue;
+    ++Encodings;
+    // Any other coding leaves the length of the body open, so that the bytes
+    // after it could be taken for another request.
+    if (!isChunked(Value))
+      throw HttpError(400, "unsupported Transfer-Encoding");
+  }
+  if (Encodings > 1)
+    throw HttpError(400, "more than one Transfer-Encoding");
+  if (Encodings == 1 && findHeader(Request.Fields, "Content-Length"))
+    throw HttpError(400, "both Transfer-Encoding and Content-Length");
+  if (Hosts != 1)
+    throw HttpError(400, Hosts == 0 ? "no Host" : "more than one Host");
+}
+
+namespace {
+
 [[noreturn]] void throwParseError(boost::system::error_code Failure) {
   if (Failure.category() !=
       http::make_error_code(http::error::bad_method).category())
@@ -117,6 +150,7 @@
   Keep->ContinueWanted = Expect && *Expect == "100-continue";
   if (!withinLimits(Request.Fields))
     throw HttpError(431, "too many header fields");
+  checkFraming(Request);
   co_return Request;
 }
 
@@ -170,7 +204,12 @@
   else if (Keep->Http10)
     Fields.emplace_back("Connection", "keep-alive");
   Keep->HeadWritten = true;
-  co_await Keep->write(responseText(Status, Fields));
+  std::string Text = responseText(Status, Fields);
+  if (Keep->Joined) {
+    Keep->Head = std::move(Text);
+    co_return;
+  }
+  co_await Keep->write(std::move(Text));
 }
 
 asio::awaitable<void> HttpConnection::writeBody(base::ByteView Data) {
@@ -213,9 +252,18 @@
 
 asio::awaitable<void> HttpConnection::respond(unsigned Status, Headers Fields,
                                               std::string Body) {
+  auto Keep = Self;
+  Keep->Joined = true;
   co_await writeHead(Status, std::move(Fields),
                      static_cast<std::int64_t>(Body.size()));
-  co_await writeBody(base::asBytes(Body));
+  Keep->Joined = false;
+  // Head and body in one write: two would take two system calls and packets.
+  std::string Text = std::move(Keep->Head);
+  if (!Keep->NoBody) {
+    Text += Body;
+    Keep->Remaining = 0;
+  }
+  co_await Keep->write(std::move(Text));
   co_await writeEnd();
 }
 
--- a/dataplane/src/HttpServer.cpp
+++ b/dataplane/src/HttpServer.cpp
@@ -38,6 +38,7 @@
   base::Clock &Time;
   std::set<std::shared_ptr<HttpConnection>> Open;
   std::set<HttpConnection *> Idle;
+  bool Closing = false;
   bool Stopping = false;
 };
 
@@ -105,7 +106,7 @@
   }
   if (!Request)
     co_return false;
-  if (Stopping)
+  if (Stopping || Closing)
     Link->closeAfterResponse();
   co_await Handle(Link, std::move(*Request));
   co_return Link->reusable() && !Stopping;
@@ -147,6 +148,12 @@
   co_await Keep->accept(std::move(Handle));
 }
 
+void HttpServer::setHeadTimeout(base::Millis Timeout) {
+  Shared->Bounds.HeadTimeout = Timeout;
+}
+
+void HttpServer::closeAfterResponses() { Shared->Closing = true; }
+
 void HttpServer::stop() {
   Shared->Stopping = true;
   boost::system::error_code Ignored;
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -52,13 +52,16 @@
 }
 
 Offset<wire::Load> putLoad(FlatBufferBuilder &Out, const Load &Work) {
-  return wire::CreateLoad(Out, Work.InFlight, Work.Queued, Work.Slots);
+  return wire::CreateLoad(Out, Work.InFlight, Work.Queued, Work.Slots,
+                          static_cast<std::uint32_t>(Work.Service.count()),
+                          static_cast<std::uint32_t>(Work.Wait.count()));
 }
 
 Load takeLoad(const wire::Load *Work) {
   if (!Work)
     return {};
-  return {Work->in_flight(), Work->queued(), Work->slots()};
+  return {Work->in_flight(), Work->queued(), Work->slots(),
+          base::Millis(Work->service_ms()), base::Millis(Work->wait_ms())};
 }
 
 template <typename Table> BodyPiece takePiece(base::ByteView Payload) {
@@ -103,9 +106,14 @@
   Offset<flatbuffers::String> Key;
   if (Head.IdempotencyKey)
     Key = Out.CreateString(*Head.IdempotencyKey);
+  auto Caller = Out.CreateString(Head.CallerService.value());
+  auto Route = Out.CreateString(Head.Route.value());
+  auto CallerAttempt = Out.CreateString(Head.CallerAttempt);
   Out.Finish(wire::CreateRequestHead(
       Out, Service, Version, Method, Target, Fields, Head.Remaining.count(),
-      Attempt, Key, Head.RequestHash, Head.Fingerprint, Head.BodyLength));
+      Attempt, Key, Head.RequestHash, Head.Fingerprint, Head.BodyLength,
+      Caller, Route, CallerAttempt, Head.Objective.count(), Head.Priority,
+      Head.Patience ? Head.Patience->count() : -1, Head.RunsOnce));
   return protocol::takeBuffer(Out);
 }
 
@@ -171,11 +179,25 @@
   Head.Fields = takeFields(Table.headers());
   Head.Remaining = base::Millis(Table.remaining_ms());
   Head.Attempt = Table.attempt()->str();
+  requireClean(Head.Attempt);
   if (Table.idempotency_key())
     Head.IdempotencyKey = Table.idempotency_key()->str();
   Head.RequestHash = Table.request_hash();
   Head.Fingerprint = Table.fingerprint();
   Head.BodyLength = Table.body_length();
+  if (Table.caller_service())
+    Head.CallerService = base::ServiceName(Table.caller_service()->str());
+  requireClean(Head.CallerService.value());
+  if (Table.route())
+    Head.Route = base::RouteName(Table.route()->str());
+  if (Table.caller_attempt())
+    Head.CallerAttempt = Table.caller_attempt()->str();
+  requireClean(Head.CallerAttempt);
+  Head.Objective = base::Millis(Table.objective_ms());
+  Head.Priority = Table.priority();
+  if (Table.patience_ms() >= 0)
+    Head.Patience = base::Millis(Table.patience_ms());
+  Head.RunsOnce = Table.runs_once();
   return Head;
 }
 
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -1,8 +1,11 @@
 #include "amaranth/dataplane/SlotQueue.h"
 
+#include "WorkOrder.h"
 #include "amaranth/base/Invariant.h"
 #include "amaranth/base/Timeout.h"
 
+#include <algorithm>
+
 namespace asio = boost::asio;
 
 namespace amaranth::dataplane {
@@ -16,23 +19,31 @@
 asio::awaitable<SlotQueue::Result>
 SlotQueue::acquire(std::shared_ptr<ExchangeEnd> Waiting,
                    base::TimePoint Deadline, bool Alone) {
+  WaitingWork Work{0, Deadline, Deadline, 0};
+  return acquire(std::move(Waiting), Work, Deadline, Alone);
+}
+
+asio::awaitable<SlotQueue::Result>
+SlotQueue::acquire(std::shared_ptr<ExchangeEnd> Waiting, WaitingWork Work,
+                   base::TimePoint LatestStart, bool Alone) {
   if (Waiting->ended())
     co_return Result::Ended;
   auto Mine = std::make_shared<Waiter>();
   Mine->Exchange = Waiting;
+  Mine->Work = Work;
+  Mine->Work.Sequence = NextSequence++;
   Mine->Alone = Alone;
-  Key Place(Deadline, NextSequence++);
-  Waiters.emplace(Place, Mine);
+  Waiters.push_back(Mine);
   grantNext();
   while (!Mine->Granted && !Mine->Dropped && !Waiting->ended() &&
-         Time.now() < Deadline)
-    co_await base::withTimeout(Time, Deadline - Time.now(),
+         Time.now() < LatestStart)
+    co_await base::withTimeout(Time, LatestStart - Time.now(),
                                Waiting->changed().wait());
   if (Mine->Granted)
     co_return Result::Granted;
   if (Mine->Dropped)
     co_return Result::Dropped;
-  Waiters.erase(Place);
+  std::erase(Waiters, Mine);
   // A waiter that wanted to run alone kept the others waiting.
   grantNext();
   co_return Waiting->ended() ? Result::Ended : Result::Expired;
@@ -51,16 +62,34 @@
 }
 
 void SlotQueue::dropWaiting() {
-  for (auto &[Place, Entry] : std::exchange(Waiters, {})) {
+  for (auto &Entry : std::exchange(Waiters, {})) {
     Entry->Dropped = true;
     Entry->Exchange->changed().notifyAll();
   }
 }
 
+std::size_t SlotQueue::ahead(const WaitingWork &Work) const {
+  WaitingWork New = Work;
+  New.Sequence = NextSequence;
+  base::TimePoint Now = Time.now();
+  return static_cast<std::size_t>(
+      std::count_if(Waiters.begin(), Waiters.end(), [&](const auto &Entry) {
+        return goesFirst(Entry->Work, New, Now, Service);
+      }));
+}
+
+SlotQueue::Waiting::iterator SlotQueue::next() {
+  base::TimePoint Now = Time.now();
+  return std::min_element(
+      Waiters.begin(), Waiters.end(), [&](const auto &Left, const auto &Right) {
+        return goesFirst(Left->Work, Right->Work, Now, Service);
+      });
+}
+
 void SlotQueue::grantNext() {
   while (!Waiters.empty()) {
-    auto First = Waiters.begin();
-    auto Entry = First->second;
+    auto First = next();
+    auto Entry = *First;
     if (!available(Entry->Alone))
       return;
     Waiters.erase(First);
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -42,6 +42,7 @@
   }
 
   tcp::socket Socket;
+  base::TimePoint LastUsed;
 };
 
 using Parser = http::response_parser<http::buffer_body>;
@@ -62,6 +63,7 @@
   /// not return to the pool.
   std::uint64_t Generation = 0;
   std::deque<std::shared_ptr<Pooled>> Idle;
+  std::uint64_t Connects = 0;
 };
 
 namespace {
@@ -92,6 +94,7 @@
   asio::awaitable<void> writeEnd() override;
   asio::awaitable<ResponseHead> readHead() override;
   asio::awaitable<std::size_t> readBody(std::span<std::uint8_t> Into) override;
+  asio::awaitable<void> skipResponse() override;
 
   void abort() override {
     if (!Link)
@@ -122,6 +125,8 @@
   bool RequestWritten = false;
   bool ResponseRead = false;
   bool TimedOut = false;
+  /// Another response was read on this connection.
+  bool Skipped = false;
 };
 
 asio::awaitable<void> Call::writeBody(base::ByteView Data) {
@@ -185,13 +190,20 @@
   const std::string *Length = findHeader(Result.Fields, "Content-Length");
   if (Length)
     Result.BodyLength = std::strtoll(Length->c_str(), nullptr, 10);
-  bool NoBody = Head || Result.Status == 204 || Result.Status == 304;
-  if (!NoBody && !Length && !Incoming->chunked())
-    throw UpstreamError(true, Reason::UpstreamBroken,
-                        "response without a length");
   co_return Result;
 }
 
+asio::awaitable<void> Call::skipResponse() {
+  auto Keep = shared_from_this();
+  Skipped = true;
+  base::Bytes Buffer(MaxPieceBytes);
+  while (!Incoming->is_done()) {
+    Incoming->get().body().data = Buffer.data();
+    Incoming->get().body().size = Buffer.size();
+    co_await readSome(false);
+  }
+}
+
 asio::awaitable<std::size_t> Call::readBody(std::span<std::uint8_t> Into) {
   auto Keep = shared_from_this();
   while (!Incoming->is_done()) {
@@ -210,7 +222,8 @@
 void Call::release() {
   if (!RequestWritten || !ResponseRead || !Link)
     return;
-  if (Buffer.size() != 0 || !Incoming->get().keep_alive()) {
+  // Bytes after the response belong to no request.
+  if (Skipped || Buffer.size() != 0 || !Incoming->keep_alive()) {
     abort();
     return;
   }
@@ -220,6 +233,7 @@
 } // namespace
 
 asio::awaitable<std::shared_ptr<Pooled>> UpstreamClient::Impl::connect() {
+  ++Connects;
   tcp::socket Socket(Executor);
   boost::system::error_code Failure;
   auto Connect = [&]() -> asio::awaitable<void> {
@@ -253,8 +267,10 @@
 
 asio::awaitable<std::shared_ptr<UpstreamCall>>
 UpstreamClient::begin(std::string Method, std::string Target, Headers Fields,
-                      std::int64_t BodyLength) {
+                      std::int64_t BodyLength, bool Once) {
   auto Keep = Shared;
+  base::Millis MaxAge =
+      Once ? Keep->Options.MaxIdleAgeOnce : Keep->Options.MaxIdleAge;
   bool Chunked = BodyLength == UnknownLength;
   if (Chunked)
     Fields.emplace_back("Transfer-Encoding", "chunked");
@@ -267,7 +283,7 @@
       // The most recent one is the least likely to have been closed.
       Link = std::move(Keep->Idle.back());
       Keep->Idle.pop_back();
-      if (!Link->usable())
+      if (Keep->Time.now() - Link->LastUsed > MaxAge || !Link->usable())
         Link.reset();
     }
     bool Reused = Link != nullptr;
@@ -275,6 +291,7 @@
       Link = co_await Keep->connect();
     auto Put = [Keep,
                 Generation = Keep->Generation](std::shared_ptr<Pooled> Done) {
+      Done->LastUsed = Keep->Time.now();
       if (Generation == Keep->Generation &&
           Keep->Idle.size() < Keep->Options.MaxIdle)
         Keep->Idle.push_back(std::move(Done));
@@ -318,4 +335,6 @@
 
 std::size_t UpstreamClient::idle() const { return Shared->Idle.size(); }
 
+std::uint64_t UpstreamClient::connects() const { return Shared->Connects; }
+
 } // namespace amaranth::dataplane
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -63,13 +63,14 @@
       Inner(Context.get_executor(), {"127.0.0.1", 0}, identity(Name, Zone),
             Keys, Time),
       Upstream(Context.get_executor(), gateSettings(Name, Zone, Inner.local()),
-               Time, Snapshots, Control, Counters),
+               Time, Snapshots, Control, Counters, Dialect),
       Exchanges(Context.get_executor(), Upstream, Time),
       Peers(Context.get_executor(), {}, Time, Dialer),
       Entry(Context.get_executor(), entrySettings(Zone), Time, Snapshots,
-            Control, Peers, Counters),
-      Announce(Context.get_executor(), {{"127.0.0.1", 0}, "key"}, Time,
-               Upstream, Registry, [] { return true; }) {}
+            Control, Peers, Counters, Dialect),
+      Local(Upstream, "key"),
+      Announce(Context.get_executor(), {"127.0.0.1", 0}, Time, &Local, Registry,
+               [] { return true; }) {}
 
 unsigned CallerResult::status() const {
   return Text.size() < 12
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -57,12 +57,14 @@
 
   prometheus::Registry Registry;
   Metrics Counters;
+  NativeDialect Dialect;
   protocol::TcpDialer Dialer;
   protocol::Listener Inner;
   Gate Upstream;
   ExchangeServer Exchanges;
   PeerPool Peers;
   EntryServer Entry;
+  AnnounceHandler Local;
   AnnounceServer Announce;
 };
 
--- a/document/include/amaranth/document/MeshDelta.h
+++ b/document/include/amaranth/document/MeshDelta.h
@@ -41,6 +41,7 @@
   std::vector<Service> Services;
   std::vector<Endpoint> Endpoints;
   std::vector<QuarantineEntry> Quarantine;
+  CallerLimits Limits;
   std::vector<base::RouteName> RemovedRoutes;
   std::vector<base::ServiceName> RemovedServices;
   std::vector<base::EndpointId> RemovedEndpoints;
--- a/document/include/amaranth/document/MeshSnapshot.h
+++ b/document/include/amaranth/document/MeshSnapshot.h
@@ -12,20 +12,62 @@
 
 namespace amaranth::document {
 
-/// Requests whose path begins with `PathPrefix` go to `Service`. The longest
-/// matching prefix wins; a prefix matches whole path segments.
+/// How often a request of a route may run.
+enum class RequestKind : std::uint8_t {
+  /// Decided by the HTTP method and the idempotency key.
+  ByMethod = 0,
+  Idempotent = 1,
+  NonIdempotent = 2,
+  /// Idempotent, with large responses that are streamed.
+  Download = 3,
+};
+
+/// Part of a route's traffic, in proportion to the weights of all parts.
+struct WeightedService {
+  base::ServiceName Service;
+  std::uint32_t Weight = 0;
+
+  bool operator==(const WeightedService &) const = default;
+};
+
+/// Requests to `Host` whose path begins with `PathPrefix` go to `Service`, or
+/// to the services of `Split`. The longest matching prefix wins; a prefix
+/// matches whole path segments.
 struct Route {
   base::RouteName Name;
   std::string PathPrefix;
+  /// Empty when `Split` is not.
   base::ServiceName Service;
   /// Upper bound on the time of a request, retries included.
   base::Millis Timeout;
   /// Non-idempotent requests without an `Idempotency-Key` are refused.
   bool RequireIdempotencyKey = false;
+  /// Empty: any host that has no route of its own for the path.
+  std::string Host;
+  RequestKind Kind = RequestKind::ByMethod;
+  /// Time within which a response is wanted; 0 when none was given.
+  base::Millis Objective;
+  /// Rank under load; 0 is served first.
+  std::uint32_t Priority = 0;
+  /// Upstreams that one request may be sent to; 0 leaves it to the node.
+  std::uint32_t MaxAttempts = 0;
+  std::vector<WeightedService> Split;
 
   bool operator==(const Route &) const = default;
 };
 
+/// What a caller may send to a node; 0 leaves a value to the node.
+struct CallerLimits {
+  std::uint64_t MaxHeaderBytes = 0;
+  std::uint64_t MaxBodyBytes = 0;
+  /// Time for a request head to arrive.
+  base::Millis HeaderTimeout;
+  /// Time for which an idle connection is kept.
+  base::Millis IdleTimeout;
+
+  bool operator==(const CallerLimits &) const = default;
+};
+
 /// Part of a service's traffic, in millionths.
 inline constexpr std::uint32_t FullShare = 1'000'000;
 
@@ -58,11 +100,16 @@
 
 struct Service {
   base::ServiceName Name;
+  /// Empty until an upstream of the service has announced its version.
   std::vector<VersionShare> Versions;
   /// At most one rollout runs for a service; `HasRollout` tells whether
   /// `Rollout` has a meaning.
   bool HasRollout = false;
   ActiveRollout Rollout;
+  /// Path of the upstreams' health check; empty when there is none.
+  std::string HealthPath;
+  /// Connections that an upstream takes; 0 when unknown.
+  std::uint32_t MaxConnections = 0;
 
   bool operator==(const Service &) const = default;
 };
@@ -119,11 +166,15 @@
   std::map<base::ServiceName, Service> Services;
   std::map<base::EndpointId, Endpoint> Endpoints;
   std::map<std::uint64_t, QuarantineEntry> Quarantine;
+  CallerLimits Limits;
 
   bool operator==(const MeshSnapshot &) const = default;
 
-  /// The route with the longest matching prefix, or null.
-  const Route *match(const std::string &Path) const;
+  /// The route of the host with the longest matching prefix, else the one
+  /// without a host, or null. Looks at every route; `RouteIndex` is for
+  /// requests.
+  const Route *match(const std::string &Path,
+                     const std::string &Host = {}) const;
 
   /// Empty when every reference resolves within this snapshot (routes to
   /// services, endpoints' services and versions of rollouts, shares that sum
--- /dev/null
+++ b/document/include/amaranth/document/RouteIndex.h
@@ -0,0 +1,37 @@
+#ifndef AMARANTH_DOCUMENT_ROUTEINDEX_H
+#define AMARANTH_DOCUMENT_ROUTEINDEX_H
+
+#include "amaranth/document/MeshSnapshot.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace amaranth::document {
+
+/// Finds the route of a request in a time that depends on the length of its
+/// path and not on the number of routes. Gives the same answers as
+/// `MeshSnapshot::match`.
+class RouteIndex {
+public:
+  /// Keeps `Mesh` alive.
+  explicit RouteIndex(std::shared_ptr<const MeshSnapshot> Mesh);
+
+  /// The route, valid as long as the index, or null. `Path` has no query.
+  const Route *match(std::string_view Host, std::string_view Path) const;
+
+  const MeshSnapshot &mesh() const { return *Mesh; }
+
+private:
+  using Prefixes = std::unordered_map<std::string, const Route *>;
+
+  static const Route *longest(const Prefixes &Known, std::string_view Path);
+
+  std::shared_ptr<const MeshSnapshot> Mesh;
+  std::unordered_map<std::string, Prefixes> Hosts;
+};
+
+} // namespace amaranth::document
+
+#endif
--- a/document/src/MeshDelta.cpp
+++ b/document/src/MeshDelta.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace amaranth::document {
 
 namespace {
@@ -83,6 +85,7 @@
   Delta.ToDocument = To.Document;
   Delta.ToState = To.State;
   Delta.Digest = Digest;
+  Delta.Limits = To.Limits;
   splitKeys(Keys.Routes, To.Routes, Delta.Routes, Delta.RemovedRoutes);
   splitKeys(Keys.Services, To.Services, Delta.Services, Delta.RemovedServices);
   splitKeys(Keys.Endpoints, To.Endpoints, Delta.Endpoints,
@@ -109,6 +112,7 @@
   auto Result = std::make_shared<MeshSnapshot>(Base);
   Result->Document = Delta.ToDocument;
   Result->State = Delta.ToState;
+  Result->Limits = Delta.Limits;
   replaceEntries(Result->Routes, Delta.Routes, Delta.RemovedRoutes, NameOf);
   replaceEntries(Result->Services, Delta.Services, Delta.RemovedServices,
                  NameOf);
@@ -127,8 +131,17 @@
   MeshSnapshot Part;
   Part.Document = Whole.Document;
   Part.State = Whole.State;
+  Part.Limits = Whole.Limits;
+  auto IsWanted = [&Services](const Route &Entry) {
+    return Entry.Split.empty()
+               ? Services.contains(Entry.Service)
+               : std::all_of(Entry.Split.begin(), Entry.Split.end(),
+                             [&Services](const WeightedService &Part) {
+                               return Services.contains(Part.Service);
+                             });
+  };
   for (const auto &[Name, Entry] : Whole.Routes)
-    if (Services.contains(Entry.Service))
+    if (IsWanted(Entry))
       Part.Routes.emplace_hint(Part.Routes.end(), Name, Entry);
   for (const auto &[Name, Entry] : Whole.Services)
     if (Services.contains(Name))
--- a/document/src/MeshSnapshot.cpp
+++ b/document/src/MeshSnapshot.cpp
@@ -47,6 +47,7 @@
     Out.text(Version.Version.value())
         .number(Version.Share)
         .number(Version.Barred ? 1 : 0);
+  Out.text(Entry.HealthPath).number(Entry.MaxConnections);
   Out.number(Entry.HasRollout ? 1 : 0);
   if (!Entry.HasRollout)
     return;
@@ -73,7 +74,32 @@
       .number(static_cast<std::uint64_t>(Entry.ReadySince));
 }
 
+void addRoute(DigestBuilder &Out, const Route &Entry) {
+  Out.text(Entry.Name.value())
+      .text(Entry.PathPrefix)
+      .text(Entry.Service.value())
+      .number(static_cast<std::uint64_t>(Entry.Timeout.count()))
+      .number(Entry.RequireIdempotencyKey ? 1 : 0)
+      .text(Entry.Host)
+      .number(static_cast<std::uint64_t>(Entry.Kind))
+      .number(static_cast<std::uint64_t>(Entry.Objective.count()))
+      .number(Entry.Priority)
+      .number(Entry.MaxAttempts)
+      .number(Entry.Split.size());
+  for (const WeightedService &Part : Entry.Split)
+    Out.text(Part.Service.value()).number(Part.Weight);
+}
+
+void addLimits(DigestBuilder &Out, const CallerLimits &Value) {
+  Out.number(Value.MaxHeaderBytes)
+      .number(Value.MaxBodyBytes)
+      .number(static_cast<std::uint64_t>(Value.HeaderTimeout.count()))
+      .number(static_cast<std::uint64_t>(Value.IdleTimeout.count()));
+}
+
 std::string shareFault(const Service &Entry) {
+  if (Entry.Versions.empty())
+    return {};
   std::uint64_t Sum = 0;
   for (const VersionShare &Version : Entry.Versions) {
     Sum += Version.Share;
@@ -89,24 +115,41 @@
 
 } // namespace
 
-const Route *MeshSnapshot::match(const std::string &Path) const {
+const Route *MeshSnapshot::match(const std::string &Path,
+                                 const std::string &Host) const {
   const Route *Best = nullptr;
+  auto Rank = [](const Route &Entry) {
+    return std::pair(!Entry.Host.empty(), Entry.PathPrefix.size());
+  };
   for (const auto &[Name, Candidate] : Routes) {
     if (!isSegmentPrefix(Candidate.PathPrefix, Path))
       continue;
-    if (!Best || Candidate.PathPrefix.size() > Best->PathPrefix.size())
+    if (!Candidate.Host.empty() && Candidate.Host != Host)
+      continue;
+    if (!Best || Rank(Candidate) > Rank(*Best))
       Best = &Candidate;
   }
   return Best;
 }
 
+namespace {
+
+std::string missingService(const Route &Entry, const base::ServiceName &Name) {
+  return fmt::format("route {} refers to service {}, which does not exist",
+                     Entry.Name.value(), Name.value());
+}
+
+} // namespace
+
 std::vector<std::string> MeshSnapshot::faults() const {
   std::vector<std::string> Found;
-  for (const auto &[Name, Entry] : Routes)
-    if (!Services.contains(Entry.Service))
-      Found.push_back(fmt::format("route {} refers to service {}, which does "
-                                  "not exist",
-                                  Name.value(), Entry.Service.value()));
+  for (const auto &[Name, Entry] : Routes) {
+    if (Entry.Split.empty() && !Services.contains(Entry.Service))
+      Found.push_back(missingService(Entry, Entry.Service));
+    for (const WeightedService &Part : Entry.Split)
+      if (!Services.contains(Part.Service))
+        Found.push_back(missingService(Entry, Part.Service));
+  }
   for (const auto &[Name, Entry] : Services)
     if (std::string Fault = shareFault(Entry); !Fault.empty())
       Found.push_back(std::move(Fault));
@@ -120,11 +163,8 @@
   DigestBuilder Out;
   Out.number(Document.value()).number(Routes.size());
   for (const auto &[Name, Entry] : Routes)
-    Out.text(Name.value())
-        .text(Entry.PathPrefix)
-        .text(Entry.Service.value())
-        .number(static_cast<std::uint64_t>(Entry.Timeout.count()))
-        .number(Entry.RequireIdempotencyKey ? 1 : 0);
+    addRoute(Out, Entry);
+  addLimits(Out, Limits);
   Out.number(Services.size());
   for (const auto &[Name, Entry] : Services)
     addService(Out, Entry);
--- /dev/null
+++ b/document/src/RouteIndex.cpp
@@ -0,0 +1,42 @@
+#include "amaranth/document/RouteIndex.h"
+
+namespace amaranth::document {
+
+RouteIndex::RouteIndex(std::shared_ptr<const MeshSnapshot> Snapshot)
+    : Mesh(std::move(Snapshot)) {
+  for (const auto &[Name, Entry] : Mesh->Routes)
+    Hosts[Entry.Host].emplace(Entry.PathPrefix, &Entry);
+}
+
+const Route *RouteIndex::longest(const Prefixes &Known, std::string_view Path) {
+  auto Find = [&Known](std::string_view Prefix) -> const Route * {
+    auto Found = Known.find(std::string(Prefix));
+    return Found == Known.end() ? nullptr : Found->second;
+  };
+  if (const Route *Whole = Find(Path))
+    return Whole;
+  // A prefix ends with a slash, or a slash follows it.
+  for (auto Slash = Path.rfind('/'); Slash != std::string_view::npos;
+       Slash = Slash == 0 ? std::string_view::npos
+                          : Path.rfind('/', Slash - 1)) {
+    if (const Route *Found = Find(Path.substr(0, Slash + 1)))
+      return Found;
+    if (const Route *Found = Find(Path.substr(0, Slash)))
+      return Found;
+  }
+  return nullptr;
+}
+
+const Route *RouteIndex::match(std::string_view Host,
+                               std::string_view Path) const {
+  for (std::string_view Key : {Host, std::string_view()}) {
+    auto Found = Hosts.find(std::string(Key));
+    if (Found == Hosts.end())
+      continue;
+    if (const Route *Best = longest(Found->second, Path))
+      return Best;
+  }
+  return nullptr;
+}
+
+} // namespace amaranth::document
--- a/document/src/SnapshotCodec.cpp
+++ b/document/src/SnapshotCodec.cpp
@@ -22,8 +22,24 @@
   auto Name = Out.CreateString(Value.Name.value());
   auto Prefix = Out.CreateString(Value.PathPrefix);
   auto Target = Out.CreateSharedString(Value.Service.value());
+  auto Host = Out.CreateSharedString(Value.Host);
+  Offsets<wire::WeightedService> Parts;
+  for (const WeightedService &Part : Value.Split)
+    Parts.push_back(wire::CreateWeightedService(
+        Out, Out.CreateSharedString(Part.Service.value()), Part.Weight));
+  auto Split = Out.CreateVector(Parts);
   return wire::CreateRoute(Out, Name, Prefix, Target, Value.Timeout.count(),
-                           Value.RequireIdempotencyKey);
+                           Value.RequireIdempotencyKey, Host,
+                           static_cast<std::uint8_t>(Value.Kind),
+                           Value.Objective.count(), Value.Priority,
+                           Value.MaxAttempts, Split);
+}
+
+flatbuffers::Offset<wire::CallerLimits> write(Builder &Out,
+                                              const CallerLimits &Value) {
+  return wire::CreateCallerLimits(Out, Value.MaxHeaderBytes, Value.MaxBodyBytes,
+                                  Value.HeaderTimeout.count(),
+                                  Value.IdleTimeout.count());
 }
 
 flatbuffers::Offset<wire::Service> write(Builder &Out, const Service &Value) {
@@ -42,7 +58,9 @@
                                         Active.MaxLatencyRatio);
   }
   auto Name = Out.CreateSharedString(Value.Name.value());
-  return wire::CreateService(Out, Name, Out.CreateVector(Versions), Rollout);
+  auto Health = Out.CreateSharedString(Value.HealthPath);
+  return wire::CreateService(Out, Name, Out.CreateVector(Versions), Rollout,
+                             Health, Value.MaxConnections);
 }
 
 flatbuffers::Offset<wire::Endpoint> write(Builder &Out, const Endpoint &Value) {
@@ -65,10 +83,35 @@
                                      Value.Convicted, Value.Until.count());
 }
 
+std::string textOf(const flatbuffers::String *Text) {
+  return Text ? Text->str() : std::string();
+}
+
 Route read(const wire::Route &In) {
-  return {base::RouteName(In.name()->str()), In.path_prefix()->str(),
-          base::ServiceName(In.service()->str()), base::Millis(In.timeout_ms()),
-          In.require_idempotency_key()};
+  if (In.kind() > static_cast<std::uint8_t>(RequestKind::Download))
+    throw base::ProtocolError(fmt::format("route {} has unknown kind {}",
+                                          In.name()->str(), In.kind()));
+  Route Value{base::RouteName(In.name()->str()), In.path_prefix()->str(),
+              base::ServiceName(In.service()->str()),
+              base::Millis(In.timeout_ms()), In.require_idempotency_key()};
+  Value.Host = textOf(In.host());
+  Value.Kind = static_cast<RequestKind>(In.kind());
+  Value.Objective = base::Millis(In.objective_ms());
+  Value.Priority = In.priority();
+  Value.MaxAttempts = In.max_attempts();
+  if (In.split())
+    for (const wire::WeightedService *Part : *In.split())
+      Value.Split.push_back(
+          {base::ServiceName(Part->service()->str()), Part->weight()});
+  return Value;
+}
+
+CallerLimits readLimits(const wire::CallerLimits *In) {
+  if (!In)
+    return {};
+  return {In->max_header_bytes(), In->max_body_bytes(),
+          base::Millis(In->header_timeout_ms()),
+          base::Millis(In->idle_timeout_ms())};
 }
 
 Service read(const wire::Service &In) {
@@ -86,6 +129,8 @@
                      Rollout->epoch(),
                      Rollout->max_error_increase(),
                      Rollout->max_latency_ratio()};
+  Value.HealthPath = textOf(In.health_path());
+  Value.MaxConnections = In.max_connections();
   return Value;
 }
 
@@ -213,11 +258,12 @@
   auto Services = writeAll<wire::Service>(Out, Value.Services);
   auto Endpoints = writeAll<wire::Endpoint>(Out, Value.Endpoints);
   auto Quarantine = writeAll<wire::QuarantineEntry>(Out, Value.Quarantine);
+  auto Limits = write(Out, Value.Limits);
   std::uint64_t Check =
       hashNumbers({Value.Document.value(), Value.State.value(), Digest});
   Out.Finish(wire::CreateSnapshot(Out, Value.Document.value(),
                                   Value.State.value(), Digest, Check, Routes,
-                                  Services, Endpoints, Quarantine));
+                                  Services, Endpoints, Quarantine, Limits));
   return protocol::takeBuffer(Out);
 }
 
@@ -235,6 +281,7 @@
   readMap(In.services(), Value->Services, NameOf);
   readMap(In.endpoints(), Value->Endpoints, IdOf);
   readMap(In.quarantine(), Value->Quarantine, FingerprintOf);
+  Value->Limits = readLimits(In.limits());
   if (Value->digest() != In.digest())
     throw base::ProtocolError(
         fmt::format("snapshot of state {} has another digest", In.state()));
@@ -253,11 +300,12 @@
   flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>> GoneQuarantine;
   if (!Value.RemovedQuarantine.empty())
     GoneQuarantine = Out.CreateVector(Value.RemovedQuarantine);
+  auto Limits = write(Out, Value.Limits);
   Out.Finish(wire::CreateDelta(
       Out, Value.FromDocument.value(), Value.FromState.value(),
       Value.ToDocument.value(), Value.ToState.value(), Value.Digest,
       checkOf(Value), Routes, Services, Endpoints, Quarantine, GoneRoutes,
-      GoneServices, GoneEndpoints, GoneQuarantine));
+      GoneServices, GoneEndpoints, GoneQuarantine, Limits));
   return protocol::takeBuffer(Out);
 }
 
@@ -275,6 +323,7 @@
   readAll(In.services(), Value.Services);
   readAll(In.endpoints(), Value.Endpoints);
   readAll(In.quarantine(), Value.Quarantine);
+  Value.Limits = readLimits(In.limits());
   readNames(In.removed_routes(), Value.RemovedRoutes);
   readNames(In.removed_services(), Value.RemovedServices);
   readNames(In.removed_endpoints(), Value.RemovedEndpoints);
--- /dev/null
+++ b/document/src/WholeDocument.cpp
@@ -0,0 +1,160 @@
+#include "amaranth/document/WholeDocument.h"
+
+#include "amaranth/base/Digest.h"
+#include "amaranth/document/Document.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace amaranth::document {
+
+namespace {
+
+/// Longest accepted host and path of a route, in bytes.
+constexpr std::size_t MaxPlaceBytes = 1024;
+/// An objective this far above the time limit of its route cannot be meant.
+constexpr base::Millis MaxObjectiveExcess = base::Millis::seconds(60);
+
+void addText(std::string &Into, std::string_view Text) {
+  Into += fmt::format("{}:", Text.size());
+  Into += Text;
+}
+
+/// Names of the platform's operators are free text; nodes use them as keys
+/// and metric labels only.
+bool isUsableName(const std::string &Name) {
+  return !Name.empty() && Name.size() <= MaxNameBytes &&
+         std::all_of(Name.begin(), Name.end(),
+                     [](char C) { return C > ' ' && C < 0x7f; });
+}
+
+void checkRoute(const Route &Entry, const MeshSnapshot &Content,
+                std::vector<std::string> &Faults) {
+  auto Fault = [&](std::string_view Text) {
+    Faults.push_back(fmt::format("route {}: {}", Entry.Name.value(), Text));
+  };
+  if (!isUsableName(Entry.Name.value()))
+    Fault("malformed name");
+  if (Entry.PathPrefix.empty() || Entry.PathPrefix.front() != '/' ||
+      Entry.PathPrefix.size() + Entry.Host.size() > MaxPlaceBytes)
+    Fault("malformed path prefix");
+  if (Entry.Timeout < base::Millis(0))
+    Fault("negative time limit");
+  if (Entry.Timeout > base::Millis(0) &&
+      Entry.Objective >= Entry.Timeout + MaxObjectiveExcess)
+    Fault("the objective is a minute or more above the time limit");
+  if (Entry.Split.empty() && !Content.Services.contains(Entry.Service))
+    Fault("unknown service " + Entry.Service.value());
+  std::uint64_t Weights = 0;
+  for (const WeightedService &Part : Entry.Split) {
+    Weights += Part.Weight;
+    if (!Content.Services.contains(Part.Service))
+      Fault("unknown service " + Part.Service.value());
+  }
+  if (!Entry.Split.empty() && Weights == 0)
+    Fault("the weights of the split sum up to 0");
+}
+
+} // namespace
+
+std::uint64_t WholeDocument::digest() const {
+  std::string Text;
+  addText(Text, Source);
+  for (const auto &[Name, Entry] : RouteSources) {
+    addText(Text, Name.value());
+    addText(Text, Entry);
+  }
+  Text += '|';
+  for (const auto &[Name, Entry] : ServiceSources) {
+    addText(Text, Name.value());
+    addText(Text, Entry);
+  }
+  return base::hash64(base::asBytes(Text));
+}
+
+std::vector<std::string> WholeDocument::faults() const {
+  std::vector<std::string> Faults;
+  if (Label.value() == 0)
+    Faults.emplace_back("the label must not be 0");
+  std::map<std::pair<std::string, std::string>, base::RouteName> Places;
+  for (const auto &[Name, Entry] : Content.Routes) {
+    checkRoute(Entry, Content, Faults);
+    auto [Other, Free] =
+        Places.try_emplace({Entry.Host, Entry.PathPrefix}, Name);
+    if (!Free)
+      Faults.push_back(fmt::format("routes {} and {} have the same host and "
+                                   "path prefix",
+                                   Other->second.value(), Name.value()));
+  }
+  for (const auto &[Name, Entry] : Content.Services)
+    if (!isUsableName(Name.value()))
+      Faults.push_back(fmt::format("service {}: malformed name", Name.value()));
+  return Faults;
+}
+
+WholeChange changeBetween(const WholeDocument &Base,
+                          const WholeDocument &Next) {
+  MeshKeys Keys = changedKeys(Base.Content, Next.Content);
+  // Parts whose meaning is unchanged may still be written in another way.
+  for (const auto &[Name, Text] : Next.RouteSources)
+    if (auto Old = Base.RouteSources.find(Name);
+        Old == Base.RouteSources.end() || Old->second != Text)
+      Keys.Routes.insert(Name);
+  for (const auto &[Name, Text] : Next.ServiceSources)
+    if (auto Old = Base.ServiceSources.find(Name);
+        Old == Base.ServiceSources.end() || Old->second != Text)
+      Keys.Services.insert(Name);
+  WholeChange Change;
+  Change.Label = Next.Label;
+  Change.Base = Base.Label;
+  Change.Digest = Next.digest();
+  Change.Changes = deltaOf(Keys, Next.Content, 0);
+  for (const Route &Entry : Change.Changes.Routes)
+    Change.RouteSources.push_back(Next.RouteSources.at(Entry.Name));
+  for (const Service &Entry : Change.Changes.Services)
+    Change.ServiceSources.push_back(Next.ServiceSources.at(Entry.Name));
+  Change.Source = Next.Source;
+  return Change;
+}
+
+WholeDocument applyChange(const WholeDocument &Base,
+                          const WholeChange &Change) {
+  const MeshDelta &Changes = Change.Changes;
+  if (Change.Base != Base.Label)
+    throw DeltaMismatch(fmt::format("the change builds on document {}, but {} "
+                                    "is current",
+                                    Change.Base.value(), Base.Label.value()));
+  if (Changes.Routes.size() != Change.RouteSources.size() ||
+      Changes.Services.size() != Change.ServiceSources.size())
+    throw DeltaMismatch("the change lacks the sources of some parts");
+  WholeDocument Next = Base;
+  Next.Label = Change.Label;
+  Next.Source = Change.Source;
+  Next.Content.Limits = Changes.Limits;
+  for (const base::RouteName &Gone : Changes.RemovedRoutes) {
+    Next.Content.Routes.erase(Gone);
+    Next.RouteSources.erase(Gone);
+  }
+  for (const base::ServiceName &Gone : Changes.RemovedServices) {
+    Next.Content.Services.erase(Gone);
+    Next.ServiceSources.erase(Gone);
+  }
+  for (std::size_t I = 0; I < Changes.Routes.size(); ++I) {
+    const Route &Entry = Changes.Routes[I];
+    Next.Content.Routes.insert_or_assign(Entry.Name, Entry);
+    Next.RouteSources.insert_or_assign(Entry.Name, Change.RouteSources[I]);
+  }
+  for (std::size_t I = 0; I < Changes.Services.size(); ++I) {
+    const Service &Entry = Changes.Services[I];
+    Next.Content.Services.insert_or_assign(Entry.Name, Entry);
+    Next.ServiceSources.insert_or_assign(Entry.Name, Change.ServiceSources[I]);
+  }
+  if (Next.digest() != Change.Digest)
+    throw DeltaMismatch(fmt::format("the change to document {} gives another "
+                                    "digest",
+                                    Change.Label.value()));
+  return Next;
+}
+
+} // namespace amaranth::document
--- a/follower/include/amaranth/follower/Follower.h
+++ b/follower/include/amaranth/follower/Follower.h
@@ -91,6 +91,9 @@
   void publish(document::Endpoint Entry) override;
   void report(const rollout::EvidenceReport &Report) override;
 
+  /// Adds control processes to those that the node may follow.
+  void addControls(const std::vector<ControlProcess> &Controls);
+
   FollowerStatus status() const;
 
 private:
--- a/follower/src/ControlChooser.h
+++ b/follower/src/ControlChooser.h
@@ -20,6 +20,10 @@
   ControlChooser(const base::NodeId &Node, const base::AvailabilityZone &Zone,
                  std::vector<ControlProcess> Controls);
 
+  /// Adds processes that are not known yet; indexes stay valid. Others are
+  /// kept: one that is gone is found out by the first attempt.
+  void add(const std::vector<ControlProcess> &Controls);
+
   std::size_t size() const { return Entries.size(); }
   const ControlProcess &process(std::size_t Index) const {
     return Entries[Index].Process;
@@ -40,7 +44,11 @@
     std::uint64_t Weight = 0;
     base::TimePoint AvoidUntil = base::TimePoint(-1'000'000'000);
   };
+  base::NodeId Node;
+  base::AvailabilityZone Zone;
   std::vector<Entry> Entries;
+  /// Indexes into `Entries` in the order of preference.
+  std::vector<std::size_t> Order;
 };
 
 } // namespace amaranth::follower::detail
--- a/follower/src/Follower.cpp
+++ b/follower/src/Follower.cpp
@@ -78,4 +78,8 @@
 
 FollowerStatus Follower::status() const { return Shared->status(); }
 
+void Follower::addControls(const std::vector<ControlProcess> &Controls) {
+  Shared->Chooser.add(Controls);
+}
+
 } // namespace amaranth::follower
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr base::Millis TickInterval = base::Millis::seconds(1);
+constexpr base::Millis TickInterval = base::Millis(250);
 /// Bounds what a control process can ask for.
 constexpr base::Millis MaxRetryAfter = base::Millis::seconds(30);
 /// With doubling from 5 s: while all control processes are stale, a node
@@ -130,6 +130,9 @@
 }
 
 asio::awaitable<void> Follower::Impl::follow(std::shared_ptr<Connection> Use) {
+  base::logger("follower")
+      ->info("connected control={} connections={}",
+             Chooser.process(Use->Choice).Where.text(), Status.Connections + 1);
   Active = Use;
   Use->LastCurrency = Time.now();
   Applier.reset();
@@ -198,6 +201,7 @@
                                     const control::Currency &Message) {
   From.LastCurrency = Time.now();
   From.SinceCurrent = Message.SinceCurrent;
+  addControls(Message.Controls);
   FailedAttempts = 0;
   if (isStale(From))
     return;
@@ -205,6 +209,14 @@
   Chooser.accept(From.Choice);
 }
 
+void Follower::Impl::addControls(const std::vector<std::string> &Addresses) {
+  std::vector<ControlProcess> Controls;
+  for (const std::string &Text : Addresses)
+    if (auto Address = base::parseAddress(Text))
+      Controls.push_back({*Address, base::AvailabilityZone()});
+  Chooser.add(Controls);
+}
+
 void Follower::Impl::update(const protocol::Frame &Message) {
   try {
     if (Message.Type == MessageType::Delta)
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -72,6 +72,7 @@
   void update(const protocol::Frame &Message);
   void applied();
   void refuse(const detail::UpdateRefused &Refusal);
+  void addControls(const std::vector<std::string> &Addresses);
   void handleCurrency(Connection &From, const control::Currency &Message);
   void subscribe();
   void sendEvidence();
--- a/protocol/include/amaranth/protocol/Channel.h
+++ b/protocol/include/amaranth/protocol/Channel.h
@@ -35,6 +35,10 @@
 /// An idle side sends a heartbeat this often.
 inline constexpr base::Millis HeartbeatInterval = base::Millis(500);
 
+/// The operating system ends a connection whose data was not acknowledged for
+/// this time, or whose peer does not answer keep-alive probes.
+inline constexpr base::Millis UnacknowledgedTimeout = base::Millis(1200);
+
 /// One authenticated connection to another process of the system.
 ///
 /// Single-threaded. Exactly one task receives, and it must always be
--- a/protocol/include/amaranth/protocol/Frame.h
+++ b/protocol/include/amaranth/protocol/Frame.h
@@ -72,8 +72,9 @@
 /// Layout: 4 bytes length of the payload, 2 bytes type, 2 bytes zero, 8 bytes
 /// stream id; little-endian.
 inline constexpr std::size_t FrameHeaderBytes = 16;
-/// Largest payload in bytes; checked before memory is allocated.
-inline constexpr std::size_t MaxPayloadBytes = 1U << 20U;
+/// Largest payload in bytes; checked before memory is allocated. A document
+/// of 1,700 routes that is replaced as a whole takes about 700 KiB.
+inline constexpr std::size_t MaxPayloadBytes = 4U << 20U;
 
 using FrameHeader = std::array<std::uint8_t, FrameHeaderBytes>;
 
--- a/protocol/src/SocketChannel.cpp
+++ b/protocol/src/SocketChannel.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <netinet/tcp.h>
+
 namespace asio = boost::asio;
 
 namespace amaranth::protocol::detail {
@@ -21,6 +23,21 @@
 /// Frames gathered into one write.
 constexpr std::size_t MaxGatheredFrames = 32;
 
+/// Finds connections that carry nothing any more although none was reset.
+/// These options are hints: on a system without them the heartbeats remain.
+void limitSilence(asio::ip::tcp::socket &Socket) {
+  int Handle = Socket.native_handle();
+  unsigned Limit = static_cast<unsigned>(UnacknowledgedTimeout.count());
+  int On = 1;
+  int Seconds = 1;
+  int Probes = 2;
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit, sizeof(Limit));
+  ::setsockopt(Handle, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof(On));
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_KEEPIDLE, &Seconds, sizeof(Seconds));
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_KEEPINTVL, &Seconds, sizeof(Seconds));
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof(Probes));
+}
+
 } // namespace
 
 SocketChannel::SocketChannel(asio::ip::tcp::socket Connected, base::Clock &Time)
@@ -29,6 +46,7 @@
       LastReceived(Time.now()), LastQueued(Time.now()) {
   boost::system::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  limitSilence(Socket);
 }
 
 void SocketChannel::start(Identity Peer) {
--- a/replication/include/amaranth/replication/Replica.h
+++ b/replication/include/amaranth/replication/Replica.h
@@ -38,6 +38,16 @@
   /// A call to a peer that took longer is repeated.
   base::Millis CallTimeout = base::Millis(500);
 
+  /// Voters that the leader keeps without an operator: it promotes learners
+  /// below this number, removes a voter whose address now belongs to a process
+  /// with another disk, and puts a learner in the place of a voter that was
+  /// silent for `ReplaceSilentAfter`. 0 leaves all of that to operators.
+  std::size_t TargetVoters = 0;
+  base::Millis ReplaceSilentAfter = base::Millis(2000);
+  /// A learner that was silent for this time is removed, if `TargetVoters` is
+  /// set; one that comes back joins again.
+  base::Millis ForgetLearnerAfter = base::Millis::seconds(30);
+
   /// Entries between two snapshots.
   std::uint64_t CompactEntries = 10'000;
   /// Entries kept in memory below the snapshot for members slightly behind.
@@ -46,8 +56,8 @@
   std::uint64_t PromoteWithin = 64;
 
   /// Largest command. Together with `MaxAppendBytes` it keeps each message
-  /// below 512 KiB.
-  std::size_t MaxCommandBytes = 256U << 10U;
+  /// below the limit of a frame.
+  std::size_t MaxCommandBytes = 2U << 20U;
   /// Payload bytes after which no further entry joins an append.
   std::size_t MaxAppendBytes = 192U << 10U;
   std::size_t SnapshotChunkBytes = 192U << 10U;
@@ -106,6 +116,9 @@
 
   void onMessage(MessageHandler Handler);
 
+  /// Replaces `ReplicaSettings::KnownPeers`.
+  void setKnownPeers(std::vector<std::string> Peers);
+
   boost::asio::awaitable<base::Bytes> propose(base::Bytes Command,
                                               base::Millis Timeout) override;
   boost::asio::awaitable<base::LogIndex>
--- a/replication/src/Election.cpp
+++ b/replication/src/Election.cpp
@@ -28,6 +28,7 @@
                      term());
         becomeFollower();
       }
+      repairMembers();
       continue;
     }
     base::Millis Span = randomTimeout();
--- /dev/null
+++ b/replication/src/Repair.cpp
@@ -0,0 +1,101 @@
+#include "ReplicaCore.h"
+
+#include <algorithm>
+
+namespace amaranth::replication {
+
+// Repair without an operator. A voter is always removed before its successor
+// is promoted: five voters with two lost ones then need three answers at
+// every step, while six voters would need four.
+
+bool ReplicaCore::heardRecently(base::ReplicaId Id) const {
+  if (Id == Identity.Id)
+    return true;
+  auto Found = Peers.find(Id);
+  return Found != Peers.end() && Found->second->Heard &&
+         Time.now() - Found->second->LastAck < Settings.ReplaceSilentAfter;
+}
+
+bool ReplicaCore::isPromotable(const Member &Each) const {
+  auto Found = Peers.find(Each.Id);
+  return !Each.Voter && Found != Peers.end() && heardRecently(Each.Id) &&
+         Found->second->Match + Settings.PromoteWithin >= Log.last();
+}
+
+/// A voter that a learner can take the place of, or null. A learner at the
+/// voter's own address proves that the voter's disk is gone.
+const Member *ReplicaCore::replaceableVoter() const {
+  const std::vector<Member> &All = membership().Members;
+  for (const Member &Voter : All) {
+    if (!Voter.Voter || Voter.Id == Identity.Id)
+      continue;
+    for (const Member &Learner : All)
+      if (!Learner.Voter && Learner.Address == Voter.Address &&
+          heardRecently(Learner.Id))
+        return &Voter;
+  }
+  bool Successor =
+      std::any_of(All.begin(), All.end(),
+                  [this](const Member &Each) { return isPromotable(Each); });
+  if (!Successor)
+    return nullptr;
+  for (const Member &Voter : All) {
+    auto Found = Peers.find(Voter.Id);
+    if (Voter.Voter && Found != Peers.end() &&
+        Time.now() - Found->second->LastAck >= Settings.ReplaceSilentAfter)
+      return &Voter;
+  }
+  return nullptr;
+}
+
+bool ReplicaCore::mayRemoveVoter(base::ReplicaId Id) const {
+  std::size_t Remaining = 0;
+  std::size_t Heard = 0;
+  for (const Member &Each : membership().Members) {
+    if (!Each.Voter || Each.Id == Id)
+      continue;
+    ++Remaining;
+    Heard += heardRecently(Each.Id) ? 1 : 0;
+  }
+  return Heard >= Remaining / 2 + 1;
+}
+
+void ReplicaCore::repairMembers() {
+  if (Settings.TargetVoters == 0 || !mayChangeMembers() ||
+      membership().Removing.value() != 0)
+    return;
+  Membership New = membership();
+  if (const Member *Lost = replaceableVoter();
+      Lost && mayRemoveVoter(Lost->Id)) {
+    Logger->warn("removing a lost voter id={:x} address={} voters={}",
+                 Lost->Id.value(), Lost->Address, New.voters());
+    base::ReplicaId Id = Lost->Id;
+    std::erase_if(New.Members,
+                  [Id](const Member &Each) { return Each.Id == Id; });
+    appendLocal(EntryKind::Membership, New.encode());
+    return;
+  }
+  for (Member &Each : New.Members) {
+    if (New.voters() >= Settings.TargetVoters || !isPromotable(Each))
+      continue;
+    Logger->info("promoting a learner id={:x} address={} voters={}",
+                 Each.Id.value(), Each.Address, New.voters());
+    Each.Voter = true;
+    appendLocal(EntryKind::Membership, New.encode());
+    return;
+  }
+  auto Forgotten = std::find_if(New.Members.begin(), New.Members.end(),
+                                [this](const Member &Each) {
+                                  auto Found = Peers.find(Each.Id);
+                                  return !Each.Voter && Found != Peers.end() &&
+                                         Time.now() - Found->second->LastAck >=
+                                             Settings.ForgetLearnerAfter;
+                                });
+  if (Forgotten == New.Members.end())
+    return;
+  Logger->info("removing a silent learner id={:x}", Forgotten->Id.value());
+  New.Members.erase(Forgotten);
+  appendLocal(EntryKind::Membership, New.encode());
+}
+
+} // namespace amaranth::replication
--- a/replication/src/Replica.cpp
+++ b/replication/src/Replica.cpp
@@ -240,6 +240,9 @@
 void Replica::onMessage(MessageHandler Handler) {
   Core->OnMessage = std::move(Handler);
 }
+void Replica::setKnownPeers(std::vector<std::string> Peers) {
+  Core->Settings.KnownPeers = std::move(Peers);
+}
 asio::awaitable<base::Bytes> Replica::propose(base::Bytes Command,
                                               base::Millis Timeout) {
   return Core->propose(std::move(Command), Timeout);
--- a/replication/src/ReplicaCore.h
+++ b/replication/src/ReplicaCore.h
@@ -186,6 +186,14 @@
   /// Second step of a replacement.
   void continueReplacement();
 
+  // Repair.cpp; leader only.
+  /// Makes at most one change of the membership that `TargetVoters` asks for.
+  void repairMembers();
+  bool heardRecently(base::ReplicaId Id) const;
+  bool isPromotable(const Member &Each) const;
+  const Member *replaceableVoter() const;
+  bool mayRemoveVoter(base::ReplicaId Id) const;
+
   // Formation.cpp.
   boost::asio::awaitable<void> formationLoop();
   /// A member that no leader has contacted for a while.
--- a/tools/daemon/include/amaranth/daemon/ControlDaemon.h
+++ b/tools/daemon/include/amaranth/daemon/ControlDaemon.h
@@ -25,6 +25,9 @@
   /// Starts all tasks.
   void start();
 
+  /// Takes over the seeds of new settings; the rest needs a restart.
+  void reload(const ControlSettings &Settings);
+
   /// Answers the operators' requests in flight and leaves the cluster's
   /// connections.
   boost::asio::awaitable<void> stop();
--- a/tools/daemon/include/amaranth/daemon/DaemonMain.h
+++ b/tools/daemon/include/amaranth/daemon/DaemonMain.h
@@ -4,6 +4,7 @@
 #include "amaranth/base/Clock.h"
 #include "amaranth/base/CommandLine.h"
 #include "amaranth/base/Log.h"
+#include "amaranth/daemon/SettingsWatch.h"
 #include "amaranth/daemon/Shutdown.h"
 
 #include <iostream>
@@ -26,7 +27,16 @@
   EventLoop Loop;
   Daemon Process(std::move(Config), Loop, Time);
   Process.start();
-  return Loop.run([&Process] { return Process.stop(); });
+  Loop.spawnEssential("log", base::flushLogs(Time));
+  std::string Path = Args.at("--config").asString();
+  Loop.spawnEssential("settings", watchSettings(Path, Time, [&Process, Read,
+                                                             Path] {
+    Process.reload(Read(Path));
+  }));
+  int Code = Loop.run([&Process] { return Process.stop(); });
+  base::logger("daemon")->info("process ends code={}", Code);
+  base::flushLogsNow();
+  return Code;
 }
 
 } // namespace detail
--- a/tools/daemon/include/amaranth/daemon/DaemonSettings.h
+++ b/tools/daemon/include/amaranth/daemon/DaemonSettings.h
@@ -3,12 +3,22 @@
 
 #include "amaranth/base/Settings.h"
 #include "amaranth/base/StrongId.h"
+#include "amaranth/dataplane/RetryBudget.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace amaranth::daemon {
 
+/// Form of the interfaces towards callers, upstreams and operators.
+enum class InterfaceForm : std::uint8_t {
+  /// The project's own.
+  Native,
+  /// That of the users' platform, see docs/platform.md.
+  Platform,
+};
+
 /// Settings of `amaranth-control`, from the section `[control]`.
 struct ControlSettings {
   std::string DataFolder;
@@ -22,6 +32,18 @@
   std::vector<base::Address> Voters;
   /// True: joins an existing cluster as a learner instead of forming one.
   bool Join = false;
+  InterfaceForm Form = InterfaceForm::Native;
+  /// No keys are used: whoever reaches the addresses is trusted.
+  bool TrustedNetwork = false;
+  /// Addresses of some control processes, in place of `Voters`. They may be
+  /// out of date. The cluster repairs itself when they are given.
+  std::vector<base::Address> Seeds;
+  /// With seeds: this process may form the cluster with the other seeds.
+  bool Bootstrap = false;
+  /// With seeds: VMs with a disk that may be lost at the same time.
+  std::size_t ToleratedLosses = 1;
+  /// Where metrics are served besides the operators' address, if anywhere.
+  std::optional<base::Address> MetricsAddress;
   std::string ControlKeyFile;
   std::string NodeKeyFile;
   std::string OperatorKeysFile;
@@ -45,6 +67,24 @@
   /// The local upstream announces itself here; loopback only.
   base::Address AnnounceAddress;
   std::vector<ControlAddress> Control;
+  InterfaceForm Form = InterfaceForm::Native;
+  /// No keys are used: whoever reaches the addresses is trusted.
+  bool TrustedNetwork = false;
+  std::optional<base::Address> ReadyAddress;
+  std::optional<base::Address> MetricsAddress;
+  /// Service that runs on this VM; empty when it is not known in advance.
+  base::ServiceName CallerService;
+  /// Retry budget of all nodes together; absent: one of this node.
+  std::optional<dataplane::SharedBudget> Retries;
+  std::size_t HoldResponseBytes = 0;
+  /// Requests that were running at a crash of the upstream are isolated.
+  bool IsolateCrashes = true;
+  /// Callers are served for this time after the stop began.
+  base::Millis LameDuck;
+  /// Silence after which the upstream counts as absent.
+  base::Millis AnnounceSilence = base::Millis::seconds(5);
+  /// Time from ready until the upstream's slots are all used.
+  base::Millis SlowStart = base::Millis::seconds(5);
   std::string NodeKeyFile;
   /// Empty: announcements need no key.
   std::string AnnounceKeyFile;
--- a/tools/daemon/include/amaranth/daemon/NodeDaemon.h
+++ b/tools/daemon/include/amaranth/daemon/NodeDaemon.h
@@ -25,6 +25,10 @@
   /// Starts all tasks.
   void start();
 
+  /// Takes over the control processes of new settings; the rest needs a
+  /// restart.
+  void reload(const NodeSettings &Settings);
+
   /// Accepts no more callers, refuses new work for the local upstream, and
   /// waits for requests in flight, at most the shutdown timeout.
   boost::asio::awaitable<void> stop();
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -3,11 +3,15 @@
 #include "amaranth/base/InvariantMetric.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/control/ControlState.h"
+#include "amaranth/control/DocumentService.h"
 #include "amaranth/control/NodeService.h"
 #include "amaranth/control/OperatorServer.h"
 #include "amaranth/control/RolloutAdapter.h"
 #include "amaranth/control/ServedNodes.h"
+#include "amaranth/control/TimedRollouts.h"
 #include "amaranth/daemon/Shutdown.h"
+#include "amaranth/dataplane/AnnounceServer.h"
+#include "amaranth/platform/OperatorCalls.h"
 #include "amaranth/protocol/Connection.h"
 #include "amaranth/replication/LogStorage.h"
 #include "amaranth/replication/Replica.h"
@@ -24,14 +28,40 @@
 namespace {
 
 protocol::SharedKeys readKeys(const ControlSettings &Settings) {
+  // An empty key authenticates nobody; the setting says so and the log too.
+  if (Settings.TrustedNetwork)
+    return {{protocol::Role::Control, ""}, {protocol::Role::Node, ""}};
   return {
       {protocol::Role::Control, base::readSecretFile(Settings.ControlKeyFile)},
       {protocol::Role::Node, base::readSecretFile(Settings.NodeKeyFile)}};
 }
 
+std::vector<std::string> texts(const std::vector<base::Address> &Addresses) {
+  std::vector<std::string> Result;
+  for (const base::Address &Each : Addresses)
+    Result.push_back(Each.text());
+  return Result;
+}
+
+/// Election times for a cluster within one region that must be able to accept
+/// a change again within three seconds of the loss of its leader.
+constexpr base::Millis RegionHeartbeat = base::Millis(100);
+constexpr base::Millis RegionElectionMin = base::Millis(500);
+constexpr base::Millis RegionElectionMax = base::Millis(1000);
+
 replication::ReplicaSettings replicaSettings(const ControlSettings &Settings) {
   replication::ReplicaSettings Result;
   Result.Address = Settings.InnerAddress.text();
+  if (!Settings.Seeds.empty()) {
+    if (Settings.Bootstrap)
+      Result.InitialVoters = texts(Settings.Seeds);
+    Result.KnownPeers = texts(Settings.Seeds);
+    Result.TargetVoters = 2 * Settings.ToleratedLosses + 1;
+    Result.HeartbeatInterval = RegionHeartbeat;
+    Result.ElectionTimeoutMin = RegionElectionMin;
+    Result.ElectionTimeoutMax = RegionElectionMax;
+    return Result;
+  }
   auto &Known = Settings.Join ? Result.KnownPeers : Result.InitialVoters;
   for (const base::Address &Voter : Settings.Voters)
     Known.push_back(Voter.text());
@@ -42,9 +72,17 @@
 operatorSettings(const ControlSettings &Settings) {
   control::OperatorServerSettings Result;
   Result.Listen = Settings.OperatorAddress;
+  if (Settings.Form == InterfaceForm::Platform)
+    Result.MaxBody = platform::MaxDocumentBody;
   return Result;
 }
 
+control::OperatorKeys operatorKeys(const ControlSettings &Settings) {
+  return Settings.OperatorKeysFile.empty()
+             ? control::OperatorKeys()
+             : control::OperatorKeys::read(Settings.OperatorKeysFile);
+}
+
 } // namespace
 
 namespace {
@@ -79,6 +117,9 @@
 
 } // namespace
 
+/// A process that was not current for longer says that it is not ready.
+constexpr base::Millis ReadyLimit = base::Millis::seconds(5);
+
 struct ControlDaemon::Parts {
   Parts(ControlSettings ControlConfig, EventLoop &Loop, base::Clock &Time)
       : Settings(std::move(ControlConfig)), Loop(Loop), Time(Time),
@@ -92,13 +133,25 @@
         Log(Disk, State, Net, replicaSettings(Settings), Time, Executor),
         Nodes(
             {}, Executor, Time, Log, [this] { return State.mesh(); }, Registry),
-        Status(Nodes), Members(Log),
-        Operators(Executor, Time, Log, State, Status, Members,
-                  control::OperatorKeys::read(Settings.OperatorKeysFile),
-                  Registry, operatorSettings(Settings)),
+        Status(Nodes), Members(Log), Documents(Log, State, {}),
+        PlatformApi(Documents), NativeApi(Log, State, Status, Members,
+                                          operatorKeys(Settings), Registry, {}),
+        Operators(Executor, Time, api(), Registry, operatorSettings(Settings)),
         Store(Log, State), Evidence(Nodes.evidence(), State, Time),
         Rollouts(Time, Store, Evidence),
-        Inner(Executor, Settings.InnerAddress, Self, Keys, Time) {}
+        Timed(Time, Log, State, Nodes.evidence(), {}),
+        Inner(Executor, Settings.InnerAddress, Self, Keys, Time) {
+    if (Settings.MetricsAddress)
+      Pages = std::make_unique<dataplane::AnnounceServer>(
+          Executor, *Settings.MetricsAddress, Time, nullptr, Registry,
+          [this] { return Log.sinceCurrent() < ReadyLimit; });
+  }
+
+  control::ApiHandler &api() {
+    if (Settings.Form == InterfaceForm::Platform)
+      return PlatformApi;
+    return NativeApi;
+  }
 
   asio::awaitable<void> serveInner(std::shared_ptr<protocol::Channel> Link) {
     if (Link->peer().ProcessRole == protocol::Role::Control)
@@ -123,11 +176,17 @@
   control::NodeService Nodes;
   control::ServedNodes Status;
   ReplicaMembership Members;
+  control::DocumentService Documents;
+  platform::OperatorCalls PlatformApi;
+  control::OperatorApi NativeApi;
   control::OperatorServer Operators;
   control::ReplicatedRolloutStore Store;
   control::ReportedEvidence Evidence;
   rollout::RolloutController Rollouts;
+  control::TimedRollouts Timed;
   protocol::Listener Inner;
+  /// Metrics on an address of their own, or null.
+  std::unique_ptr<dataplane::AnnounceServer> Pages;
 };
 
 ControlDaemon::ControlDaemon(ControlSettings Settings, EventLoop &Loop,
@@ -151,12 +210,29 @@
   P.Loop.spawnEssential("invariant metric", P.Invariants.run());
   P.Loop.spawnEssential("operator server", P.Operators.run());
   P.Loop.spawnEssential("rollout controller", P.Rollouts.run());
+  P.Loop.spawnEssential("timed rollouts", P.Timed.run());
+  if (P.Pages)
+    P.Loop.spawnEssential("metrics server", P.Pages->serve());
+  if (P.Settings.TrustedNetwork)
+    base::logger("control")->warn(
+        "no keys are used: every process that reaches {} and {} is trusted",
+        P.Inner.local().text(), P.Operators.address().text());
   base::logger("control")->info(
       "control process started replica={} zone={} inner={} operator={}",
       P.Self.Id, P.Settings.Zone.value(), P.Inner.local().text(),
       P.Operators.address().text());
 }
 
+void ControlDaemon::reload(const ControlSettings &Settings) {
+  std::vector<std::string> Seeds = texts(Settings.Seeds);
+  std::string Joined;
+  for (const std::string &Seed : Seeds)
+    Joined += (Joined.empty() ? "" : ",") + Seed;
+  base::logger("control")->info("seeds in force seeds={}", Joined);
+  if (!Seeds.empty())
+    Self->Log.setKnownPeers(std::move(Seeds));
+}
+
 asio::awaitable<void> ControlDaemon::stop() {
   Parts &P = *Self;
   P.Operators.stop();
