--- a/tools/daemon/src/DaemonSettings.cpp
+++ b/tools/daemon/src/DaemonSettings.cpp
@@ -12,6 +12,11 @@
 const std::vector<std::string> LogLevels = {"trace", "debug", "info",
                                             "warn",  "error", "off"};
 constexpr base::Millis DefaultShutdownTimeout = base::Millis::seconds(30);
+/// Part of the time before a process is killed that a stop may take; the rest
+/// is for the last responses to be written.
+constexpr std::int64_t GracePercent = 92;
+/// Announcements that may be missed or late before an upstream is absent.
+constexpr std::int64_t MissedAnnouncements = 4;
 
 /// The only section of a settings file. Throws `FileError` with the faults
 /// found so far when it is absent.
@@ -64,6 +69,68 @@
   return Result;
 }
 
+InterfaceForm readForm(base::SectionReader &Reader) {
+  return Reader.choice("interface", {"native", "platform"}, "native") ==
+                 "platform"
+             ? InterfaceForm::Platform
+             : InterfaceForm::Native;
+}
+
+std::optional<base::Address> readOptional(base::SectionReader &Reader,
+                                          const std::string &Key) {
+  if (!Reader.has(Key))
+    return std::nullopt;
+  return Reader.address(Key);
+}
+
+/// A key file, which a trusted network must not have.
+std::string readKeyFile(base::SectionReader &Reader, const std::string &Key,
+                        bool Trusted) {
+  if (!Trusted)
+    return Reader.text(Key);
+  if (Reader.has(Key))
+    Reader.fault(Key, "no key is used with 'trusted-network = true'; remove "
+                      "one of the two");
+  return Reader.text(Key, "");
+}
+
+/// The addresses of `seeds`, with the port on which control processes listen
+/// for other processes.
+std::vector<base::Address> readSeeds(base::SectionReader &Reader) {
+  std::vector<base::Address> Result;
+  auto Port = Reader.integer("seed-port", 1, 65'535);
+  for (const std::string &Text : Reader.list("seeds")) {
+    auto Parsed = base::parseAddress(Text);
+    if (!Parsed) {
+      Reader.fault("seeds",
+                   fmt::format("'{}' is no address; expected IP:PORT", Text));
+      continue;
+    }
+    Parsed->Port = static_cast<std::uint16_t>(Port);
+    Result.push_back(*Parsed);
+  }
+  return Result;
+}
+
+std::optional<dataplane::SharedBudget>
+readRetries(base::SectionReader &Reader) {
+  if (!Reader.has("retry-ratio"))
+    return std::nullopt;
+  dataplane::SharedBudget Result;
+  Result.Ratio = Reader.number("retry-ratio", 0, 10);
+  Result.Floor = Reader.number("retry-floor", 0, 1e6, 0.0);
+  Result.Window =
+      Reader.seconds("retry-window-seconds", base::Millis::seconds(10));
+  return Result;
+}
+
+base::Millis readSilence(base::SectionReader &Reader, base::Millis Default) {
+  if (!Reader.has("announce-interval-seconds"))
+    return Default;
+  return Reader.seconds("announce-interval-seconds", Default) *
+         MissedAnnouncements;
+}
+
 bool isLoopback(const base::Address &Address) {
   boost::system::error_code Failure;
   auto Ip = boost::asio::ip::make_address(Address.Ip, Failure);
@@ -82,15 +149,28 @@
   Result.Zone = base::AvailabilityZone(Reader.text("availability-zone"));
   Result.InnerAddress = Reader.address("inner-address");
   Result.OperatorAddress = Reader.address("operator-address");
-  Result.Voters = readAddresses(Reader, "voters");
-  Result.Join = Reader.boolean("join", false);
-  Result.ControlKeyFile = Reader.text("control-key-file");
-  Result.NodeKeyFile = Reader.text("node-key-file");
-  Result.OperatorKeysFile = Reader.text("operator-keys-file");
+  Result.Form = readForm(Reader);
+  Result.TrustedNetwork = Reader.boolean("trusted-network", false);
+  if (Reader.has("seeds")) {
+    Result.Seeds = readSeeds(Reader);
+    Result.Bootstrap = Reader.boolean("bootstrap", false);
+    Result.ToleratedLosses =
+        static_cast<std::size_t>(Reader.integer("tolerated-losses", 0, 10, 1));
+  } else {
+    Result.Voters = readAddresses(Reader, "voters");
+    Result.Join = Reader.boolean("join", false);
+  }
+  Result.MetricsAddress = readOptional(Reader, "metrics-address");
+  Result.ControlKeyFile =
+      readKeyFile(Reader, "control-key-file", Result.TrustedNetwork);
+  Result.NodeKeyFile =
+      readKeyFile(Reader, "node-key-file", Result.TrustedNetwork);
+  Result.OperatorKeysFile =
+      readKeyFile(Reader, "operator-keys-file", Result.TrustedNetwork);
   Result.LogLevel = Reader.choice("log-level", LogLevels, "info");
   bool Listed = std::find(Result.Voters.begin(), Result.Voters.end(),
                           Result.InnerAddress) != Result.Voters.end();
-  if (!Result.Join && !Listed)
+  if (!Result.Join && !Listed && !Reader.has("seeds"))
     Reader.fault("voters", "inner-address is not among the voters; set "
                            "'join = true' to join an existing cluster");
   Reader.finish();
@@ -110,13 +190,35 @@
   Result.InnerAddress = Reader.address("inner-address");
   Result.CallerAddress = Reader.address("caller-address");
   Result.AnnounceAddress = Reader.address("announce-address");
-  Result.Control = readControlAddresses(Reader);
-  Result.NodeKeyFile = Reader.text("node-key-file");
+  Result.Form = readForm(Reader);
+  Result.TrustedNetwork = Reader.boolean("trusted-network", false);
+  if (Reader.has("seeds"))
+    for (const base::Address &Seed : readSeeds(Reader))
+      Result.Control.push_back({Seed, base::AvailabilityZone()});
+  else
+    Result.Control = readControlAddresses(Reader);
+  Result.NodeKeyFile =
+      readKeyFile(Reader, "node-key-file", Result.TrustedNetwork);
+  Result.ReadyAddress = readOptional(Reader, "ready-address");
+  Result.MetricsAddress = readOptional(Reader, "metrics-address");
+  Result.CallerService = base::ServiceName(Reader.text("caller-service", ""));
+  Result.Retries = readRetries(Reader);
+  Result.HoldResponseBytes = Reader.byteSize("hold-response", 0);
+  Result.IsolateCrashes = Reader.boolean("isolate-crashes", true);
+  Result.LameDuck = Reader.seconds("lame-duck-seconds", base::Millis(0));
+  Result.AnnounceSilence =
+      readSilence(Reader, Result.AnnounceSilence);
+  Result.SlowStart = Reader.seconds("slow-start-seconds", Result.SlowStart);
   Result.AnnounceKeyFile = Reader.text("announce-key-file", "");
   Result.ShutdownTimeout =
       Reader.duration("shutdown-timeout", DefaultShutdownTimeout);
+  if (Reader.has("grace-seconds"))
+    Result.ShutdownTimeout =
+        Reader.seconds("grace-seconds", Result.ShutdownTimeout) *
+        GracePercent / 100;
   Result.LogLevel = Reader.choice("log-level", LogLevels, "info");
-  if (Reader.has("announce-address") && !isLoopback(Result.AnnounceAddress))
+  if (Reader.has("announce-address") && !Result.TrustedNetwork &&
+      !isLoopback(Result.AnnounceAddress))
     Reader.fault("announce-address", "the address must be a loopback address: "
                                      "only the local upstream announces "
                                      "itself to this node");
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -11,17 +11,46 @@
 #include "amaranth/dataplane/Metrics.h"
 #include "amaranth/dataplane/PeerPool.h"
 #include "amaranth/follower/Follower.h"
+#include "amaranth/platform/PlatformDialect.h"
+#include "amaranth/platform/UpstreamCalls.h"
 #include "amaranth/protocol/Connection.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <prometheus/registry.h>
 
+#include <memory>
+#include <vector>
+
 namespace asio = boost::asio;
 
 namespace amaranth::daemon {
 
 namespace {
 
+protocol::SharedKeys readKeys(const NodeSettings &Settings) {
+  // An empty key authenticates nobody; the setting says so and the log too.
+  if (Settings.TrustedNetwork)
+    return {{protocol::Role::Node, ""}};
+  return {
+      {protocol::Role::Node, base::readSecretFile(Settings.NodeKeyFile)}};
+}
+
+/// Followers of a region's control processes try another one this soon.
+constexpr base::Millis RegionBackoffMax = base::Millis(1000);
+constexpr base::Millis RegionDialTimeout = base::Millis(500);
+/// Three messages about currency are missing by then.
+constexpr base::Millis RegionStaleLimit = base::Millis(1800);
+/// A node that does not answer at once is left for another one.
+constexpr base::Millis RegionPeerDial = base::Millis(400);
+
+std::vector<follower::ControlProcess>
+controlsOf(const NodeSettings &Settings) {
+  std::vector<follower::ControlProcess> Result;
+  for (const ControlAddress &Control : Settings.Control)
+    Result.push_back({Control.Inner, Control.Zone});
+  return Result;
+}
+
 protocol::Identity identityOf(const NodeSettings &Settings) {
   return {protocol::Role::Node, Settings.Id.value(), Settings.Zone};
 }
@@ -30,8 +59,19 @@
   follower::FollowerSettings Result;
   Result.Node = Settings.Id;
   Result.Zone = Settings.Zone;
-  for (const ControlAddress &Control : Settings.Control)
-    Result.Controls.push_back({Control.Inner, Control.Zone});
+  Result.Controls = controlsOf(Settings);
+  if (Settings.Form == InterfaceForm::Platform) {
+    Result.BackoffMax = RegionBackoffMax;
+    Result.DialTimeout = RegionDialTimeout;
+    Result.StaleLimit = RegionStaleLimit;
+  }
+  return Result;
+}
+
+dataplane::PeerPool::Settings peerSettings(const NodeSettings &Settings) {
+  dataplane::PeerPool::Settings Result;
+  if (Settings.Form == InterfaceForm::Platform)
+    Result.DialTimeout = RegionPeerDial;
   return Result;
 }
 
@@ -40,6 +80,9 @@
   Result.Node = Settings.Id;
   Result.NodeAddress = Settings.InnerAddress;
   Result.Zone = Settings.Zone;
+  Result.AnnounceSilence = Settings.AnnounceSilence;
+  Result.SlowStart = Settings.SlowStart;
+  Result.IsolateCrashes = Settings.IsolateCrashes;
   return Result;
 }
 
@@ -47,17 +90,34 @@
   dataplane::EntrySettings Result;
   Result.Listen = Settings.CallerAddress;
   Result.Balance.Zone = Settings.Zone;
+  Result.Balance.SlowStart = Settings.SlowStart;
+  Result.CallerService = Settings.CallerService;
+  Result.Shared = Settings.Retries;
+  Result.HoldBytes = Settings.HoldResponseBytes;
+  Result.LameDuck = Settings.LameDuck;
   // Entry nodes must not draw the same choices.
   Result.Seed = base::randomU64();
   return Result;
 }
 
-dataplane::AnnounceSettings announceSettings(const NodeSettings &Settings) {
-  dataplane::AnnounceSettings Result;
-  Result.Listen = Settings.AnnounceAddress;
-  if (!Settings.AnnounceKeyFile.empty())
-    Result.Key = base::readSecretFile(Settings.AnnounceKeyFile);
-  return Result;
+std::string announceKey(const NodeSettings &Settings) {
+  return Settings.AnnounceKeyFile.empty()
+             ? std::string()
+             : base::readSecretFile(Settings.AnnounceKeyFile);
+}
+
+std::unique_ptr<dataplane::HttpDialect> dialectOf(InterfaceForm Form) {
+  if (Form == InterfaceForm::Platform)
+    return std::make_unique<platform::PlatformDialect>();
+  return std::make_unique<dataplane::NativeDialect>();
+}
+
+std::unique_ptr<dataplane::LocalHandler>
+localHandler(const NodeSettings &Settings, dataplane::Gate &Upstream) {
+  if (Settings.Form == InterfaceForm::Platform)
+    return std::make_unique<platform::UpstreamCalls>(Upstream);
+  return std::make_unique<dataplane::AnnounceHandler>(Upstream,
+                                                      announceKey(Settings));
 }
 
 } // namespace
@@ -66,20 +126,30 @@
   Parts(NodeSettings NodeConfig, EventLoop &Loop, base::Clock &Time)
       : Settings(std::move(NodeConfig)), Loop(Loop),
         Executor(Loop.context().get_executor()),
-        Keys({{protocol::Role::Node,
-               base::readSecretFile(Settings.NodeKeyFile)}}),
+        Keys(readKeys(Settings)), Dialect(dialectOf(Settings.Form)),
         Invariants(Registry, Time), Dialer(identityOf(Settings), Keys, Time),
         Counters(Registry),
         Follow(followerSettings(Settings), Executor, Time, Dialer, Registry),
         Upstream(Executor, gateSettings(Settings), Time, Follow, Follow,
-                 Counters),
-        Exchanges(Executor, Upstream, Time), Peers(Executor, {}, Time, Dialer),
+                 Counters, *Dialect),
+        Exchanges(Executor, Upstream, Time),
+        Peers(Executor, peerSettings(Settings), Time, Dialer),
         Entry(Executor, entrySettings(Settings), Time, Follow, Follow, Peers,
-              Counters),
-        Announce(Executor, announceSettings(Settings), Time, Upstream, Registry,
-                 [this] { return Follow.current() != nullptr; }),
+              Counters, *Dialect),
+        Local(localHandler(Settings, Upstream)),
+        Announce(Executor, Settings.AnnounceAddress, Time, Local.get(),
+                 Registry, [this] { return ready(); }),
         Inner(Executor, Settings.InnerAddress, identityOf(Settings), Keys,
-              Time) {}
+              Time) {
+    for (const auto &Address :
+         {Settings.ReadyAddress, Settings.MetricsAddress})
+      if (Address)
+        Pages.push_back(std::make_unique<dataplane::AnnounceServer>(
+            Executor, *Address, Time, nullptr, Registry,
+            [this] { return ready(); }));
+  }
+
+  bool ready() const { return Follow.current() != nullptr && !Stopping; }
 
   asio::awaitable<void> serveInner(std::shared_ptr<protocol::Channel> Link) {
     if (Link->peer().ProcessRole == protocol::Role::Node)
@@ -90,6 +160,7 @@
   EventLoop &Loop;
   asio::any_io_executor Executor;
   protocol::SharedKeys Keys;
+  std::unique_ptr<dataplane::HttpDialect> Dialect;
   prometheus::Registry Registry;
   base::InvariantMetric Invariants;
   protocol::TcpDialer Dialer;
@@ -99,8 +170,12 @@
   dataplane::ExchangeServer Exchanges;
   dataplane::PeerPool Peers;
   dataplane::EntryServer Entry;
+  std::unique_ptr<dataplane::LocalHandler> Local;
   dataplane::AnnounceServer Announce;
   protocol::Listener Inner;
+  /// The pages on addresses of their own.
+  std::vector<std::unique_ptr<dataplane::AnnounceServer>> Pages;
+  bool Stopping = false;
 };
 
 NodeDaemon::NodeDaemon(NodeSettings Settings, EventLoop &Loop,
@@ -123,18 +198,33 @@
   P.Loop.spawnEssential("caller server", P.Entry.serve());
   P.Loop.spawnEssential("caller tasks", P.Entry.run());
   P.Loop.spawnEssential("announce server", P.Announce.serve());
+  for (const auto &Page : P.Pages)
+    P.Loop.spawnEssential("page server", Page->serve());
+  if (P.Settings.TrustedNetwork)
+    base::logger("node")->warn(
+        "no keys are used: every process that reaches {} is trusted",
+        P.Inner.local().text());
   base::logger("node")->info(
       "node started node={} zone={} caller={} inner={} announce={}",
       P.Settings.Id.value(), P.Settings.Zone.value(), P.Entry.local().text(),
       P.Inner.local().text(), P.Announce.local().text());
 }
 
+void NodeDaemon::reload(const NodeSettings &Settings) {
+  auto Controls = controlsOf(Settings);
+  base::logger("node")->info("control processes in settings count={}",
+                             Controls.size());
+  Self->Follow.addControls(Controls);
+}
+
 asio::awaitable<void> NodeDaemon::stop() {
   using namespace asio::experimental::awaitable_operators;
   Parts &P = *Self;
+  P.Stopping = true;
   auto [EntryDone, GateDone] =
       co_await (P.Entry.drain(P.Settings.ShutdownTimeout) &&
-                P.Upstream.drain(P.Settings.ShutdownTimeout));
+                P.Upstream.drain(P.Settings.ShutdownTimeout,
+                                 P.Settings.LameDuck));
   base::logger("node")->info("graceful stop finished callers_done={} "
                              "upstream_done={}",
                              EntryDone, GateDone);
--- /dev/null
+++ b/tools/daemon/src/SettingsWatch.cpp
@@ -0,0 +1,79 @@
+#include "amaranth/daemon/SettingsWatch.h"
+
+#include "amaranth/base/Error.h"
+#include "amaranth/base/IniFile.h"
+#include "amaranth/base/Log.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <csignal>
+#include <sys/stat.h>
+
+namespace asio = boost::asio;
+
+namespace amaranth::daemon {
+
+namespace {
+
+/// What tells that a file may have changed; reading it each time would cost
+/// more.
+struct Stamp {
+  std::int64_t Seconds = 0;
+  std::int64_t Nanos = 0;
+  std::int64_t Size = -1;
+  std::uint64_t Inode = 0;
+
+  bool operator==(const Stamp &) const = default;
+};
+
+Stamp stampOf(const std::string &Path) {
+  struct stat Status {};
+  if (::stat(Path.c_str(), &Status) != 0)
+    return {};
+  return {Status.st_mtim.tv_sec, Status.st_mtim.tv_nsec, Status.st_size,
+          Status.st_ino};
+}
+
+void reload(const std::string &Path, const char *Cause,
+            const std::function<void()> &Reload) {
+  try {
+    Reload();
+    base::logger("daemon")->info("settings reloaded cause={} file={}", Cause,
+                                 Path);
+  } catch (const base::Error &Fault) {
+    base::logger("daemon")->error(
+        "settings not reloaded, the old ones stay cause={} error=\"{}\"", Cause,
+        Fault.what());
+  }
+}
+
+} // namespace
+
+asio::awaitable<void> watchSettings(std::string Path, base::Clock &Time,
+                                    std::function<void()> Reload) {
+  auto Executor = co_await asio::this_coro::executor;
+  asio::signal_set Signals(Executor, SIGHUP);
+  bool Hung = false;
+  std::function<void()> Arm = [&] {
+    Signals.async_wait([&](boost::system::error_code Failure, int) {
+      if (Failure)
+        return;
+      Hung = true;
+      Arm();
+    });
+  };
+  Arm();
+  Stamp Known = stampOf(Path);
+  for (;;) {
+    co_await Time.sleepFor(SettingsInterval);
+    Stamp Now = stampOf(Path);
+    bool Signalled = std::exchange(Hung, false);
+    if (Now == Known && !Signalled)
+      continue;
+    Known = Now;
+    reload(Path, Signalled ? "signal" : "change", Reload);
+  }
+}
+
+} // namespace amaranth::daemon
