Leave control processes that are not current at once; rank waiting work by its own time

Waiting calls were taken for late because the order used the mean time of all routes, and were refused while new work got their slots. A caller that left during a dial was not seen.

Change: a control process says at once how current it is, and a node goes round all of them; a fresh node waits at its process for the proof instead of coming back up to a second later; the order of waiting uses the time of each route; late requests are refused while the queue is long; callers are watched from the end of their request on; endpoints are compared by expected time.

--- a/control/src/NodeSession.cpp
+++ b/control/src/NodeSession.cpp
@@ -22,6 +22,8 @@
 /// Delay before a snapshot after a refused update; doubles each time.
 constexpr base::Millis RefusalDelay = base::Millis(500);
 constexpr unsigned MaxRefusalDoublings = 6;
+/// Pause between two attempts to prove that this process is current.
+constexpr base::Millis ConfirmRetryDelay = base::Millis(20);
 /// So that the first update of a connection never waits.
 constexpr base::TimePoint LongAgo = base::TimePoint(-1'000'000'000);
 
@@ -76,7 +78,7 @@
   BytesCounted = Total;
 }
 
-void NodeSession::tick() {
+void NodeSession::sendCurrency() {
   Currency Message{Parts->Log.appliedIndex(), Parts->Log.sinceCurrent(), {}};
   std::vector<std::string> Controls;
   for (const replication::MemberStatus &Member : Parts->Log.members())
@@ -86,6 +88,10 @@
     ToldControls = std::move(Controls);
   }
   Link->post(MessageType::Currency, 0, encode(Message));
+}
+
+void NodeSession::tick() {
+  sendCurrency();
   countBytes();
   if (Outstanding &&
       Parts->Time.now() - Outstanding->SentAt > Parts->Settings.AnswerTimeout)
@@ -149,6 +155,8 @@
   Outstanding.reset();
   if (!Applied.Fresh)
     Parts->Statistics.acknowledged(Node, Applied.Document, Applied.State);
+  // A node must not stay with a process that is cut off from the others.
+  sendCurrency();
   Changed.notifyAll();
 }
 
@@ -249,14 +257,22 @@
 }
 
 asio::awaitable<bool> NodeSession::confirmCurrent() {
-  try {
-    co_await Parts->Log.readIndex(Parts->Settings.ReadIndexTimeout);
-    co_return true;
-  } catch (const base::Error &Failure) {
-    base::logger("control")->info("fresh node has to wait node={} "
-                                  "reason=\"{}\"",
-                                  Node.value(), Failure.what());
+  base::TimePoint End = Parts->Time.now() + Parts->Settings.ReadIndexTimeout;
+  std::string Reason;
+  // After a restart of everything the proof succeeds as soon as there is a
+  // leader; a node that was sent away would come back later than that.
+  while (Link->isOpen() && Parts->Time.now() < End) {
+    try {
+      base::Millis Left = End - Parts->Time.now();
+      co_await Parts->Log.readIndex(Left);
+      co_return true;
+    } catch (const base::Error &Failure) {
+      Reason = Failure.what();
+    }
+    co_await Parts->Time.sleepFor(ConfirmRetryDelay);
   }
+  base::logger("control")->info("fresh node has to wait node={} reason=\"{}\"",
+                                Node.value(), Reason);
   co_return false;
 }
 
@@ -268,11 +284,6 @@
 }
 
 asio::awaitable<void> NodeSession::sendSnapshot() {
-  auto Slot = Parts->Admission.admit();
-  if (!Slot) {
-    sendRetryAfter();
-    co_return;
-  }
   std::uint64_t Before = Subscription;
   if (Applied.Fresh) {
     bool Confirmed = co_await confirmCurrent();
@@ -286,6 +297,11 @@
     // older by up to the update interval.
     Parts->refresh();
   }
+  auto Slot = Parts->Admission.admit();
+  if (!Slot) {
+    sendRetryAfter();
+    co_return;
+  }
   auto Pieces = Parts->History.pieces(Applied.Services);
   begin(std::move(Slot));
   Parts->Statistics.countSnapshot();
--- a/control/src/NodeSession.h
+++ b/control/src/NodeSession.h
@@ -89,6 +89,7 @@
   void reply(std::uint64_t Stream, const CallReply &Answer);
   void replyResult(std::uint64_t Stream, ResultCode Code, std::string Message);
   void countBytes();
+  void sendCurrency();
 
   boost::asio::awaitable<void> updateLoop();
   boost::asio::awaitable<void> sendUpdate();
--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -24,7 +24,8 @@
 public:
   struct Settings {
     base::AvailabilityZone Zone;
-    /// Load of the zone's endpoints above which other zones are used too.
+    /// Load of the zone's endpoints above which other zones are used too,
+    /// unless a request may wait for one of the zone.
     double ZoneLoadLimit = 0.8;
     /// Time from ready until an endpoint gets its full part.
     base::Millis SlowStart = base::Millis::seconds(10);
@@ -42,11 +43,14 @@
 
   /// An endpoint of the version that is not in `Avoid`, or null. Draining and
   /// starting endpoints are never chosen; unreachable and ejected ones only
-  /// when nothing else is left, which excludes no endpoint in `Avoid`.
+  /// when nothing else is left, which excludes no endpoint in `Avoid`. An
+  /// endpoint of the own zone is taken as long as its expected wait is at most
+  /// `LocalWait`.
   const document::Endpoint *choose(const document::MeshSnapshot &Mesh,
                                    const base::ServiceName &Service,
                                    const base::VersionName &Version,
-                                   const std::set<base::EndpointId> &Avoid);
+                                   const std::set<base::EndpointId> &Avoid,
+                                   base::Millis LocalWait = base::Millis(0));
 
   void started(const base::EndpointId &Id);
   void finished(const base::EndpointId &Id);
@@ -68,6 +72,8 @@
     std::uint32_t InFlight = 0;
     Load Reported;
     base::TimePoint ReportedAt;
+    /// Part of the reported work that came from this node.
+    std::uint32_t OwnAtReport = 0;
     unsigned FailuresInRow = 0;
     /// Moving average of the part of requests that the endpoint served.
     double Served = 1;
@@ -78,9 +84,12 @@
 
   /// Expected time of one more request, relative to the other candidates.
   double cost(const document::Endpoint &Entry) const;
+  /// Requests at the endpoint, this node's and those of others.
   double work(const State &Known) const;
+  double serviceMs(const base::EndpointId &Id) const;
+  double expectedWait(const document::Endpoint &Entry) const;
   const document::Endpoint *pick(const Candidates &From);
-  Candidates localOnes(const Candidates &From) const;
+  Candidates localOnes(const Candidates &From, base::Millis LocalWait) const;
   void eject(const document::MeshSnapshot &Mesh,
              const document::Endpoint &Entry, State &Known);
 
--- a/dataplane/include/amaranth/dataplane/PeerPool.h
+++ b/dataplane/include/amaranth/dataplane/PeerPool.h
@@ -65,6 +65,10 @@
   /// Closes idle connections; runs until cancelled.
   boost::asio::awaitable<void> run();
 
+  /// Dials when needed. Throws `ExchangeEnded` with outcome not-run when the
+  /// peer cannot be reached.
+  boost::asio::awaitable<void> reach(base::Address Peer);
+
   /// Dials when needed and sends `Head` with the time left until `Deadline`.
   /// Throws `ExchangeEnded` with outcome not-run when the head was never
   /// queued on a connection. From the moment it is queued, the end of the
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -17,6 +17,8 @@
   base::TimePoint Objective;
   /// When a response is of no more use.
   base::TimePoint Deadline;
+  /// Expected time of the request once it has a slot.
+  base::Millis Service;
   /// Order of arrival.
   std::uint64_t Sequence = 0;
 };
@@ -29,7 +31,8 @@
 
   explicit SlotQueue(base::Clock &Time) : Time(Time) {}
 
-  /// Waits for a slot until `LatestStart`. With `Alone`, waits until nothing
+  /// Waits for a slot until `LatestStart`; under overload only as long as the
+  /// objective can be met, see `holdsLate`. With `Alone`, waits until nothing
   /// else holds a slot and keeps all others waiting until the release.
   boost::asio::awaitable<Result> acquire(std::shared_ptr<ExchangeEnd> Waiting,
                                          WaitingWork Work,
@@ -41,8 +44,6 @@
   void release();
   /// Running work is not touched when the limit falls.
   void setLimit(std::uint32_t Slots);
-  /// Expected time of one request, for the order of the waiting ones.
-  void setService(base::Millis Expected) { Service = Expected; }
   /// Ends all waits with `Dropped`.
   void dropWaiting();
 
@@ -51,6 +52,10 @@
   std::size_t queued() const { return Waiters.size(); }
   /// Waiting requests that would go before `Work`.
   std::size_t ahead(const WaitingWork &Work) const;
+  /// Expected wait of `Work` for a slot; `Typical` is the time of a request
+  /// that runs now.
+  base::Millis expectedWait(const WaitingWork &Work,
+                            base::Millis Typical) const;
 
 private:
   struct Waiter {
@@ -71,7 +76,6 @@
   std::uint32_t Running = 0;
   bool AloneHeld = false;
   std::uint64_t NextSequence = 0;
-  base::Millis Service;
   Waiting Waiters;
 };
 
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -4,6 +4,7 @@
 #include "amaranth/base/Log.h"
 
 #include <algorithm>
+#include <random>
 
 using amaranth::document::Endpoint;
 using amaranth::document::EndpointState;
@@ -25,6 +26,8 @@
 /// Weight of the newest result in the part of requests that were served.
 constexpr double ResultWeight = 0.1;
 constexpr double MinServed = 0.05;
+/// Candidates that are compared for one request.
+constexpr std::size_t MaxDrawn = 4;
 
 } // namespace
 
@@ -33,20 +36,32 @@
   double Weight = 0;
   if (Age < ReportLife)
     Weight = 1 - static_cast<double>(Age.count()) / ReportLife.count();
+  double Reported = Known.Reported.InFlight + Known.Reported.Queued;
   return Known.InFlight +
-         Weight * (Known.Reported.InFlight + Known.Reported.Queued);
+         Weight * std::max(0.0, Reported - Known.OwnAtReport);
+}
+
+double Balancer::serviceMs(const base::EndpointId &Id) const {
+  auto Found = States.find(Id);
+  if (Found == States.end() ||
+      Found->second.Reported.Service <= base::Millis(0))
+    return UnknownServiceMs;
+  return static_cast<double>(Found->second.Reported.Service.count());
+}
+
+double Balancer::expectedWait(const Endpoint &Entry) const {
+  auto Found = States.find(Entry.Id);
+  double Work = Found == States.end() ? 0 : work(Found->second);
+  double Slots = std::max<std::uint32_t>(1, Entry.Slots);
+  return std::max(0.0, Work + 1 - Slots) / Slots * serviceMs(Entry.Id);
 }
 
 double Balancer::cost(const Endpoint &Entry) const {
   auto Found = States.find(Entry.Id);
   double Work = Found == States.end() ? 0 : work(Found->second);
-  double Service = UnknownServiceMs;
   double Served = 1;
-  if (Found != States.end()) {
+  if (Found != States.end())
     Served = std::max(MinServed, Found->second.Served);
-    if (Found->second.Reported.Service > base::Millis(0))
-      Service = static_cast<double>(Found->second.Reported.Service.count());
-  }
   double Slots = std::max<std::uint32_t>(1, Entry.Slots);
   std::int64_t Since = Time.wallNow().count() - Entry.ReadySince;
   if (Since < Options.SlowStart.count())
@@ -55,7 +70,8 @@
   // The request to be placed counts, so that an idle endpoint in slow start
   // loses against an idle warm one.
   double Load = (Work + 1) / Slots;
-  return Service * (std::max(1.0, Load) + LoadWeight * Load) / Served;
+  return serviceMs(Entry.Id) * (std::max(1.0, Load) + LoadWeight * Load) /
+         Served;
 }
 
 base::Millis Balancer::expectedService(const base::EndpointId &Id) const {
@@ -64,22 +80,24 @@
                                : Found->second.Reported.Service;
 }
 
+/// The cheapest of a few candidates drawn at random. Nodes that all took the
+/// cheapest one of many by the same reports would overload it together.
 const Endpoint *Balancer::pick(const Candidates &From) {
-  if (From.empty())
-    return nullptr;
-  if (From.size() == 1)
-    return From.front();
-  std::uniform_int_distribution<std::size_t> Any(0, From.size() - 1);
-  std::uniform_int_distribution<std::size_t> Other(0, From.size() - 2);
-  std::size_t First = Any(Random);
-  std::size_t Second = Other(Random);
-  if (Second >= First)
-    ++Second;
-  return cost(*From[First]) <= cost(*From[Second]) ? From[First] : From[Second];
+  Candidates Drawn = From;
+  std::shuffle(Drawn.begin(), Drawn.end(), Random);
+  if (Drawn.size() > MaxDrawn)
+    Drawn.resize(MaxDrawn);
+  auto Best = std::min_element(
+      Drawn.begin(), Drawn.end(), [this](const Endpoint *A, const Endpoint *B) {
+        return cost(*A) < cost(*B);
+      });
+  return Best == Drawn.end() ? nullptr : *Best;
 }
 
-Balancer::Candidates Balancer::localOnes(const Candidates &From) const {
+Balancer::Candidates Balancer::localOnes(const Candidates &From,
+                                         base::Millis LocalWait) const {
   Candidates Local;
+  Candidates Soon;
   double Work = 0;
   double Slots = 0;
   for (const Endpoint *Entry : From) {
@@ -89,16 +107,21 @@
     auto Found = States.find(Entry->Id);
     Work += Found == States.end() ? 0 : work(Found->second);
     Slots += Entry->Slots;
+    if (expectedWait(*Entry) <= static_cast<double>(LocalWait.count()))
+      Soon.push_back(Entry);
   }
-  if (Local.empty() || Work > Options.ZoneLoadLimit * Slots)
-    return From;
-  return Local;
+  if (!Local.empty() && Work <= Options.ZoneLoadLimit * Slots)
+    return Local;
+  if (!Soon.empty() && LocalWait > base::Millis(0))
+    return Soon;
+  return From;
 }
 
 const Endpoint *Balancer::choose(const document::MeshSnapshot &Mesh,
                                  const base::ServiceName &Service,
                                  const base::VersionName &Version,
-                                 const std::set<base::EndpointId> &Avoid) {
+                                 const std::set<base::EndpointId> &Avoid,
+                                 base::Millis LocalWait) {
   Candidates Usable;
   Candidates Ejected;
   Candidates Unreachable;
@@ -111,7 +134,7 @@
     else if (Entry.State == EndpointState::Ready)
       (ejected(Id) ? Ejected : Usable).push_back(&Entry);
   }
-  const Endpoint *Chosen = pick(localOnes(Usable));
+  const Endpoint *Chosen = pick(localOnes(Usable, LocalWait));
   if (!Chosen)
     Chosen = pick(Ejected);
   if (!Chosen)
@@ -134,6 +157,7 @@
   State &Known = States[Id];
   Known.Reported = Work;
   Known.ReportedAt = Time.now();
+  Known.OwnAtReport = Known.InFlight;
 }
 
 void Balancer::succeeded(const base::EndpointId &Id) {
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -21,6 +21,12 @@
 constexpr std::size_t PrefixBytes = 64U << 10U;
 /// Longer keys are refused; control keeps a hash of the key only.
 constexpr std::size_t MaxKeyBytes = 256;
+/// Part of the time until the objective that a request may wait for an
+/// upstream of its own zone before it is sent to another one. The response is
+/// as good for the caller, and the bytes stay in the zone, which matters most
+/// for downloads.
+constexpr std::int64_t LocalWaitPercent = 15;
+constexpr std::int64_t LocalWaitDownload = 40;
 /// Without any limit of the route or the caller.
 constexpr base::Millis DefaultTimeout = base::Millis::seconds(60);
 
@@ -93,6 +99,8 @@
     Refused = co_await readPrefix();
   }
   if (!Refused) {
+    if (PrefixComplete)
+      watchCaller();
     do
       Refused = co_await attempt();
     while (Refused && tryAgain(*Refused));
@@ -230,7 +238,7 @@
   while (const document::VersionShare *Version = chooseVersion(
              Entry->second, Shared->Guard, Empty, Shared->Random)) {
     if (const auto *Found = Shared->Endpoints.choose(
-            Current, Service, Version->Version, Plan.avoided()))
+            Current, Service, Version->Version, Plan.avoided(), localWait()))
       return Found;
     Empty.insert(Version->Version);
   }
@@ -262,6 +270,15 @@
   co_return Refused;
 }
 
+base::Millis EntryRequest::localWait() const {
+  if (!Plan.patient() || Objective >= Deadline)
+    return base::Millis(0);
+  base::Millis Left = Objective - Shared->Time.now();
+  bool Large = Via.Kind == document::RequestKind::Download;
+  return std::max(base::Millis(0), Left) *
+         (Large ? LocalWaitDownload : LocalWaitPercent) / 100;
+}
+
 RequestHead EntryRequest::headFor(const document::Endpoint &Target) const {
   RequestHead Head;
   Head.Service = Service;
@@ -283,23 +300,30 @@
   Head.RunsOnce = !repeatable();
   if (Plan.patient() && Objective < Deadline) {
     base::Millis Service = Shared->Endpoints.expectedService(Target.Id);
-    Head.Patience =
-        std::max(base::Millis(0), Objective - Shared->Time.now() - Service);
+    base::Millis Patience = Objective - Shared->Time.now() - Service;
+    if (Target.Zone == Shared->Options.Balance.Zone)
+      Patience = std::min(Patience, localWait());
+    Head.Patience = std::max(base::Millis(0), Patience);
   }
   return Head;
 }
 
 asio::awaitable<EntryRequest::MaybeRefusal>
-EntryRequest::exchange(Mesh Current, document::Endpoint Target) {
+EntryRequest::exchange(Mesh InForce, document::Endpoint Target) {
   base::TimePoint Started = Shared->Time.now();
-  RequestHead Outgoing = headFor(Target);
   MaybeRefusal Refused;
   try {
+    co_await Shared->Peers.reach(Target.NodeAddress);
+    // A dial takes its time, and nobody may want the response any more.
+    if (CallerGone)
+      co_return notRun(Reason::Cancelled, "caller went away");
+    RequestHead Outgoing = headFor(Target);
     Exchange Running = co_await Shared->Peers.open(
         Target.NodeAddress, std::move(Outgoing), Deadline);
     CancelOnExit Guarded(Running);
-    if (PrefixComplete)
-      watchCaller(Running);
+    Current = Running;
+    if (CallerGone)
+      Running->cancel("caller went away");
     if (Request.BodyLength != 0)
       asio::co_spawn(
           Shared->Executor,
@@ -315,17 +339,16 @@
     }
     bool Error = Head->Status >= 500;
     Shared->Endpoints.reported(Target.Id, Head->Work);
-    countEvidence(*Current, Target, Error, Started);
+    countEvidence(*InForce, Target, Error, Started);
     Counted = true;
     if (Error)
-      Shared->Endpoints.failed(*Current, Target.Id, false);
+      Shared->Endpoints.failed(*InForce, Target.Id, false);
     else
       Shared->Endpoints.succeeded(Target.Id);
     Refused = co_await forward(Running, std::move(*Head));
   } catch (const ExchangeEnded &Failure) {
     Refused = Failure.refusal();
   }
-  Caller->stopWatch();
   co_return Refused;
 }
 
@@ -414,7 +437,7 @@
       co_await To->Body.sendData(std::move(Piece), End);
     }
     if (!PrefixComplete && !To->Body.ended())
-      watchCaller(To);
+      watchCaller();
   } catch (const ExchangeEnded &) {
     // The task that waits for the response reports it.
   } catch (const std::exception &Failure) {
@@ -426,13 +449,14 @@
   To->cancel(Failed);
 }
 
-void EntryRequest::watchCaller(const Exchange &Running) {
-  std::weak_ptr<ClientExchange> Weak = Running;
-  Caller->watch([Weak, Keep = weak_from_this()] {
-    if (auto Self = Keep.lock())
-      Self->CallerGone = true;
-    if (auto Exchange = Weak.lock())
-      Exchange->cancel("caller went away");
+void EntryRequest::watchCaller() {
+  Caller->watch([Keep = weak_from_this()] {
+    auto Self = Keep.lock();
+    if (!Self)
+      return;
+    Self->CallerGone = true;
+    if (auto Running = Self->Current.lock())
+      Running->cancel("caller went away");
   });
 }
 
@@ -540,9 +564,11 @@
 void EntryRequest::finished(const std::string &Outcome, unsigned Status) {
   auto Log = base::logger(base::RequestLog);
   const document::MeshSnapshot *Mesh = Routes ? &Routes->mesh() : nullptr;
-  Log->info("request id={} route={} service={} method={} document={} state={} "
+  Log->info("request id={} from={} route={} service={} method={} document={} "
+            "state={} "
             "attempts={} trail={} took_ms={} left_ms={} status={} outcome={}",
-            Id, Via.Name.value(), Service.value(), Request.Method,
+            Id, Caller->peer().address().to_string(), Via.Name.value(),
+            Service.value(), Request.Method,
             Mesh ? Mesh->Document.value() : 0, Mesh ? Mesh->State.value() : 0,
             Plan.tries(), Trail, (Shared->Time.now() - Arrived).count(),
             (Deadline - Shared->Time.now()).count(), Status, Outcome);
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -39,7 +39,7 @@
   void chooseService();
   boost::asio::awaitable<MaybeRefusal> readPrefix();
   boost::asio::awaitable<MaybeRefusal> attempt();
-  boost::asio::awaitable<MaybeRefusal> exchange(Mesh Current,
+  boost::asio::awaitable<MaybeRefusal> exchange(Mesh InForce,
                                                 document::Endpoint Target);
   boost::asio::awaitable<MaybeRefusal> forward(Exchange Running,
                                                ResponseHead Head);
@@ -50,6 +50,8 @@
   boost::asio::awaitable<void> refuse(Refusal Why);
 
   const document::Endpoint *choose(const document::MeshSnapshot &Current);
+  /// How long a request may wait for an endpoint of the own zone.
+  base::Millis localWait() const;
   RequestHead headFor(const document::Endpoint &Target) const;
   bool tryAgain(const Refusal &Why);
   bool retryStatus(unsigned Status);
@@ -62,7 +64,8 @@
   void countEvidence(const document::MeshSnapshot &Current,
                      const document::Endpoint &Target, bool Error,
                      base::TimePoint Started);
-  void watchCaller(const Exchange &Running);
+  /// From now on the caller's leaving ends the attempt that runs then.
+  void watchCaller();
   void finished(const std::string &Outcome, unsigned Status);
 
   std::shared_ptr<EntryContext> Shared;
@@ -83,6 +86,8 @@
   bool PrefixComplete = false;
   bool ReadBeyondPrefix = false;
   bool CallerGone = false;
+  /// The attempt that runs now.
+  std::weak_ptr<ClientExchange> Current;
   std::uint64_t RequestHash = 0;
   std::uint64_t Fingerprint = 0;
   /// The evidence of the last attempt was counted with its response head.
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -3,6 +3,7 @@
 #include "amaranth/base/Log.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace asio = boost::asio;
 using amaranth::document::EndpointState;
@@ -194,7 +195,6 @@
                                         Options.SlowStart.count()));
   }
   // Work in flight keeps its slots when the limit falls.
-  Slots.setService(Times.expected().value_or(base::Millis(0)));
   Slots.setLimit(Limit);
   Counters.gateLoad(load());
 }
@@ -209,8 +209,10 @@
   Load Work{Slots.inFlight(), static_cast<std::uint32_t>(Slots.queued()),
             Last ? Last->Slots : 0};
   Work.Service = Times.expected().value_or(base::Millis(0));
-  Work.Wait = expectedWait(Slots.queued(), Slots.inFlight(), Slots.limit(),
-                           Work.Service);
+  WaitingWork Last;
+  Last.Priority = std::numeric_limits<std::uint32_t>::max();
+  Last.Objective = Last.Deadline = Time.now();
+  Work.Wait = Slots.expectedWait(Last, Work.Service);
   return Work;
 }
 
@@ -219,13 +221,13 @@
 }
 
 WaitingWork Gate::Impl::workOf(const ServerExchange &Exchange) const {
-  return {Exchange.Head.Priority, Exchange.Objective, Exchange.Deadline, 0};
+  return {Exchange.Head.Priority, Exchange.Objective, Exchange.Deadline,
+          expectedService(Exchange.Head), 0};
 }
 
 base::Millis Gate::Impl::expectedWaitOf(const ServerExchange &Exchange) const {
-  return expectedWait(Slots.ahead(workOf(Exchange)), Slots.inFlight(),
-                      Slots.limit(),
-                      Times.expected().value_or(base::Millis(0)));
+  return Slots.expectedWait(workOf(Exchange),
+                            Times.expected().value_or(base::Millis(0)));
 }
 
 base::TimePoint
@@ -327,6 +329,12 @@
     return Busy(Reason::DeadlineUnreachable, "the deadline cannot be met");
   if (Head.Patience && Wait > *Head.Patience)
     return Busy(Reason::WaitTooLong, "no slot is expected in time");
+  // A request that would be late is taken only while the queue is short.
+  WaitingWork Work = workOf(Exchange);
+  if (Wait > base::Millis(0) && isLate(Work, Time.now() + Wait) &&
+      Exchange.Objective < Exchange.Deadline &&
+      !holdsLate(Slots.queued(), Slots.limit()))
+    return Busy(Reason::QueueFull, "the queue is too long for a late request");
   // The least urgent requests leave the queue to the others when it is full.
   bool Waits = Slots.inFlight() >= Slots.limit();
   if (Waits && Slots.ahead(workOf(Exchange)) >=
--- a/dataplane/src/PeerPool.cpp
+++ b/dataplane/src/PeerPool.cpp
@@ -248,8 +248,7 @@
   }
 }
 
-asio::awaitable<std::shared_ptr<ClientExchange>>
-PeerPool::open(base::Address Peer, RequestHead Head, base::TimePoint Deadline) {
+asio::awaitable<void> PeerPool::reach(base::Address Peer) {
   auto Keep = Self;
   auto To = Keep->peerFor(Peer);
   ++To->Waiting;
@@ -262,6 +261,13 @@
   --To->Waiting;
   if (Failure)
     std::rethrow_exception(Failure);
+}
+
+asio::awaitable<std::shared_ptr<ClientExchange>>
+PeerPool::open(base::Address Peer, RequestHead Head, base::TimePoint Deadline) {
+  auto Keep = Self;
+  co_await reach(Peer);
+  auto To = Keep->peerFor(Peer);
   Head.Remaining = Deadline - Keep->Time.now();
   if (Head.Remaining <= base::Millis(0))
     throw notRun(Reason::DeadlineExceeded, "no connection before the deadline");
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -19,7 +19,7 @@
 asio::awaitable<SlotQueue::Result>
 SlotQueue::acquire(std::shared_ptr<ExchangeEnd> Waiting,
                    base::TimePoint Deadline, bool Alone) {
-  WaitingWork Work{0, Deadline, Deadline, 0};
+  WaitingWork Work{0, Deadline, Deadline, base::Millis(0), 0};
   return acquire(std::move(Waiting), Work, Deadline, Alone);
 }
 
@@ -35,10 +35,17 @@
   Mine->Alone = Alone;
   Waiters.push_back(Mine);
   grantNext();
-  while (!Mine->Granted && !Mine->Dropped && !Waiting->ended() &&
-         Time.now() < LatestStart)
-    co_await base::withTimeout(Time, LatestStart - Time.now(),
+  base::TimePoint Until = std::min(LatestStart, Work.Objective - Work.Service);
+  for (;;) {
+    // The objective is out of reach from here on.
+    if (Time.now() >= Until && holdsLate(Waiters.size(), Limit))
+      Until = LatestStart;
+    if (Mine->Granted || Mine->Dropped || Waiting->ended() ||
+        Time.now() >= Until)
+      break;
+    co_await base::withTimeout(Time, Until - Time.now(),
                                Waiting->changed().wait());
+  }
   if (Mine->Granted)
     co_return Result::Granted;
   if (Mine->Dropped)
@@ -74,15 +81,31 @@
   base::TimePoint Now = Time.now();
   return static_cast<std::size_t>(
       std::count_if(Waiters.begin(), Waiters.end(), [&](const auto &Entry) {
-        return goesFirst(Entry->Work, New, Now, Service);
+        return goesFirst(Entry->Work, New, Now);
       }));
 }
 
+base::Millis SlotQueue::expectedWait(const WaitingWork &Work,
+                                     base::Millis Typical) const {
+  if (Limit == 0)
+    return Typical;
+  if (Running + Waiters.size() < Limit)
+    return base::Millis(0);
+  WaitingWork New = Work;
+  New.Sequence = NextSequence;
+  base::TimePoint Now = Time.now();
+  base::Millis Before = Typical;
+  for (const auto &Entry : Waiters)
+    if (goesFirst(Entry->Work, New, Now))
+      Before = Before + std::max(Entry->Work.Service, base::Millis(1));
+  return Before / Limit;
+}
+
 SlotQueue::Waiting::iterator SlotQueue::next() {
   base::TimePoint Now = Time.now();
   return std::min_element(
       Waiters.begin(), Waiters.end(), [&](const auto &Left, const auto &Right) {
-        return goesFirst(Left->Work, Right->Work, Now, Service);
+        return goesFirst(Left->Work, Right->Work, Now);
       });
 }
 
--- a/follower/include/amaranth/follower/Follower.h
+++ b/follower/include/amaranth/follower/Follower.h
@@ -44,6 +44,8 @@
   /// A control process that says nothing for this time, or that has not been
   /// current for this time, is left when another one accepts.
   base::Millis StaleLimit = base::Millis::seconds(5);
+  /// The same for a process that says itself that it is not current.
+  base::Millis NotCurrentLimit = base::Millis::seconds(5);
   /// Calls that wait for their answer; more are refused as not applied.
   std::size_t MaxCalls = 256;
   /// Seed of the random delays; 0 takes one from the operating system.
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -203,9 +203,12 @@
   From.SinceCurrent = Message.SinceCurrent;
   addControls(Message.Controls);
   FailedAttempts = 0;
-  if (isStale(From))
+  if (isStale(From)) {
+    // The tick leaves it; see `leaveStale`.
     return;
+  }
   StaleInSequence = 0;
+  StaleRounds = 0;
   Chooser.accept(From.Choice);
 }
 
@@ -320,7 +323,7 @@
 }
 
 bool Follower::Impl::isStale(const Connection &Use) const {
-  return isSilent(Use) || Use.SinceCurrent >= Settings.StaleLimit;
+  return isSilent(Use) || Use.SinceCurrent >= Settings.NotCurrentLimit;
 }
 
 asio::awaitable<void> Follower::Impl::tickLoop() {
@@ -337,8 +340,14 @@
 
 asio::awaitable<void> Follower::Impl::leaveStale() {
   auto Stale = Active;
-  NextSwitch = Time.now() + Settings.StaleLimit * (1LL << StaleInSequence);
-  StaleInSequence = std::min(StaleInSequence + 1, MaxStaleDoublings);
+  // One round over all processes goes fast: in a split of the control
+  // processes the next one may be on the same side.
+  ++StaleInSequence;
+  if (StaleInSequence >= Chooser.size()) {
+    NextSwitch = Time.now() + Settings.StaleLimit * (1LL << StaleRounds);
+    StaleRounds = std::min(StaleRounds + 1, MaxStaleDoublings);
+    StaleInSequence = 0;
+  }
   auto Choice = Chooser.next(Time.now(), Stale->Choice);
   std::shared_ptr<protocol::Channel> Link;
   if (Choice)
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -87,8 +87,10 @@
   std::shared_ptr<Connection> Replacement;
   bool Stopped = false;
   unsigned FailedAttempts = 0;
-  /// Control processes left in sequence because they were stale.
-  unsigned StaleInSequence = 0;
+  /// Control processes left in sequence because they were stale, and rounds
+  /// over all of them.
+  std::size_t StaleInSequence = 0;
+  unsigned StaleRounds = 0;
   base::TimePoint NextSwitch;
   std::mt19937_64 Random;
   FollowerStatus Status;
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -46,8 +46,8 @@
 /// Election times for a cluster within one region that must be able to accept
 /// a change again within three seconds of the loss of its leader.
 constexpr base::Millis RegionHeartbeat = base::Millis(100);
-constexpr base::Millis RegionElectionMin = base::Millis(500);
-constexpr base::Millis RegionElectionMax = base::Millis(1000);
+constexpr base::Millis RegionElectionMin = base::Millis(400);
+constexpr base::Millis RegionElectionMax = base::Millis(800);
 
 replication::ReplicaSettings replicaSettings(const ControlSettings &Settings) {
   replication::ReplicaSettings Result;
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -40,6 +40,8 @@
 constexpr base::Millis RegionDialTimeout = base::Millis(500);
 /// Three messages about currency are missing by then.
 constexpr base::Millis RegionStaleLimit = base::Millis(1800);
+/// Above the time that an election takes.
+constexpr base::Millis RegionNotCurrentLimit = base::Millis(1200);
 /// A node that does not answer at once is left for another one.
 constexpr base::Millis RegionPeerDial = base::Millis(400);
 
@@ -64,6 +66,7 @@
     Result.BackoffMax = RegionBackoffMax;
     Result.DialTimeout = RegionDialTimeout;
     Result.StaleLimit = RegionStaleLimit;
+    Result.NotCurrentLimit = RegionNotCurrentLimit;
   }
   return Result;
 }
