Take timers and exceptions off the hot paths; order and refuse work with a margin

Cause: under overload each processor second went to timers and to the exceptions that end them: every read of an upstream connection and every wait for a frame set a timer and threw on expiry, and node to node heartbeats woke each pair of processes twice a second. A gate that lags behind its own frames refuses work that it had time to serve.

WorkOrder keeps a margin over the expected service time before it holds or starts work. The timed rollout starts with shares of 4, 8 and 25 %.

--- a/base/include/amaranth/base/Clock.h
+++ b/base/include/amaranth/base/Clock.h
@@ -2,6 +2,7 @@
 #define AMARANTH_BASE_CLOCK_H
 
 #include "amaranth/base/Millis.h"
+#include "amaranth/base/Signal.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -26,6 +27,12 @@
   /// `operation_aborted` when the awaiting coroutine is cancelled.
   virtual boost::asio::awaitable<void> sleepUntil(TimePoint Deadline) = 0;
 
+  /// Waits for the signal, until `Deadline` at the latest. Unlike
+  /// `withTimeout` around a wait, it throws no exception on the way, which
+  /// matters where it happens for each request.
+  virtual boost::asio::awaitable<void> waitFor(Signal &Awaited,
+                                               TimePoint Deadline);
+
   boost::asio::awaitable<void> sleepFor(Millis Span) {
     return sleepUntil(now() + Span);
   }
@@ -37,6 +44,8 @@
   TimePoint now() const override;
   WallTime wallNow() const override;
   boost::asio::awaitable<void> sleepUntil(TimePoint Deadline) override;
+  boost::asio::awaitable<void> waitFor(Signal &Awaited,
+                                       TimePoint Deadline) override;
 };
 
 /// A clock that moves only when a test moves it.
--- a/base/include/amaranth/base/Signal.h
+++ b/base/include/amaranth/base/Signal.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <memory>
 
 namespace amaranth::base {
@@ -26,6 +27,10 @@
   /// with `operation_aborted` when the waiting coroutine is cancelled.
   boost::asio::awaitable<void> wait();
 
+  /// As `wait`, and resumes at `Deadline` of the steady clock at the latest.
+  boost::asio::awaitable<void>
+  waitUntil(std::chrono::steady_clock::time_point Deadline);
+
   /// Wakes every coroutine that waits now.
   void notifyAll();
 
--- a/base/src/Clock.cpp
+++ b/base/src/Clock.cpp
@@ -1,9 +1,12 @@
 #include "amaranth/base/Clock.h"
 
+#include "amaranth/base/Timeout.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace asio = boost::asio;
@@ -31,6 +34,19 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
+asio::awaitable<void> Clock::waitFor(Signal &Awaited, TimePoint Deadline) {
+  co_await withTimeout(*this, Deadline - now(), Awaited.wait());
+}
+
+asio::awaitable<void> SystemClock::waitFor(Signal &Awaited,
+                                           TimePoint Deadline) {
+  // Far deadlines would overflow the clock's nanoseconds.
+  constexpr Millis Longest = Millis::seconds(86'400);
+  TimePoint Until = std::min(Deadline, now() + Longest);
+  co_await Awaited.waitUntil(std::chrono::steady_clock::time_point(
+      std::chrono::milliseconds(Until.count())));
+}
+
 asio::awaitable<void> ManualClock::sleepUntil(TimePoint Deadline) {
   if (Deadline <= Now)
     co_return;
--- a/base/src/Log.cpp
+++ b/base/src/Log.cpp
@@ -64,8 +64,7 @@
 
   void writeAll() {
     while (!Pending.empty()) {
-      ssize_t Written =
-          ::write(STDOUT_FILENO, Pending.data(), Pending.size());
+      ssize_t Written = ::write(STDOUT_FILENO, Pending.data(), Pending.size());
       if (Written <= 0)
         return;
       Pending.erase(0, static_cast<std::size_t>(Written));
@@ -75,8 +74,8 @@
   bool isOverRate(const spdlog::details::log_msg &Message) {
     if (Message.logger_name != spdlog::string_view_t(RequestLog))
       return false;
-    auto Second = std::chrono::time_point_cast<std::chrono::seconds>(
-        Message.time);
+    auto Second =
+        std::chrono::time_point_cast<std::chrono::seconds>(Message.time);
     if (Second != RateSecond) {
       RateSecond = Second;
       RateCount = 0;
--- a/base/src/Signal.cpp
+++ b/base/src/Signal.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cstdint>
+#include <list>
 
 namespace asio = boost::asio;
 
@@ -14,6 +15,8 @@
       : Timer(Executor, asio::steady_timer::time_point::max()) {}
 
   asio::steady_timer Timer;
+  /// Timers of the coroutines that wait with a deadline.
+  std::list<asio::steady_timer> Bounded;
   std::uint64_t Generation = 0;
   bool Destroyed = false;
 };
@@ -23,7 +26,7 @@
 
 Signal::~Signal() {
   Shared->Destroyed = true;
-  Shared->Timer.cancel();
+  notifyAll();
 }
 
 asio::awaitable<void> Signal::wait() {
@@ -37,9 +40,26 @@
     throw boost::system::system_error(asio::error::operation_aborted);
 }
 
+asio::awaitable<void>
+Signal::waitUntil(std::chrono::steady_clock::time_point Deadline) {
+  auto Keep = Shared;
+  std::uint64_t Before = Keep->Generation;
+  auto Place = Keep->Bounded.emplace(Keep->Bounded.end(),
+                                     Keep->Timer.get_executor(), Deadline);
+  boost::system::error_code Failure;
+  co_await Place->async_wait(
+      asio::redirect_error(asio::use_awaitable, Failure));
+  Keep->Bounded.erase(Place);
+  bool Cancelled = Failure && Keep->Generation == Before;
+  if (Keep->Destroyed || Cancelled)
+    throw boost::system::system_error(asio::error::operation_aborted);
+}
+
 void Signal::notifyAll() {
   ++Shared->Generation;
   Shared->Timer.cancel();
+  for (asio::steady_timer &Each : Shared->Bounded)
+    Each.cancel();
 }
 
 } // namespace amaranth::base
--- a/control/include/amaranth/control/Commands.h
+++ b/control/include/amaranth/control/Commands.h
@@ -183,11 +183,10 @@
 };
 
 /// The order is that of the union in the schema.
-using Command =
-    std::variant<ApplySections, PutEndpoint, ExpireEndpoints, Claim,
-                 FinishClaim, ReleaseClaim, RolloutDecision, ReportCrash,
-                 BeginSuspectRun, EndSuspectRun, ReplaceDocument, StartRollout,
-                 TimedDecision>;
+using Command = std::variant<ApplySections, PutEndpoint, ExpireEndpoints, Claim,
+                             FinishClaim, ReleaseClaim, RolloutDecision,
+                             ReportCrash, BeginSuspectRun, EndSuspectRun,
+                             ReplaceDocument, StartRollout, TimedDecision>;
 
 /// Outcome of a command in the order of severity.
 enum class ResultCode : std::uint8_t {
--- a/control/src/Commands.cpp
+++ b/control/src/Commands.cpp
@@ -132,10 +132,10 @@
 Offset<void> write(Builder &Out, const TimedDecision &Value) {
   auto Service = writeText(Out, Value.Service);
   auto Reason = Out.CreateString(Value.Reason);
-  return wire::CreateTimedDecision(
-             Out, Service, Value.Order.value(), Value.ExpectedEpoch,
-             static_cast<std::uint8_t>(Value.Phase), Value.Share,
-             Value.Elapsed.count(), Reason)
+  return wire::CreateTimedDecision(Out, Service, Value.Order.value(),
+                                   Value.ExpectedEpoch,
+                                   static_cast<std::uint8_t>(Value.Phase),
+                                   Value.Share, Value.Elapsed.count(), Reason)
       .Union();
 }
 
--- a/control/src/FollowMessages.cpp
+++ b/control/src/FollowMessages.cpp
@@ -177,9 +177,9 @@
       Controls;
   if (!Value.Controls.empty())
     Controls = Out.CreateVectorOfStrings(Value.Controls);
-  return finish(Out, wire::CreateCurrency(Out, Value.Applied.value(),
-                                          Value.SinceCurrent.count(),
-                                          Controls));
+  return finish(Out,
+                wire::CreateCurrency(Out, Value.Applied.value(),
+                                     Value.SinceCurrent.count(), Controls));
 }
 
 Currency decodeCurrency(base::ByteView Data) {
--- a/control/src/OperatorServer.cpp
+++ b/control/src/OperatorServer.cpp
@@ -245,8 +245,7 @@
     const asio::any_io_executor &Executor, base::Clock &Time,
     replication::ReplicatedLog &Log, const ControlState &State,
     const StatusSource &Nodes, MembershipControl &Members, OperatorKeys Keys,
-    prometheus::Registry &Metrics, OperatorServerSettings Settings)
-{
+    prometheus::Registry &Metrics, OperatorServerSettings Settings) {
   auto Api = std::make_unique<OperatorApi>(
       Log, State, Nodes, Members, std::move(Keys), Metrics, Settings.Api);
   ApiHandler &Handler = *Api;
--- a/dataplane/include/amaranth/dataplane/RetryBudget.h
+++ b/dataplane/include/amaranth/dataplane/RetryBudget.h
@@ -72,8 +72,10 @@
   /// tenth stays unused, because calls of a repeated request count as well.
   RetryBudget::Rates partOf(std::size_t Nodes) const {
     constexpr double Used = 0.9;
-    double Part = Used * Floor / static_cast<double>(std::max<std::size_t>(1, Nodes));
-    double Seconds = std::max(0.001, static_cast<double>(Window.count()) / 1000);
+    double Part =
+        Used * Floor / static_cast<double>(std::max<std::size_t>(1, Nodes));
+    double Seconds =
+        std::max(0.001, static_cast<double>(Window.count()) / 1000);
     return {Used * Ratio, Part / 2 / Seconds, std::max(1.0, Part / 2)};
   }
 };
--- a/dataplane/include/amaranth/dataplane/ServerExchange.h
+++ b/dataplane/include/amaranth/dataplane/ServerExchange.h
@@ -15,7 +15,8 @@
                  RequestHead Request, base::TimePoint Deadline)
       : Head(std::move(Request)), Deadline(Deadline),
         Objective(Deadline - Head.Remaining + Head.Objective),
-        Arrived(Deadline - Head.Remaining), Body(Executor, std::move(Link), Stream, ExchangeEnd::Side::Gate) {}
+        Arrived(Deadline - Head.Remaining),
+        Body(Executor, std::move(Link), Stream, ExchangeEnd::Side::Gate) {}
 
   /// The entry node cancelled, or the connection to it ended.
   void end(Refusal Why) {
--- a/dataplane/include/amaranth/dataplane/UpstreamClient.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamClient.h
@@ -46,6 +46,9 @@
   /// Reads the rest of a response that belongs to another request. The next
   /// head may be the right one; the connection is not used again.
   virtual boost::asio::awaitable<void> skipResponse() = 0;
+  /// From here on the call fails with `Reason::DeadlineExceeded`, to the
+  /// precision of `UpstreamClient::sweep`.
+  virtual void setDeadline(base::TimePoint Deadline) = 0;
   /// Closes the connection unless the whole response was read; pending
   /// operations fail.
   virtual void abort() = 0;
@@ -87,10 +90,17 @@
   /// listens; false when it is accepted or nothing is known.
   boost::asio::awaitable<bool> refusesConnections();
   void dropIdle();
+  /// Ends the calls whose deadline passed or whose upstream has been silent
+  /// for too long. To be called a few times a second: one timer for all calls
+  /// costs less than one for each read.
+  void sweep();
   std::size_t idle() const;
   /// Connections opened so far.
   std::uint64_t connects() const;
 
+  /// The calls that are under way.
+  struct Registry;
+
 private:
   struct Impl;
   std::shared_ptr<Impl> Shared;
--- a/dataplane/src/AnnounceServer.cpp
+++ b/dataplane/src/AnnounceServer.cpp
@@ -93,8 +93,7 @@
                                  base::asBytes(Expected));
 }
 
-std::optional<LocalReply>
-AnnounceHandler::handle(const LocalRequest &Request) {
+std::optional<LocalReply> AnnounceHandler::handle(const LocalRequest &Request) {
   if (Request.Target != "/v1/announce" || Request.Method != "POST")
     return std::nullopt;
   if (!Request.Loopback)
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -37,8 +37,7 @@
   if (Age < ReportLife)
     Weight = 1 - static_cast<double>(Age.count()) / ReportLife.count();
   double Reported = Known.Reported.InFlight + Known.Reported.Queued;
-  return Known.InFlight +
-         Weight * std::max(0.0, Reported - Known.OwnAtReport);
+  return Known.InFlight + Weight * std::max(0.0, Reported - Known.OwnAtReport);
 }
 
 double Balancer::serviceMs(const base::EndpointId &Id) const {
@@ -87,10 +86,10 @@
   std::shuffle(Drawn.begin(), Drawn.end(), Random);
   if (Drawn.size() > MaxDrawn)
     Drawn.resize(MaxDrawn);
-  auto Best = std::min_element(
-      Drawn.begin(), Drawn.end(), [this](const Endpoint *A, const Endpoint *B) {
-        return cost(*A) < cost(*B);
-      });
+  auto Best = std::min_element(Drawn.begin(), Drawn.end(),
+                               [this](const Endpoint *A, const Endpoint *B) {
+                                 return cost(*A) < cost(*B);
+                               });
   return Best == Drawn.end() ? nullptr : *Best;
 }
 
--- a/dataplane/src/EntryRefusal.cpp
+++ b/dataplane/src/EntryRefusal.cpp
@@ -44,14 +44,14 @@
 
 bool isEndpointFault(Reason Why) {
   return isCertainFault(Why) || Why == Reason::UpstreamBroken ||
-         Why == Reason::UpstreamShed ||
-         Why == Reason::UpstreamSilent || Why == Reason::DeadlineExceeded;
+         Why == Reason::UpstreamShed || Why == Reason::UpstreamSilent ||
+         Why == Reason::DeadlineExceeded;
 }
 
 bool isVersionFault(Reason Why) {
   return Why == Reason::UpstreamBroken || Why == Reason::UpstreamSilent ||
-         Why == Reason::UpstreamShed ||
-         Why == Reason::UpstreamCrashed || Why == Reason::DeadlineExceeded;
+         Why == Reason::UpstreamShed || Why == Reason::UpstreamCrashed ||
+         Why == Reason::DeadlineExceeded;
 }
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -223,8 +223,8 @@
   Buffer.resize(Filled);
   Prefix = std::move(Buffer);
   RequestHash = hashOf({Request.Method, Request.Target});
-  Fingerprint = hashOf({Service.value(), Request.Method, Request.Target,
-                        base::asText(Prefix)});
+  Fingerprint = hashOf(
+      {Service.value(), Request.Method, Request.Target, base::asText(Prefix)});
   co_return std::nullopt;
 }
 
@@ -258,12 +258,12 @@
   Counted = false;
   InFlight Placed(Shared->Endpoints, Target.Id);
   base::TimePoint Started = Shared->Time.now();
+  Trail += fmt::format("{}{}@{}", Trail.empty() ? "" : ",",
+                       Target.Version.value(), Target.Id.value());
   MaybeRefusal Refused = co_await exchange(Current, Target);
-  Trail += fmt::format("{}{}@{}:{}:{}ms", Trail.empty() ? "" : ",",
-                       Target.Version.value(), Target.Id.value(),
-                       Refused ? reasonText(Refused->Why) : "answered",
-                       (Shared->Time.now() - Started).count());
   if (Refused) {
+    Trail += fmt::format(":{}:{}ms", reasonText(Refused->Why),
+                         (Shared->Time.now() - Started).count());
     learn(*Current, Target, *Refused, Started);
     Refused->At = Target.Id;
   }
@@ -287,7 +287,8 @@
   Head.Target = Request.Target;
   Head.Fields = Request.Fields;
   eraseConnectionHeaders(Head.Fields);
-  Head.Attempt = base::randomHexId();
+  // Only a claim needs an id of its own for each attempt.
+  Head.Attempt = Key ? base::randomHexId() : Id;
   Head.IdempotencyKey = Key;
   Head.RequestHash = RequestHash;
   Head.Fingerprint = Fingerprint;
@@ -380,8 +381,7 @@
                              std::string(base::asText(Held)));
   } else if (End) {
     Caller->stopWatch();
-    co_await Caller->writeHead(Status, std::move(Head.Fields),
-                               Head.BodyLength);
+    co_await Caller->writeHead(Status, std::move(Head.Fields), Head.BodyLength);
     co_await Caller->writeEnd();
   } else {
     Whole = co_await stream(Running, std::move(Head), std::move(Held));
@@ -480,8 +480,8 @@
 }
 
 bool EntryRequest::retryStatus(unsigned Status) {
-  bool Temporary = Status == 500 || Status == 502 || Status == 503 ||
-                   Status == 504;
+  bool Temporary =
+      Status == 500 || Status == 502 || Status == 503 || Status == 504;
   // An upstream of a route that is decided by the method may answer 500 to
   // what it will never serve.
   if (Status == 500 && Via.Kind == document::RequestKind::ByMethod)
@@ -568,9 +568,9 @@
             "state={} "
             "attempts={} trail={} took_ms={} left_ms={} status={} outcome={}",
             Id, Caller->peer().address().to_string(), Via.Name.value(),
-            Service.value(), Request.Method,
-            Mesh ? Mesh->Document.value() : 0, Mesh ? Mesh->State.value() : 0,
-            Plan.tries(), Trail, (Shared->Time.now() - Arrived).count(),
+            Service.value(), Request.Method, Mesh ? Mesh->Document.value() : 0,
+            Mesh ? Mesh->State.value() : 0, Plan.tries(), Trail,
+            (Shared->Time.now() - Arrived).count(),
             (Deadline - Shared->Time.now()).count(), Status, Outcome);
 }
 
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr base::Millis TickInterval = base::Millis(250);
+constexpr base::Millis TickInterval = base::Millis(100);
 /// Earliest time at which a caller that was refused for lack of room should
 /// come back, when the expected wait is not known.
 constexpr base::Millis BusyRetryAfter = base::Millis(100);
@@ -200,6 +200,7 @@
 }
 
 void Gate::Impl::tick() {
+  Client.sweep();
   if (Last && Time.now() - LastHeard >= Options.AnnounceSilence)
     enter(UpstreamEvent::Silent);
   updateLimit();
@@ -230,8 +231,7 @@
                             Times.expected().value_or(base::Millis(0)));
 }
 
-base::TimePoint
-Gate::Impl::latestStart(const ServerExchange &Exchange) const {
+base::TimePoint Gate::Impl::latestStart(const ServerExchange &Exchange) const {
   // An idle upstream takes a request in any case; see `deadlineReachable`.
   return Exchange.Deadline -
          expectedService(Exchange.Head) * LatestStartPercent / 100;
@@ -331,9 +331,8 @@
     return Busy(Reason::WaitTooLong, "no slot is expected in time");
   // A request that would be late is taken only while the queue is short.
   WaitingWork Work = workOf(Exchange);
-  if (Wait > base::Millis(0) && isLate(Work, Time.now() + Wait) &&
-      Exchange.Objective < Exchange.Deadline &&
-      !holdsLate(Slots.queued(), Slots.limit()))
+  if (Wait > base::Millis(0) && Exchange.Objective < Exchange.Deadline &&
+      !hasRoom(Work, Time.now(), Wait, Slots.queued(), Slots.limit()))
     return Busy(Reason::QueueFull, "the queue is too long for a late request");
   // The least urgent requests leave the queue to the others when it is full.
   bool Waits = Slots.inFlight() >= Slots.limit();
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -65,8 +65,8 @@
                                       control::StoredResponse Stored);
   boost::asio::awaitable<std::shared_ptr<UpstreamCall>> begin(Shared Exchange);
   /// The head of this request's own response, before the deadline.
-  boost::asio::awaitable<ResponseHead> ownHead(Shared Exchange,
-                                               std::shared_ptr<UpstreamCall> Call);
+  boost::asio::awaitable<ResponseHead>
+  ownHead(Shared Exchange, std::shared_ptr<UpstreamCall> Call);
   /// Reads the rest of a response that is not passed on, so that its
   /// connection can be used again.
   boost::asio::awaitable<void> drainBody(std::shared_ptr<UpstreamCall> Call);
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -2,7 +2,6 @@
 #include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
 #include "amaranth/base/Log.h"
-#include "amaranth/base/Timeout.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,6 +15,9 @@
 
 namespace {
 
+/// Part of a response that is passed on at once. Most responses fit into it.
+constexpr std::size_t ResponsePieceBytes = 16U << 10U;
+
 /// Sends the request body to the upstream while the response is read. Ends
 /// with the exchange or the call.
 asio::awaitable<void> pumpRequest(std::shared_ptr<ServerExchange> Exchange,
@@ -131,9 +133,8 @@
       co_return Refused;
   // The exchange owns the object that the queue waits on.
   std::shared_ptr<ExchangeEnd> Waiting(Exchange, &Exchange->Body);
-  auto Granted =
-      co_await Slots.acquire(std::move(Waiting), workOf(*Exchange),
-                             latestStart(*Exchange), Suspect);
+  auto Granted = co_await Slots.acquire(std::move(Waiting), workOf(*Exchange),
+                                        latestStart(*Exchange), Suspect);
   if (Granted == SlotQueue::Result::Granted)
     co_return co_await runWithSlot(Exchange, Suspect);
   if (Suspect)
@@ -211,6 +212,7 @@
   std::optional<Refusal> Refused;
   try {
     Call = co_await begin(Exchange);
+    Call->setDeadline(Exchange->Deadline);
     if (!State.RunsToEnd)
       Exchange->OnEnd = [Call] { Call->abort(); };
     if (Exchange->Body.ended() && !State.RunsToEnd)
@@ -269,17 +271,10 @@
 asio::awaitable<ResponseHead>
 Gate::Impl::ownHead(Shared Exchange, std::shared_ptr<UpstreamCall> Call) {
   for (;;) {
-    base::Millis Left =
-        std::max(base::Millis(1), Exchange->Deadline - Time.now());
-    auto Answered = co_await base::withTimeout(Time, Left, Call->readHead());
-    if (!Answered) {
-      Call->abort();
-      throw UpstreamError(true, Reason::DeadlineExceeded,
-                          "no response before the deadline");
-    }
-    if (Dialect.verdict(*Answered, Exchange->Head.CallerAttempt) !=
+    ResponseHead Answered = co_await Call->readHead();
+    if (Dialect.verdict(Answered, Exchange->Head.CallerAttempt) !=
         UpstreamVerdict::Foreign)
-      co_return std::move(*Answered);
+      co_return Answered;
     base::logger("gate")->warn("response of another request skipped id={}",
                                Exchange->Head.CallerAttempt);
     co_await Call->skipResponse();
@@ -331,9 +326,10 @@
                     "another process has the upstream's address");
 }
 
-asio::awaitable<void>
-Gate::Impl::passBody(Shared Exchange, std::shared_ptr<UpstreamCall> Call,
-                     ResponseHead Head, const Run &State) {
+asio::awaitable<void> Gate::Impl::passBody(Shared Exchange,
+                                           std::shared_ptr<UpstreamCall> Call,
+                                           ResponseHead Head,
+                                           const Run &State) {
   eraseConnectionHeaders(Head.Fields);
   Dialect.cleanResponse(Head.Fields);
   Head.Work = load();
@@ -343,7 +339,7 @@
   bool Attached = !Body.ended();
   if (Attached)
     Body.link().post(MessageType::ResponseHead, Body.stream(), encode(Head));
-  base::Bytes Buffer(MaxPieceBytes);
+  base::Bytes Buffer(ResponsePieceBytes);
   std::optional<ExchangeEnded> Gone;
   for (;;) {
     std::size_t Count = co_await Call->readBody(Buffer);
@@ -377,8 +373,7 @@
   eraseConnectionHeaders(Fields);
   UpstreamTerms Terms;
   Terms.Attempt = Exchange.Head.CallerAttempt;
-  Terms.Remaining =
-      std::max(base::Millis(0), Exchange.Deadline - Time.now());
+  Terms.Remaining = std::max(base::Millis(0), Exchange.Deadline - Time.now());
   Terms.Instance = Last ? Last->Instance : std::string();
   Terms.CallerService = Exchange.Head.CallerService.value();
   Dialect.setUpstreamFields(Fields, Terms);
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -111,8 +111,8 @@
   auto CallerAttempt = Out.CreateString(Head.CallerAttempt);
   Out.Finish(wire::CreateRequestHead(
       Out, Service, Version, Method, Target, Fields, Head.Remaining.count(),
-      Attempt, Key, Head.RequestHash, Head.Fingerprint, Head.BodyLength,
-      Caller, Route, CallerAttempt, Head.Objective.count(), Head.Priority,
+      Attempt, Key, Head.RequestHash, Head.Fingerprint, Head.BodyLength, Caller,
+      Route, CallerAttempt, Head.Objective.count(), Head.Priority,
       Head.Patience ? Head.Patience->count() : -1, Head.RunsOnce));
   return protocol::takeBuffer(Out);
 }
--- a/dataplane/src/PeerPool.cpp
+++ b/dataplane/src/PeerPool.cpp
@@ -47,8 +47,7 @@
 asio::awaitable<std::optional<ResponseHead>>
 ClientExchange::readHead(base::TimePoint Deadline) {
   while (!Head && !Body.ended() && Time.now() < Deadline)
-    co_await base::withTimeout(Time, Deadline - Time.now(),
-                               Body.changed().wait());
+    co_await Time.waitFor(Body.changed(), Deadline);
   if (Head)
     co_return std::exchange(Head, std::nullopt);
   if (Body.ended())
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -2,7 +2,6 @@
 
 #include "WorkOrder.h"
 #include "amaranth/base/Invariant.h"
-#include "amaranth/base/Timeout.h"
 
 #include <algorithm>
 
@@ -35,7 +34,8 @@
   Mine->Alone = Alone;
   Waiters.push_back(Mine);
   grantNext();
-  base::TimePoint Until = std::min(LatestStart, Work.Objective - Work.Service);
+  base::TimePoint Until =
+      std::min(LatestStart, latestInTime(Work) + base::Millis(1));
   for (;;) {
     // The objective is out of reach from here on.
     if (Time.now() >= Until && holdsLate(Waiters.size(), Limit))
@@ -43,8 +43,7 @@
     if (Mine->Granted || Mine->Dropped || Waiting->ended() ||
         Time.now() >= Until)
       break;
-    co_await base::withTimeout(Time, Until - Time.now(),
-                               Waiting->changed().wait());
+    co_await Time.waitFor(Waiting->changed(), Until);
   }
   if (Mine->Granted)
     co_return Result::Granted;
@@ -103,10 +102,10 @@
 
 SlotQueue::Waiting::iterator SlotQueue::next() {
   base::TimePoint Now = Time.now();
-  return std::min_element(
-      Waiters.begin(), Waiters.end(), [&](const auto &Left, const auto &Right) {
-        return goesFirst(Left->Work, Right->Work, Now);
-      });
+  return std::min_element(Waiters.begin(), Waiters.end(),
+                          [&](const auto &Left, const auto &Right) {
+                            return goesFirst(Left->Work, Right->Work, Now);
+                          });
 }
 
 void SlotQueue::grantNext() {
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -18,6 +18,7 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <set>
 #include <sys/socket.h>
 
 namespace asio = boost::asio;
@@ -64,6 +65,17 @@
   std::uint64_t Generation = 0;
   std::deque<std::shared_ptr<Pooled>> Idle;
   std::uint64_t Connects = 0;
+  std::shared_ptr<Registry> Calls = std::make_shared<Registry>();
+};
+
+namespace {
+
+class Call;
+
+} // namespace
+
+struct UpstreamClient::Registry {
+  std::set<Call *> Open;
 };
 
 namespace {
@@ -72,11 +84,26 @@
                    public std::enable_shared_from_this<Call> {
 public:
   Call(std::shared_ptr<Pooled> Link, base::Clock &Time, base::Millis Silence,
-       bool Head, bool Chunked,
+       bool Head, bool Chunked, std::shared_ptr<UpstreamClient::Registry> Calls,
        std::function<void(std::shared_ptr<Pooled>)> Put)
       : Link(std::move(Link)), Time(Time), Silence(Silence), Head(Head),
-        Chunked(Chunked), Put(std::move(Put)) {}
-  ~Call() override { abort(); }
+        Chunked(Chunked), Calls(std::move(Calls)), Put(std::move(Put)) {
+    this->Calls->Open.insert(this);
+  }
+  ~Call() override {
+    Calls->Open.erase(this);
+    abort();
+  }
+
+  void setDeadline(base::TimePoint Value) override { Deadline = Value; }
+
+  void checkDue() {
+    base::TimePoint Now = Time.now();
+    if (Now < std::min(Deadline, SilentAt))
+      return;
+    TimedOut = true;
+    abort();
+  }
 
   asio::awaitable<std::size_t> writeRaw(std::string Text) {
     auto Keep = shared_from_this();
@@ -108,6 +135,9 @@
   void release();
   [[noreturn]] void fail(boost::system::error_code Failure) {
     abort();
+    if (TimedOut && Time.now() >= Deadline)
+      throw UpstreamError(true, Reason::DeadlineExceeded,
+                          "no response before the deadline");
     if (TimedOut)
       throw UpstreamError(true, Reason::UpstreamSilent,
                           fmt::format("no data for {} ms", Silence.count()));
@@ -119,7 +149,10 @@
   base::Millis Silence;
   bool Head;
   bool Chunked;
+  std::shared_ptr<UpstreamClient::Registry> Calls;
   std::function<void(std::shared_ptr<Pooled>)> Put;
+  base::TimePoint Deadline = base::TimePoint::max();
+  base::TimePoint SilentAt = base::TimePoint::max();
   boost::beast::flat_buffer Buffer{MaxHeaderBytes + MaxPieceBytes};
   std::optional<Parser> Incoming;
   bool RequestWritten = false;
@@ -154,17 +187,13 @@
 
 asio::awaitable<void> Call::readSome(bool HeadOnly) {
   boost::system::error_code Failure;
-  auto Read = [&]() -> asio::awaitable<void> {
-    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
-    if (HeadOnly)
-      co_await http::async_read_header(Link->Socket, Buffer, *Incoming, Token);
-    else
-      co_await http::async_read_some(Link->Socket, Buffer, *Incoming, Token);
-  };
-  if (!co_await base::withTimeout(Time, Silence, Read())) {
-    TimedOut = true;
-    Failure = asio::error::timed_out;
-  }
+  auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+  SilentAt = Time.now() + Silence;
+  if (HeadOnly)
+    co_await http::async_read_header(Link->Socket, Buffer, *Incoming, Token);
+  else
+    co_await http::async_read_some(Link->Socket, Buffer, *Incoming, Token);
+  SilentAt = base::TimePoint::max();
   if (Failure && Failure != http::error::need_buffer)
     fail(Failure);
 }
@@ -296,9 +325,9 @@
           Keep->Idle.size() < Keep->Options.MaxIdle)
         Keep->Idle.push_back(std::move(Done));
     };
-    auto Started =
-        std::make_shared<Call>(Link, Keep->Time, Keep->Options.Silence,
-                               Method == "HEAD", Chunked, std::move(Put));
+    auto Started = std::make_shared<Call>(
+        Link, Keep->Time, Keep->Options.Silence, Method == "HEAD", Chunked,
+        Keep->Calls, std::move(Put));
     std::optional<UpstreamError> Failure;
     try {
       co_await Started->writeRaw(Text);
@@ -333,6 +362,12 @@
   Shared->Idle.clear();
 }
 
+void UpstreamClient::sweep() {
+  auto Keep = Shared;
+  for (Call *Each : std::set<Call *>(Keep->Calls->Open))
+    Each->checkDue();
+}
+
 std::size_t UpstreamClient::idle() const { return Shared->Idle.size(); }
 
 std::uint64_t UpstreamClient::connects() const { return Shared->Connects; }
--- a/dataplane/src/WorkOrder.cpp
+++ b/dataplane/src/WorkOrder.cpp
@@ -14,6 +14,14 @@
   return Key(Left) < Key(Right);
 }
 
+bool hasRoom(const WaitingWork &Work, base::TimePoint Now, base::Millis Wait,
+             std::size_t Waiting, std::uint32_t Slots) {
+  // Medians add up to less than the time that the requests take together.
+  constexpr std::int64_t WaitMarginPercent = 115;
+  return !isLate(Work, Now + Wait * WaitMarginPercent / 100) ||
+         holdsLate(Waiting, Slots);
+}
+
 bool holdsLate(std::size_t Waiting, std::uint32_t Slots) {
   // With half as many waiting as there are slots, a late request still gets
   // one within half of a service time.
--- a/dataplane/src/WorkOrder.h
+++ b/dataplane/src/WorkOrder.h
@@ -9,9 +9,20 @@
 
 namespace amaranth::dataplane {
 
-/// True when `Work` would miss its objective if it got a slot at `Now`.
+/// Part of the expected time that a request may take before it counts as
+/// late, in percent. The expected time is a median: without a margin every
+/// second request that starts at the last moment would miss its objective.
+inline constexpr std::int64_t ServiceMarginPercent = 140;
+
+/// The last moment at which `Work` can get a slot and meet its objective.
+inline base::TimePoint latestInTime(const WaitingWork &Work) {
+  return Work.Objective - Work.Service * ServiceMarginPercent / 100;
+}
+
+/// True when `Work` would probably miss its objective if it got a slot at
+/// `Now`.
 inline bool isLate(const WaitingWork &Work, base::TimePoint Now) {
-  return Now + Work.Service > Work.Objective;
+  return Now > latestInTime(Work);
 }
 
 /// True when `Left` should get a free slot before `Right`.
@@ -33,6 +44,14 @@
 /// late.
 bool holdsLate(std::size_t Waiting, std::uint32_t Slots);
 
+/// Whether a new request that is expected to wait for `Wait` joins a queue of
+/// `Waiting` requests.
+///
+/// Answers sustained overload: a request that would be late there is refused
+/// on arrival, so that its caller can go elsewhere while there is time.
+bool hasRoom(const WaitingWork &Work, base::TimePoint Now, base::Millis Wait,
+             std::size_t Waiting, std::uint32_t Slots);
+
 } // namespace amaranth::dataplane
 
 #endif
--- a/document/src/SnapshotCodec.cpp
+++ b/document/src/SnapshotCodec.cpp
@@ -28,11 +28,10 @@
     Parts.push_back(wire::CreateWeightedService(
         Out, Out.CreateSharedString(Part.Service.value()), Part.Weight));
   auto Split = Out.CreateVector(Parts);
-  return wire::CreateRoute(Out, Name, Prefix, Target, Value.Timeout.count(),
-                           Value.RequireIdempotencyKey, Host,
-                           static_cast<std::uint8_t>(Value.Kind),
-                           Value.Objective.count(), Value.Priority,
-                           Value.MaxAttempts, Split);
+  return wire::CreateRoute(
+      Out, Name, Prefix, Target, Value.Timeout.count(),
+      Value.RequireIdempotencyKey, Host, static_cast<std::uint8_t>(Value.Kind),
+      Value.Objective.count(), Value.Priority, Value.MaxAttempts, Split);
 }
 
 flatbuffers::Offset<wire::CallerLimits> write(Builder &Out,
--- a/protocol/include/amaranth/protocol/Channel.h
+++ b/protocol/include/amaranth/protocol/Channel.h
@@ -35,6 +35,12 @@
 /// An idle side sends a heartbeat this often.
 inline constexpr base::Millis HeartbeatInterval = base::Millis(500);
 
+/// The same between two nodes. There are as many of these connections as pairs
+/// of nodes, mostly between zones, and most are idle; requests have deadlines
+/// of their own, and `UnacknowledgedTimeout` finds a connection that is used.
+inline constexpr base::Millis NodeSilenceTimeout = base::Millis(7000);
+inline constexpr base::Millis NodeHeartbeatInterval = base::Millis(2000);
+
 /// The operating system ends a connection whose data was not acknowledged for
 /// this time, or whose peer does not answer keep-alive probes.
 inline constexpr base::Millis UnacknowledgedTimeout = base::Millis(1200);
--- a/protocol/src/Handshake.cpp
+++ b/protocol/src/Handshake.cpp
@@ -94,7 +94,7 @@
       encodeProof(proof(Key, DialerLabel, Hello, Answer.Payload)));
   checkProof(co_await Link->readFrame(),
              proof(Key, ListenerLabel, Hello, Answer.Payload));
-  Link->start(std::move(Peer));
+  Link->start(std::move(Peer), Self.ProcessRole);
 }
 
 asio::awaitable<void> openAsListener(std::shared_ptr<SocketChannel> Link,
@@ -110,7 +110,7 @@
   co_await Link->writeNow(
       MessageType::HelloProof,
       encodeProof(proof(Key, ListenerLabel, Opening.Payload, Hello)));
-  Link->start(std::move(Peer));
+  Link->start(std::move(Peer), Self.ProcessRole);
 }
 
 } // namespace amaranth::protocol::detail
--- a/protocol/src/SocketChannel.cpp
+++ b/protocol/src/SocketChannel.cpp
@@ -49,8 +49,12 @@
   limitSilence(Socket);
 }
 
-void SocketChannel::start(Identity Peer) {
+void SocketChannel::start(Identity Peer, Role Own) {
   PeerIdentity = std::move(Peer);
+  if (Own == Role::Node && PeerIdentity.ProcessRole == Role::Node) {
+    Interval = NodeHeartbeatInterval;
+    Silence = NodeSilenceTimeout;
+  }
   LastReceived = Time.now();
   auto Self = shared_from_this();
   asio::co_spawn(
@@ -171,14 +175,14 @@
 asio::awaitable<void> SocketChannel::heartbeatLoop() {
   using namespace asio::experimental::awaitable_operators;
   while (Open) {
-    co_await (Time.sleepFor(HeartbeatInterval) || Closed.wait());
+    co_await (Time.sleepFor(Interval) || Closed.wait());
     if (!Open)
       co_return;
-    if (Time.now() - LastReceived >= SilenceTimeout) {
-      close(fmt::format("no data for {} ms", SilenceTimeout.count()));
+    if (Time.now() - LastReceived >= Silence) {
+      close(fmt::format("no data for {} ms", Silence.count()));
       co_return;
     }
-    if (Time.now() - LastQueued >= HeartbeatInterval)
+    if (Time.now() - LastQueued >= Interval)
       post(MessageType::Heartbeat, 0, {});
   }
 }
--- a/protocol/src/SocketChannel.h
+++ b/protocol/src/SocketChannel.h
@@ -19,7 +19,8 @@
 public:
   SocketChannel(boost::asio::ip::tcp::socket Socket, base::Clock &Time);
 
-  void start(Identity PeerIdentity);
+  /// `Own` is the role of this process.
+  void start(Identity PeerIdentity, Role Own);
 
   /// One frame straight to and from the socket, for the handshake.
   boost::asio::awaitable<void> writeNow(MessageType Type, base::Bytes Payload);
@@ -59,6 +60,8 @@
   base::TimePoint LastReceived;
   base::TimePoint LastQueued;
   std::string CloseReason;
+  base::Millis Interval = HeartbeatInterval;
+  base::Millis Silence = SilenceTimeout;
   bool Open = true;
 };
 
--- a/rollout/src/TimedPolicy.cpp
+++ b/rollout/src/TimedPolicy.cpp
@@ -35,7 +35,7 @@
   std::uint32_t Share;
 };
 constexpr std::array<Step, 3> Schedule = {
-    {{0.0, 45'000}, {0.60, 100'000}, {0.76, 300'000}}};
+    {{0.0, 40'000}, {0.60, 80'000}, {0.76, 250'000}}};
 /// From here on the new version gets everything.
 constexpr double FinishFrom = 0.84;
 /// The latest moment to finish or to go back.
--- a/tools/daemon/include/amaranth/daemon/DaemonMain.h
+++ b/tools/daemon/include/amaranth/daemon/DaemonMain.h
@@ -29,10 +29,10 @@
   Process.start();
   Loop.spawnEssential("log", base::flushLogs(Time));
   std::string Path = Args.at("--config").asString();
-  Loop.spawnEssential("settings", watchSettings(Path, Time, [&Process, Read,
-                                                             Path] {
-    Process.reload(Read(Path));
-  }));
+  Loop.spawnEssential("settings",
+                      watchSettings(Path, Time, [&Process, Read, Path] {
+                        Process.reload(Read(Path));
+                      }));
   int Code = Loop.run([&Process] { return Process.stop(); });
   base::logger("daemon")->info("process ends code={}", Code);
   base::flushLogsNow();
--- a/tools/daemon/src/DaemonSettings.cpp
+++ b/tools/daemon/src/DaemonSettings.cpp
@@ -206,16 +206,15 @@
   Result.HoldResponseBytes = Reader.byteSize("hold-response", 0);
   Result.IsolateCrashes = Reader.boolean("isolate-crashes", true);
   Result.LameDuck = Reader.seconds("lame-duck-seconds", base::Millis(0));
-  Result.AnnounceSilence =
-      readSilence(Reader, Result.AnnounceSilence);
+  Result.AnnounceSilence = readSilence(Reader, Result.AnnounceSilence);
   Result.SlowStart = Reader.seconds("slow-start-seconds", Result.SlowStart);
   Result.AnnounceKeyFile = Reader.text("announce-key-file", "");
   Result.ShutdownTimeout =
       Reader.duration("shutdown-timeout", DefaultShutdownTimeout);
   if (Reader.has("grace-seconds"))
     Result.ShutdownTimeout =
-        Reader.seconds("grace-seconds", Result.ShutdownTimeout) *
-        GracePercent / 100;
+        Reader.seconds("grace-seconds", Result.ShutdownTimeout) * GracePercent /
+        100;
   Result.LogLevel = Reader.choice("log-level", LogLevels, "info");
   if (Reader.has("announce-address") && !Result.TrustedNetwork &&
       !isLoopback(Result.AnnounceAddress))
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -31,8 +31,7 @@
   // An empty key authenticates nobody; the setting says so and the log too.
   if (Settings.TrustedNetwork)
     return {{protocol::Role::Node, ""}};
-  return {
-      {protocol::Role::Node, base::readSecretFile(Settings.NodeKeyFile)}};
+  return {{protocol::Role::Node, base::readSecretFile(Settings.NodeKeyFile)}};
 }
 
 /// Followers of a region's control processes try another one this soon.
@@ -45,8 +44,7 @@
 /// A node that does not answer at once is left for another one.
 constexpr base::Millis RegionPeerDial = base::Millis(400);
 
-std::vector<follower::ControlProcess>
-controlsOf(const NodeSettings &Settings) {
+std::vector<follower::ControlProcess> controlsOf(const NodeSettings &Settings) {
   std::vector<follower::ControlProcess> Result;
   for (const ControlAddress &Control : Settings.Control)
     Result.push_back({Control.Inner, Control.Zone});
@@ -128,10 +126,9 @@
 struct NodeDaemon::Parts {
   Parts(NodeSettings NodeConfig, EventLoop &Loop, base::Clock &Time)
       : Settings(std::move(NodeConfig)), Loop(Loop),
-        Executor(Loop.context().get_executor()),
-        Keys(readKeys(Settings)), Dialect(dialectOf(Settings.Form)),
-        Invariants(Registry, Time), Dialer(identityOf(Settings), Keys, Time),
-        Counters(Registry),
+        Executor(Loop.context().get_executor()), Keys(readKeys(Settings)),
+        Dialect(dialectOf(Settings.Form)), Invariants(Registry, Time),
+        Dialer(identityOf(Settings), Keys, Time), Counters(Registry),
         Follow(followerSettings(Settings), Executor, Time, Dialer, Registry),
         Upstream(Executor, gateSettings(Settings), Time, Follow, Follow,
                  Counters, *Dialect),
@@ -144,8 +141,7 @@
                  Registry, [this] { return ready(); }),
         Inner(Executor, Settings.InnerAddress, identityOf(Settings), Keys,
               Time) {
-    for (const auto &Address :
-         {Settings.ReadyAddress, Settings.MetricsAddress})
+    for (const auto &Address : {Settings.ReadyAddress, Settings.MetricsAddress})
       if (Address)
         Pages.push_back(std::make_unique<dataplane::AnnounceServer>(
             Executor, *Address, Time, nullptr, Registry,
@@ -224,10 +220,9 @@
   using namespace asio::experimental::awaitable_operators;
   Parts &P = *Self;
   P.Stopping = true;
-  auto [EntryDone, GateDone] =
-      co_await (P.Entry.drain(P.Settings.ShutdownTimeout) &&
-                P.Upstream.drain(P.Settings.ShutdownTimeout,
-                                 P.Settings.LameDuck));
+  auto [EntryDone, GateDone] = co_await (
+      P.Entry.drain(P.Settings.ShutdownTimeout) &&
+      P.Upstream.drain(P.Settings.ShutdownTimeout, P.Settings.LameDuck));
   base::logger("node")->info("graceful stop finished callers_done={} "
                              "upstream_done={}",
                              EntryDone, GateDone);
