--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -93,6 +93,7 @@
 
 asio::awaitable<void> EntryRequest::run() {
   Arrived = Shared->Time.now();
+  Deadline = Arrived;
   MaybeRefusal Refused = prepare();
   if (!Refused) {
     Shared->budget(Service).request(Arrived);
--- a/follower/test/Follower_test.cpp
+++ b/follower/test/Follower_test.cpp
@@ -154,6 +154,19 @@
   waitConverged();
 }
 
+// Guards against nodes that stay for many seconds with a control process that
+// the majority has lost; 3 s is the users' bound for regained contact.
+TEST_CASE_METHOD(FollowerTest,
+                 "Follower goes on from a process that is not current in 3 s") {
+  auto &Lost = follows(0) ? first() : second();
+  Lost.Lagging = true;
+  Lost.Log->SinceCurrent = base::Millis(6000);
+  Sim.touch(1);
+  auto Took = Sim.runUntil([&] { return Sim.converged(); });
+  CHECK(Took <= base::Millis::seconds(3));
+  CHECK(follows(&Lost == &first() ? 1 : 0));
+}
+
 TEST_CASE_METHOD(FollowerTest,
                  "Follower that missed 600 changes gets a snapshot") {
   auto Miss = [&](int Changes) {
--- a/tools/daemon/test/DaemonSettings_test.cpp
+++ b/tools/daemon/test/DaemonSettings_test.cpp
@@ -72,4 +72,37 @@
         0);
 }
 
+TEST_CASE_METHOD(DaemonSettingsTest,
+                 "readControlSettings seeds take the port of other processes") {
+  std::string Text = "[control]\ndata-folder = d\navailability-zone = z\n"
+                     "inner-address = 127.0.0.1:1\n"
+                     "operator-address = 127.0.0.1:2\n"
+                     "trusted-network = true\nseed-port = 7\n";
+  auto Settings =
+      readControlSettings(write(Text + "seeds = 10.0.0.1:80, 10.0.0.2:81\n"
+                                       "bootstrap = true\n"));
+  CHECK(Settings.Seeds ==
+        std::vector<base::Address>{{"10.0.0.1", 7}, {"10.0.0.2", 7}});
+  CHECK(Settings.Bootstrap);
+  CHECK(faultsOf([&] {
+          readControlSettings(write(Text + "seeds = 10.0.0.1, x:1\n"));
+        }) == 2);
+}
+
+// Guards against a network that is open by mistake: keys and an explicit
+// trusted network exclude each other, and one of them is needed.
+TEST_CASE_METHOD(DaemonSettingsTest,
+                 "readNodeSettings needs a key or a trusted network") {
+  std::string Text = ValidNode + "announce-address = 127.0.0.1:3\n";
+  CHECK(faultsOf([&] {
+          readNodeSettings(write(Text + "trusted-network = true\n"));
+        }) == 1);
+  Text.erase(Text.find("node-key-file"),
+             std::string("node-key-file = k\n").size());
+  CHECK(faultsOf([&] { readNodeSettings(write(Text)); }) == 1);
+  CHECK(faultsOf([&] {
+          readNodeSettings(write(Text + "trusted-network = true\n"));
+        }) == 0);
+}
+
 } // namespace amaranth::daemon
