Test the lame duck time and the retry of held responses

Change: two tests in Promises_test.cpp; the fixture takes the part of a response that an entry holds.

--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -50,10 +50,11 @@
   std::shared_ptr<TestUpstream::WorkCount> Work;
 };
 
-EntrySettings entrySettings(const std::string &Zone) {
+EntrySettings entrySettings(const std::string &Zone, std::size_t HoldBytes) {
   EntrySettings Options;
   Options.Listen = {"127.0.0.1", 0};
   Options.Balance.Zone = base::AvailabilityZone(Zone);
+  Options.HoldBytes = HoldBytes;
   return Options;
 }
 
@@ -61,7 +62,8 @@
 
 TestNode::TestNode(asio::io_context &Context, base::Clock &Time,
                    const std::string &Name, const std::string &Zone,
-                   FakeSnapshots &Snapshots, FakeControl &Control)
+                   FakeSnapshots &Snapshots, FakeControl &Control,
+                   std::size_t HoldBytes)
     : Counters(Registry), Dialer(identity(Name, Zone), Keys, Time),
       Inner(Context.get_executor(), {"127.0.0.1", 0}, identity(Name, Zone),
             Keys, Time),
@@ -69,8 +71,8 @@
                Time, Snapshots, Control, Counters, Dialect),
       Exchanges(Context.get_executor(), Upstream, Time),
       Peers(Context.get_executor(), {}, Time, Dialer),
-      Entry(Context.get_executor(), entrySettings(Zone), Time, Snapshots,
-            Control, Peers, Counters, Dialect),
+      Entry(Context.get_executor(), entrySettings(Zone, HoldBytes), Time,
+            Snapshots, Control, Peers, Counters, Dialect),
       Local(Upstream, "key"),
       Announce(Context.get_executor(), {"127.0.0.1", 0}, Time, &Local, Registry,
                [] { return true; }) {}
@@ -113,10 +115,10 @@
   asio::co_spawn(Context, std::move(Task), asio::detached);
 }
 
-TestNode &MeshFixture::addNode(const std::string &Name,
-                               const std::string &Zone) {
+TestNode &MeshFixture::addNode(const std::string &Name, const std::string &Zone,
+                               std::size_t HoldBytes) {
   Nodes.push_back(std::make_unique<TestNode>(Context, Time, Name, Zone,
-                                             Snapshots, Control));
+                                             Snapshots, Control, HoldBytes));
   TestNode &Node = *Nodes.back();
   spawn(Node.Inner.serve([&Node](std::shared_ptr<protocol::Channel> Link) {
     return Node.Exchanges.serve(std::move(Link));
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -53,7 +53,8 @@
 struct TestNode {
   TestNode(boost::asio::io_context &Context, base::Clock &Time,
            const std::string &Name, const std::string &Zone,
-           FakeSnapshots &Snapshots, FakeControl &Control);
+           FakeSnapshots &Snapshots, FakeControl &Control,
+           std::size_t HoldBytes);
 
   prometheus::Registry Registry;
   Metrics Counters;
@@ -89,7 +90,9 @@
   MeshFixture();
   ~MeshFixture();
 
-  TestNode &addNode(const std::string &Name, const std::string &Zone = "z");
+  /// `HoldBytes`: the part of a response that the entry holds for a retry.
+  TestNode &addNode(const std::string &Name, const std::string &Zone = "z",
+                    std::size_t HoldBytes = 0);
   /// Adds an upstream with the built-in behaviour and announces it as ready.
   TestUpstream &addUpstream(TestNode &Node, const std::string &Version = "v1",
                             std::uint32_t Slots = 4);
--- a/dataplane/test/Promises_test.cpp
+++ b/dataplane/test/Promises_test.cpp
@@ -114,6 +114,19 @@
   CHECK(Result->body().size() < 100'000);
 }
 
+// Guards against a reset where the caller could have had a whole response.
+TEST_CASE_METHOD(PromisesTest, "Held response that breaks off is retried") {
+  TestNode &Holding = addNode("holding", "z", 64 * 1024);
+  addUpstream(Left);
+  addUpstream(Right);
+  auto Result = get(Holding, "/short");
+  runUntil([&] { return Result->Done; });
+  CHECK(seen("/short") >= 2);
+  CHECK_FALSE(Result->Reset);
+  CHECK(Result->status() == 502);
+  CHECK(Result->has("X-Amaranth-Outcome: unknown"));
+}
+
 TEST_CASE_METHOD(PromisesTest,
                  "Broken unkeyed POST is unknown and not retried") {
   addUpstream(Left);
@@ -218,6 +231,26 @@
   CHECK(Drained);
 }
 
+// Guards against a node that refuses requests while callers still take it for
+// ready, because they check readiness only now and then.
+TEST_CASE_METHOD(PromisesTest,
+                 "Lame duck serves new work until its time ends") {
+  addUpstream(Right);
+  auto Drain = [](TestNode &Node) -> boost::asio::awaitable<void> {
+    co_await Node.Upstream.drain(base::Millis(30'000), base::Millis(2'000));
+  };
+  spawn(Drain(Right));
+  settle();
+  auto Early = post(Left, "/echo", "x");
+  runUntil([&] { return Early->Done; });
+  CHECK(Early->status() == 200);
+  Time.advance(base::Millis(2'000));
+  settle();
+  auto Late = post(Left, "/echo", "x");
+  runUntil([&] { return Late->Done; });
+  CHECK(Late->has("X-Amaranth-Reason: node-draining"));
+}
+
 // Guards against memory that grows with the size of a response.
 TEST_CASE_METHOD(PromisesTest, "Slow reader gets 64 MB with bounded memory") {
   constexpr std::size_t Size = 64'000'000;
