--- a/dataplane/test/UpstreamClient_test.cpp
+++ b/dataplane/test/UpstreamClient_test.cpp
@@ -4,8 +4,14 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <optional>
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -43,6 +49,43 @@
         asio::detached);
   }
 
+  /// Sends one request to an upstream that answers with `Response` and closes
+  /// the connection. Returns the body, or nothing when the answer is refused.
+  std::optional<std::string> answer(const std::string &Response) {
+    std::optional<std::string> Result;
+    asio::co_spawn(
+        Context,
+        [&]() -> asio::awaitable<void> {
+          tcp::socket Link =
+              co_await Listener.async_accept(asio::use_awaitable);
+          std::string Request;
+          co_await asio::async_read_until(Link, asio::dynamic_buffer(Request),
+                                          "\r\n\r\n", asio::use_awaitable);
+          co_await asio::async_write(Link, asio::buffer(Response),
+                                     asio::use_awaitable);
+        },
+        asio::detached);
+    asio::co_spawn(
+        Context,
+        [&]() -> asio::awaitable<void> {
+          Headers Fields;
+          Fields.emplace_back("Host", "h");
+          auto Running =
+              co_await Client.begin("GET", "/", std::move(Fields), 0, false);
+          co_await Running->writeEnd();
+          co_await Running->readHead();
+          std::string Body;
+          std::array<std::uint8_t, 64> Buffer{};
+          while (std::size_t Count = co_await Running->readBody(Buffer))
+            Body.append(Buffer.begin(), Buffer.begin() + Count);
+          Result = Body;
+        },
+        [&](std::exception_ptr) {});
+    Context.restart();
+    Context.run_for(std::chrono::seconds(2));
+    return Result;
+  }
+
   asio::io_context Context;
   base::SystemClock Time;
   tcp::acceptor Listener;
@@ -69,4 +112,43 @@
   CHECK(refuses());
 }
 
+TEST_CASE_METHOD(UpstreamClientTest, "Response with a certain end is whole") {
+  const std::vector<std::string> Responses = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd",
+      ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "4\r\nabcd\r\n0\r\n\r\n"),
+      "HTTP/1.1 200 OK\r\n\r\nabcd",
+  };
+  for (const std::string &Response : Responses) {
+    INFO(Response);
+    CHECK(answer(Response) == "abcd");
+  }
+}
+
+// Guards against a response that is cut short, or holds bytes of another one,
+// and is passed on as whole.
+TEST_CASE_METHOD(UpstreamClientTest, "Response without a certain end fails") {
+  const std::vector<std::string> Responses = {
+      "",
+      "garbage\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabcd",
+      "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nabcd",
+      ("HTTP/1.1 200 OK\r\n"
+       "Content-Length: 99999999999999999999\r\n\r\nabcd"),
+      ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+       "Content-Length: 5\r\n\r\nabcd"),
+      ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+       "Transfer-Encoding: chunked\r\n\r\nabcd"),
+      ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "zz\r\nabcd\r\n0\r\n\r\n"),
+      ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "4\r\nabcd\r\n"),
+      "HTTP/1.1 200 OK\r\nContent-Le",
+  };
+  for (const std::string &Response : Responses) {
+    INFO(Response);
+    CHECK_FALSE(answer(Response));
+  }
+}
+
 } // namespace amaranth::dataplane
