--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -38,6 +38,7 @@
 
 std::vector<std::string> texts(const std::vector<base::Address> &Addresses) {
   std::vector<std::string> Result;
+  Result.reserve(Addresses.size());
   for (const base::Address &Each : Addresses)
     Result.push_back(Each.text());
   return Result;
