Remove twins and repeated work that the platform work brought in

Cause: a reading of the whole change. The rule of replacement was written in the service and in the replicated state; routes were matched by the index and by a scan that only tests still used; each budget scanned all endpoints four times a second; admission computed the same wait twice.

Ruled out: one enum for the phases of both kinds of rollout, whose words and numbers are stored; and a stricter sampling of candidates in the balancer, which would change its choices.

A response is written without a flag in its connection.

Behaviour: refused replacements now carry the reason of the replicated rule.

--- a/base/src/Log.cpp
+++ b/base/src/Log.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
 #include <mutex>
 #include <poll.h>
@@ -23,14 +24,9 @@
   /// Writes as much as standard output takes at once.
   void drain() {
     std::lock_guard<std::mutex> Lock(mutex_);
-    while (!Pending.empty() && canWrite()) {
-      // A pipe that is ready takes at least this much.
-      std::size_t Size = std::min<std::size_t>(Pending.size(), 4096);
-      ssize_t Written = ::write(STDOUT_FILENO, Pending.data(), Size);
-      if (Written <= 0)
-        return;
-      Pending.erase(0, static_cast<std::size_t>(Written));
-    }
+    // A pipe that is ready takes at least this much.
+    constexpr std::size_t ReadyBytes = 4096;
+    write(ReadyBytes, canWrite);
   }
 
   std::uint64_t dropped() {
@@ -52,7 +48,7 @@
     }
     Pending.append(Line.data(), Line.size());
     if (!Buffered)
-      writeAll();
+      write(MaxLogBuffer, [] { return true; });
   }
   void flush_() override {}
 
@@ -62,13 +58,18 @@
     return ::poll(&Wanted, 1, 0) == 1;
   }
 
-  void writeAll() {
-    while (!Pending.empty()) {
-      ssize_t Written = ::write(STDOUT_FILENO, Pending.data(), Pending.size());
+  /// Writes in pieces of at most `Piece` bytes while `MayWrite` says so.
+  template <typename Condition>
+  void write(std::size_t Piece, Condition MayWrite) {
+    std::size_t Done = 0;
+    while (Done < Pending.size() && MayWrite()) {
+      std::size_t Size = std::min(Pending.size() - Done, Piece);
+      ssize_t Written = ::write(STDOUT_FILENO, Pending.data() + Done, Size);
       if (Written <= 0)
-        return;
-      Pending.erase(0, static_cast<std::size_t>(Written));
+        break;
+      Done += static_cast<std::size_t>(Written);
     }
+    Pending.erase(0, Done);
   }
 
   bool isOverRate(const spdlog::details::log_msg &Message) {
--- a/control/include/amaranth/control/Commands.h
+++ b/control/include/amaranth/control/Commands.h
@@ -167,6 +167,11 @@
   RolledBack = 4,
 };
 
+/// Whether decisions about the rollout may still follow.
+inline bool isRunning(TimedPhase Phase) {
+  return Phase == TimedPhase::Active || Phase == TimedPhase::Finishing;
+}
+
 /// A decision about a rollout that `StartRollout` began.
 struct TimedDecision {
   base::ServiceName Service;
--- a/control/include/amaranth/control/ControlState.h
+++ b/control/include/amaranth/control/ControlState.h
@@ -103,6 +103,11 @@
   std::shared_ptr<const document::WholeDocument> wholeDocument() const;
   /// Digest of the document that was accepted under a label, if any.
   std::optional<std::uint64_t> acceptedDigest(base::DocumentLabel Label) const;
+  /// The result of a replacement that the labels alone decide; nothing when it
+  /// has to be proposed.
+  std::optional<CommandResult> replacementResult(base::DocumentLabel Label,
+                                                 base::DocumentLabel Base,
+                                                 std::uint64_t Digest) const;
   /// The last timed rollout of each service.
   std::vector<TimedRollout> timedRollouts() const;
 
--- a/control/src/ControlState.cpp
+++ b/control/src/ControlState.cpp
@@ -381,6 +381,13 @@
   return Self->Whole.acceptedDigest(Label);
 }
 
+std::optional<CommandResult>
+ControlState::replacementResult(base::DocumentLabel Label,
+                                base::DocumentLabel Base,
+                                std::uint64_t Digest) const {
+  return Self->Whole.resultFor(Label, Base, Digest);
+}
+
 std::vector<TimedRollout> ControlState::timedRollouts() const {
   std::vector<TimedRollout> Result;
   for (const auto &[Service, Entry] : Self->Versions.rollouts())
--- a/control/src/DocumentService.cpp
+++ b/control/src/DocumentService.cpp
@@ -2,7 +2,7 @@
 
 #include "amaranth/base/Log.h"
 
-#include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace asio = boost::asio;
 
@@ -10,16 +10,6 @@
 
 namespace {
 
-std::string joined(const std::vector<std::string> &Texts) {
-  std::string Result;
-  for (const std::string &Text : Texts) {
-    if (!Result.empty())
-      Result += "; ";
-    Result += Text;
-  }
-  return Result;
-}
-
 const char *outcomeName(ChangeOutcome Outcome) {
   switch (Outcome) {
   case ChangeOutcome::Accepted:
@@ -37,7 +27,7 @@
 }
 
 ChangeResult resultOf(const CommandResult &Answer) {
-  std::string Reason = joined(Answer.Messages);
+  std::string Reason = fmt::format("{}", fmt::join(Answer.Messages, "; "));
   switch (Answer.Code) {
   case ResultCode::Accepted:
     return {ChangeOutcome::Accepted, Reason};
@@ -94,27 +84,18 @@
   if (Faults.empty())
     IsCurrent = co_await isCurrent("replace");
   if (!Faults.empty()) {
-    Result = {ChangeOutcome::Invalid, joined(Faults)};
+    Result = {ChangeOutcome::Invalid,
+              fmt::format("{}", fmt::join(Faults, "; "))};
   } else if (!IsCurrent) {
     Result = {ChangeOutcome::Unavailable,
               "this process cannot prove that it is current"};
-  } else if (auto Known = State.acceptedDigest(Label)) {
-    Result = *Known == Digest
-                 ? ChangeResult{ChangeOutcome::Accepted, "accepted before"}
-                 : ChangeResult{ChangeOutcome::Conflict,
-                                "another document has this label"};
+  } else if (auto Decided = State.replacementResult(Label, Base, Digest)) {
+    Result = resultOf(*Decided);
   } else {
-    auto Current = State.wholeDocument();
-    if (Base != Current->Label)
-      Result = {ChangeOutcome::Conflict, "another document is current"};
-    else if (Label <= Current->Label)
-      Result = {ChangeOutcome::Invalid,
-                "the label is not above the current one"};
-    else {
-      ReplaceDocument Request{Who, document::changeBetween(*Current, Next)};
-      Command Proposal(std::move(Request));
-      Result = co_await propose(std::move(Proposal));
-    }
+    ReplaceDocument Request{
+        Who, document::changeBetween(*State.wholeDocument(), Next)};
+    Command Proposal(std::move(Request));
+    Result = co_await propose(std::move(Proposal));
   }
   base::logger("operator")
       ->info("document replacement operator={} label={} base={} current={} "
--- a/control/src/DocumentStore.cpp
+++ b/control/src/DocumentStore.cpp
@@ -6,21 +6,29 @@
 
 namespace amaranth::control::detail {
 
-CommandResult DocumentStore::replace(const document::WholeChange &Change,
-                                     base::LogIndex Index) {
-  if (auto Known = acceptedDigest(Change.Label))
-    return *Known == Change.Digest
+std::optional<CommandResult>
+DocumentStore::resultFor(base::DocumentLabel Label, base::DocumentLabel Base,
+                         std::uint64_t Digest) const {
+  if (auto Known = acceptedDigest(Label))
+    return *Known == Digest
                ? answer(ResultCode::Accepted, "accepted before")
                : answer(ResultCode::Conflict,
                         "another document was accepted under this label");
-  if (Change.Base != Current->Label)
+  if (Base != Current->Label)
     return answer(ResultCode::Conflict,
                   fmt::format("document {} is current, the change builds on {}",
-                              Current->Label.value(), Change.Base.value()));
-  if (Change.Label <= Current->Label)
+                              Current->Label.value(), Base.value()));
+  if (Label <= Current->Label)
     return answer(ResultCode::Invalid,
                   fmt::format("label {} is not above the current {}",
-                              Change.Label.value(), Current->Label.value()));
+                              Label.value(), Current->Label.value()));
+  return std::nullopt;
+}
+
+CommandResult DocumentStore::replace(const document::WholeChange &Change,
+                                     base::LogIndex Index) {
+  if (auto Decided = resultFor(Change.Label, Change.Base, Change.Digest))
+    return *Decided;
   try {
     auto Next = std::make_shared<document::WholeDocument>(
         document::applyChange(*Current, Change));
--- a/control/src/DocumentStore.h
+++ b/control/src/DocumentStore.h
@@ -20,6 +20,12 @@
 public:
   DocumentStore() : Current(std::make_shared<document::WholeDocument>()) {}
 
+  /// The result of a replacement that the labels alone decide: one that was
+  /// accepted before, or that does not build on the current document. Nothing
+  /// when its content must be looked at.
+  std::optional<CommandResult> resultFor(base::DocumentLabel Label,
+                                         base::DocumentLabel Base,
+                                         std::uint64_t Digest) const;
   /// `Accepted` also for a change that was accepted before.
   CommandResult replace(const document::WholeChange &Change,
                         base::LogIndex Index);
--- a/control/src/ServiceVersions.cpp
+++ b/control/src/ServiceVersions.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-bool isRunning(TimedPhase Phase) {
-  return Phase == TimedPhase::Active || Phase == TimedPhase::Finishing;
-}
-
 /// Errors and latency that the nodes' own guards accept, until the
 /// controller has decided.
 constexpr double MaxErrorIncrease = 0.05;
--- a/control/src/TimedRollouts.cpp
+++ b/control/src/TimedRollouts.cpp
@@ -12,11 +12,6 @@
 
 constexpr base::Millis DecisionTimeout = base::Millis::seconds(2);
 
-bool isRunning(const TimedRollout &Entry) {
-  return Entry.Phase == TimedPhase::Active ||
-         Entry.Phase == TimedPhase::Finishing;
-}
-
 std::uint32_t readySlots(const document::MeshSnapshot &Mesh,
                          const base::ServiceName &Service,
                          const base::VersionName &Version) {
@@ -55,14 +50,14 @@
 
 void TimedRollouts::observe(const std::vector<TimedRollout> &Rollouts) {
   std::erase_if(Orders, [&Rollouts](const auto &Item) {
-    return std::none_of(Rollouts.begin(), Rollouts.end(),
-                        [&Item](const TimedRollout &Entry) {
-                          return Entry.Order == Item.first && isRunning(Entry);
-                        });
+    return std::none_of(
+        Rollouts.begin(), Rollouts.end(), [&Item](const TimedRollout &Entry) {
+          return Entry.Order == Item.first && isRunning(Entry.Phase);
+        });
   });
   std::shared_ptr<const document::MeshSnapshot> Mesh;
   for (const TimedRollout &Entry : Rollouts) {
-    if (!isRunning(Entry))
+    if (!isRunning(Entry.Phase))
       continue;
     auto [Found, New] = Orders.try_emplace(Entry.Order);
     Known &Seen = Found->second;
--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -85,7 +85,7 @@
   /// Expected time of one more request, relative to the other candidates.
   double cost(const document::Endpoint &Entry) const;
   /// Requests at the endpoint, this node's and those of others.
-  double work(const State &Known) const;
+  double work(const base::EndpointId &Id) const;
   double serviceMs(const base::EndpointId &Id) const;
   double expectedWait(const document::Endpoint &Entry) const;
   const document::Endpoint *pick(const Candidates &From);
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -38,9 +38,6 @@
                                          WaitingWork Work,
                                          base::TimePoint LatestStart,
                                          bool Alone);
-  /// As above for a request whose objective is its deadline.
-  boost::asio::awaitable<Result> acquire(std::shared_ptr<ExchangeEnd> Waiting,
-                                         base::TimePoint Deadline, bool Alone);
   void release();
   /// Running work is not touched when the limit falls.
   void setLimit(std::uint32_t Slots);
--- a/dataplane/include/amaranth/dataplane/UpstreamClient.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamClient.h
@@ -100,8 +100,6 @@
   /// costs less than one for each read.
   void sweep();
   std::size_t idle() const;
-  /// Connections opened so far.
-  std::uint64_t connects() const;
 
   /// The calls that are under way.
   struct Registry;
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -31,7 +31,11 @@
 
 } // namespace
 
-double Balancer::work(const State &Known) const {
+double Balancer::work(const base::EndpointId &Id) const {
+  auto Found = States.find(Id);
+  if (Found == States.end())
+    return 0;
+  const State &Known = Found->second;
   base::Millis Age = Time.now() - Known.ReportedAt;
   double Weight = 0;
   if (Age < ReportLife)
@@ -41,23 +45,19 @@
 }
 
 double Balancer::serviceMs(const base::EndpointId &Id) const {
-  auto Found = States.find(Id);
-  if (Found == States.end() ||
-      Found->second.Reported.Service <= base::Millis(0))
-    return UnknownServiceMs;
-  return static_cast<double>(Found->second.Reported.Service.count());
+  base::Millis Known = expectedService(Id);
+  return Known > base::Millis(0) ? static_cast<double>(Known.count())
+                                 : UnknownServiceMs;
 }
 
 double Balancer::expectedWait(const Endpoint &Entry) const {
-  auto Found = States.find(Entry.Id);
-  double Work = Found == States.end() ? 0 : work(Found->second);
   double Slots = std::max<std::uint32_t>(1, Entry.Slots);
-  return std::max(0.0, Work + 1 - Slots) / Slots * serviceMs(Entry.Id);
+  return std::max(0.0, work(Entry.Id) + 1 - Slots) / Slots *
+         serviceMs(Entry.Id);
 }
 
 double Balancer::cost(const Endpoint &Entry) const {
   auto Found = States.find(Entry.Id);
-  double Work = Found == States.end() ? 0 : work(Found->second);
   double Served = 1;
   if (Found != States.end())
     Served = std::max(MinServed, Found->second.Served);
@@ -68,7 +68,7 @@
                         MinSlowStart, 1.0);
   // The request to be placed counts, so that an idle endpoint in slow start
   // loses against an idle warm one.
-  double Load = (Work + 1) / Slots;
+  double Load = (work(Entry.Id) + 1) / Slots;
   return serviceMs(Entry.Id) * (std::max(1.0, Load) + LoadWeight * Load) /
          Served;
 }
@@ -103,8 +103,7 @@
     if (Entry->Zone != Options.Zone)
       continue;
     Local.push_back(Entry);
-    auto Found = States.find(Entry->Id);
-    Work += Found == States.end() ? 0 : work(Found->second);
+    Work += work(Entry->Id);
     Slots += Entry->Slots;
     if (expectedWait(*Entry) <= static_cast<double>(LocalWait.count()))
       Soon.push_back(Entry);
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -63,8 +63,9 @@
     std::erase_if(Shared->Budgets, [&](const auto &Entry) {
       return !Current->Services.contains(Entry.first);
     });
+    RetryBudget::Rates Rates = Shared->retryRates();
     for (auto &[Service, Budget] : Shared->Budgets)
-      Budget.setRates(Shared->retryRates());
+      Budget.setRates(Rates);
     if (Current->Limits.IdleTimeout > base::Millis(0))
       Self->Server.setHeadTimeout(Current->Limits.IdleTimeout);
   }
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -210,10 +210,10 @@
   Load Work{Slots.inFlight(), static_cast<std::uint32_t>(Slots.queued()),
             Last ? Last->Slots : 0};
   Work.Service = Times.expected().value_or(base::Millis(0));
-  WaitingWork Last;
-  Last.Priority = std::numeric_limits<std::uint32_t>::max();
-  Last.Objective = Last.Deadline = Time.now();
-  Work.Wait = Slots.expectedWait(Last, Work.Service);
+  WaitingWork Newest;
+  Newest.Priority = std::numeric_limits<std::uint32_t>::max();
+  Newest.Objective = Newest.Deadline = Time.now();
+  Work.Wait = Slots.expectedWait(Newest, Work.Service);
   return Work;
 }
 
@@ -226,11 +226,6 @@
           expectedService(Exchange.Head), 0};
 }
 
-base::Millis Gate::Impl::expectedWaitOf(const ServerExchange &Exchange) const {
-  return Slots.expectedWait(workOf(Exchange),
-                            Times.expected().value_or(base::Millis(0)));
-}
-
 base::TimePoint Gate::Impl::latestStart(const ServerExchange &Exchange) const {
   // An idle upstream takes a request in any case; see `deadlineReachable`.
   return Exchange.Deadline -
@@ -298,15 +293,16 @@
   return Found != Snapshot->Quarantine.end() && !Found->second.Convicted;
 }
 
-bool Gate::Impl::deadlineReachable(const ServerExchange &Exchange) const {
-  base::Millis Left = Exchange.Deadline - Time.now();
+bool Gate::Impl::deadlineReachable(const WaitingWork &Work,
+                                   base::Millis Wait) const {
+  base::Millis Left = Work.Deadline - Time.now();
   if (Left <= base::Millis(0))
     return false;
   // An idle upstream takes one request in any case; otherwise a median from
   // a slow period would never be replaced.
   if (Slots.inFlight() == 0)
     return true;
-  return expectedWaitOf(Exchange) + expectedService(Exchange.Head) <= Left;
+  return Wait + Work.Service <= Left;
 }
 
 std::optional<Refusal>
@@ -319,25 +315,26 @@
                    "another service or version runs here");
   if (auto Refused = quarantineRefusal(Head))
     return Refused;
-  base::Millis Wait = expectedWaitOf(Exchange);
+  WaitingWork Work = workOf(Exchange);
+  base::Millis Wait =
+      Slots.expectedWait(Work, Times.expected().value_or(base::Millis(0)));
   auto Busy = [&](Reason Why, const char *Text) {
     auto Refused = refusal(Outcome::NotRun, Why, Text);
     Refused->RetryAfter = std::max(Wait, BusyRetryAfter);
     return Refused;
   };
-  if (!deadlineReachable(Exchange))
+  if (!deadlineReachable(Work, Wait))
     return Busy(Reason::DeadlineUnreachable, "the deadline cannot be met");
   if (Head.Patience && Wait > *Head.Patience)
     return Busy(Reason::WaitTooLong, "no slot is expected in time");
   // A request that would be late is taken only while the queue is short.
-  WaitingWork Work = workOf(Exchange);
   if (Wait > base::Millis(0) && Exchange.Objective < Exchange.Deadline &&
       !hasRoom(Work, Time.now(), Wait, Slots.queued(), Slots.limit()))
     return Busy(Reason::QueueFull, "the queue is too long for a late request");
   // The least urgent requests leave the queue to the others when it is full.
   bool Waits = Slots.inFlight() >= Slots.limit();
-  if (Waits && Slots.ahead(workOf(Exchange)) >=
-                   std::size_t{Options.QueueFactor} * Last->Slots)
+  if (Waits &&
+      Slots.ahead(Work) >= std::size_t{Options.QueueFactor} * Last->Slots)
     return Busy(Reason::QueueFull, "queue is full");
   return std::nullopt;
 }
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -31,10 +31,9 @@
   std::optional<Refusal> admission(const ServerExchange &Exchange) const;
   std::optional<Refusal> stateRefusal() const;
   std::optional<Refusal> quarantineRefusal(const RequestHead &Head) const;
-  bool deadlineReachable(const ServerExchange &Exchange) const;
+  bool deadlineReachable(const WaitingWork &Work, base::Millis Wait) const;
   bool isSuspect(const RequestHead &Head) const;
   base::Millis expectedService(const RequestHead &Head) const;
-  base::Millis expectedWaitOf(const ServerExchange &Exchange) const;
   WaitingWork workOf(const ServerExchange &Exchange) const;
   base::TimePoint latestStart(const ServerExchange &Exchange) const;
 
--- a/dataplane/src/HttpConnection.cpp
+++ b/dataplane/src/HttpConnection.cpp
@@ -33,6 +33,10 @@
     WriteDue = base::TimePoint::max();
   }
 
+  /// Sets the framing of the response and returns its head.
+  std::string beginResponse(unsigned Status, Headers Fields,
+                            std::int64_t BodyLength);
+
   tcp::socket Socket;
   base::Clock &Time;
   base::Millis StallTimeout;
@@ -50,9 +54,6 @@
   bool EndWritten = false;
   bool Chunked = false;
   bool NoBody = false;
-  /// `respond` writes the head together with the body.
-  bool Joined = false;
-  std::string Head;
   std::int64_t Remaining = 0;
 };
 
@@ -180,35 +181,36 @@
 
 bool HttpConnection::bodyComplete() const { return Self->Incoming->is_done(); }
 
-asio::awaitable<void> HttpConnection::writeHead(unsigned Status, Headers Fields,
+std::string HttpConnection::Impl::beginResponse(unsigned Status, Headers Fields,
                                                 std::int64_t BodyLength) {
-  auto Keep = Self;
   bool StatusWithoutBody = Status == 204 || Status == 304 || Status < 200;
-  Keep->NoBody = Keep->HeadRequest || StatusWithoutBody;
-  Keep->Chunked = false;
-  Keep->Remaining = BodyLength;
-  if (BodyLength == UnknownLength && !Keep->NoBody) {
-    Keep->Chunked = !Keep->Http10;
-    if (Keep->Http10)
-      Keep->KeepAlive = false;
+  NoBody = HeadRequest || StatusWithoutBody;
+  Chunked = false;
+  Remaining = BodyLength;
+  if (BodyLength == UnknownLength && !NoBody) {
+    Chunked = !Http10;
+    if (Http10)
+      KeepAlive = false;
   }
   // A body that was not read would be taken for the next request.
-  if (!bodyComplete())
-    Keep->KeepAlive = false;
+  if (!Incoming->is_done())
+    KeepAlive = false;
   if (BodyLength >= 0 && Status != 204 && Status >= 200)
     Fields.emplace_back("Content-Length", std::to_string(BodyLength));
-  if (Keep->Chunked)
+  if (Chunked)
     Fields.emplace_back("Transfer-Encoding", "chunked");
-  if (!Keep->KeepAlive)
+  if (!KeepAlive)
     Fields.emplace_back("Connection", "close");
-  else if (Keep->Http10)
+  else if (Http10)
     Fields.emplace_back("Connection", "keep-alive");
-  Keep->HeadWritten = true;
-  std::string Text = responseText(Status, Fields);
-  if (Keep->Joined) {
-    Keep->Head = std::move(Text);
-    co_return;
-  }
+  HeadWritten = true;
+  return responseText(Status, Fields);
+}
+
+asio::awaitable<void> HttpConnection::writeHead(unsigned Status, Headers Fields,
+                                                std::int64_t BodyLength) {
+  auto Keep = Self;
+  std::string Text = Keep->beginResponse(Status, std::move(Fields), BodyLength);
   co_await Keep->write(std::move(Text));
 }
 
@@ -253,12 +255,9 @@
 asio::awaitable<void> HttpConnection::respond(unsigned Status, Headers Fields,
                                               std::string Body) {
   auto Keep = Self;
-  Keep->Joined = true;
-  co_await writeHead(Status, std::move(Fields),
-                     static_cast<std::int64_t>(Body.size()));
-  Keep->Joined = false;
   // Head and body in one write: two would take two system calls and packets.
-  std::string Text = std::move(Keep->Head);
+  std::string Text = Keep->beginResponse(
+      Status, std::move(Fields), static_cast<std::int64_t>(Body.size()));
   if (!Keep->NoBody) {
     Text += Body;
     Keep->Remaining = 0;
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -15,13 +15,6 @@
   return !AloneHeld && Running < Limit;
 }
 
-asio::awaitable<SlotQueue::Result>
-SlotQueue::acquire(std::shared_ptr<ExchangeEnd> Waiting,
-                   base::TimePoint Deadline, bool Alone) {
-  WaitingWork Work{0, Deadline, Deadline, base::Millis(0), 0};
-  return acquire(std::move(Waiting), Work, Deadline, Alone);
-}
-
 asio::awaitable<SlotQueue::Result>
 SlotQueue::acquire(std::shared_ptr<ExchangeEnd> Waiting, WaitingWork Work,
                    base::TimePoint LatestStart, bool Alone) {
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -64,7 +64,6 @@
   /// not return to the pool.
   std::uint64_t Generation = 0;
   std::deque<std::shared_ptr<Pooled>> Idle;
-  std::uint64_t Connects = 0;
   std::shared_ptr<Registry> Calls = std::make_shared<Registry>();
 };
 
@@ -262,7 +261,6 @@
 } // namespace
 
 asio::awaitable<std::shared_ptr<Pooled>> UpstreamClient::Impl::connect() {
-  ++Connects;
   tcp::socket Socket(Executor);
   boost::system::error_code Failure;
   auto Connect = [&]() -> asio::awaitable<void> {
@@ -387,6 +385,4 @@
 
 std::size_t UpstreamClient::idle() const { return Shared->Idle.size(); }
 
-std::uint64_t UpstreamClient::connects() const { return Shared->Connects; }
-
 } // namespace amaranth::dataplane
--- a/dataplane/test/Entry_test.cpp
+++ b/dataplane/test/Entry_test.cpp
@@ -4,19 +4,7 @@
 
 namespace amaranth::dataplane::testing {
 
-class EntryTest : public MeshFixture {
-protected:
-  EntryTest() : Node(addNode("n")), Upstream(addUpstream(Node)) {}
-
-  std::shared_ptr<CallerResult> raw(const std::string &Text) {
-    auto Result = send(Node.Entry.local(), Text);
-    runUntil([&] { return Result->Done; });
-    return Result;
-  }
-
-  TestNode &Node;
-  TestUpstream &Upstream;
-};
+class EntryTest : public OneNodeFixture {};
 
 TEST_CASE_METHOD(EntryTest, "Path without a route gives 404 not-run") {
   Mesh.Routes.begin()->second.PathPrefix = "/a";
--- a/dataplane/test/Framing_test.cpp
+++ b/dataplane/test/Framing_test.cpp
@@ -4,19 +4,7 @@
 
 namespace amaranth::dataplane::testing {
 
-class FramingTest : public MeshFixture {
-protected:
-  FramingTest() : Node(addNode("n")), Upstream(addUpstream(Node)) {}
-
-  std::shared_ptr<CallerResult> raw(const std::string &Text) {
-    auto Result = send(Node.Entry.local(), Text);
-    runUntil([&] { return Result->Done; });
-    return Result;
-  }
-
-  TestNode &Node;
-  TestUpstream &Upstream;
-};
+class FramingTest : public OneNodeFixture {};
 
 // Guards against request smuggling: where the end of a message is not
 // certain, the bytes after it must not become a second request.
--- a/dataplane/test/Gate_test.cpp
+++ b/dataplane/test/Gate_test.cpp
@@ -244,8 +244,10 @@
                  std::vector<int> &Order) -> boost::asio::awaitable<void> {
     auto End = std::make_shared<ExchangeEnd>(Test.Context.get_executor(), Link,
                                              1, ExchangeEnd::Side::Gate);
-    auto Got = co_await Queue.acquire(
-        End, Test.Time.now() + base::Millis(Delay), false);
+    base::TimePoint Deadline = Test.Time.now() + base::Millis(Delay);
+    WaitingWork Work;
+    Work.Objective = Work.Deadline = Deadline;
+    auto Got = co_await Queue.acquire(End, Work, Deadline, false);
     Order.push_back(Got == SlotQueue::Result::Granted ? Delay : -Delay);
   };
   for (int Delay : {300, 100, 200})
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -134,6 +134,22 @@
                                       HttpRequest Request);
 };
 
+/// A mesh of one node with one upstream.
+class OneNodeFixture : public MeshFixture {
+protected:
+  OneNodeFixture() : Node(addNode("n")), Upstream(addUpstream(Node)) {}
+
+  /// Sends `Text` as a caller's bytes and waits for the end of the answer.
+  std::shared_ptr<CallerResult> raw(const std::string &Text) {
+    auto Result = send(Node.Entry.local(), Text);
+    runUntil([&] { return Result->Done; });
+    return Result;
+  }
+
+  TestNode &Node;
+  TestUpstream &Upstream;
+};
+
 } // namespace amaranth::dataplane::testing
 
 #endif
--- a/document/include/amaranth/document/MeshSnapshot.h
+++ b/document/include/amaranth/document/MeshSnapshot.h
@@ -32,7 +32,7 @@
 
 /// Requests to `Host` whose path begins with `PathPrefix` go to `Service`, or
 /// to the services of `Split`. The longest matching prefix wins; a prefix
-/// matches whole path segments.
+/// matches whole path segments. See `RouteIndex`.
 struct Route {
   base::RouteName Name;
   std::string PathPrefix;
@@ -170,12 +170,6 @@
 
   bool operator==(const MeshSnapshot &) const = default;
 
-  /// The route of the host with the longest matching prefix, else the one
-  /// without a host, or null. Looks at every route; `RouteIndex` is for
-  /// requests.
-  const Route *match(const std::string &Path,
-                     const std::string &Host = {}) const;
-
   /// Empty when every reference resolves within this snapshot (routes to
   /// services, endpoints' services and versions of rollouts, shares that sum
   /// up); otherwise one message for each fault.
--- a/document/src/MeshSnapshot.cpp
+++ b/document/src/MeshSnapshot.cpp
@@ -11,13 +11,6 @@
 
 namespace {
 
-bool isSegmentPrefix(const std::string &Prefix, std::string_view Path) {
-  if (!Path.starts_with(Prefix))
-    return false;
-  return Path.size() == Prefix.size() || Prefix.ends_with('/') ||
-         Path[Prefix.size()] == '/';
-}
-
 /// Collects fields in one buffer; each text carries its length, so that
 /// neighbouring fields cannot run into each other.
 class DigestBuilder {
@@ -113,27 +106,6 @@
                      Entry.Name.value(), Sum, FullShare);
 }
 
-} // namespace
-
-const Route *MeshSnapshot::match(const std::string &Path,
-                                 const std::string &Host) const {
-  const Route *Best = nullptr;
-  auto Rank = [](const Route &Entry) {
-    return std::pair(!Entry.Host.empty(), Entry.PathPrefix.size());
-  };
-  for (const auto &[Name, Candidate] : Routes) {
-    if (!isSegmentPrefix(Candidate.PathPrefix, Path))
-      continue;
-    if (!Candidate.Host.empty() && Candidate.Host != Host)
-      continue;
-    if (!Best || Rank(Candidate) > Rank(*Best))
-      Best = &Candidate;
-  }
-  return Best;
-}
-
-namespace {
-
 std::string missingService(const Route &Entry, const base::ServiceName &Name) {
   return fmt::format("route {} refers to service {}, which does not exist",
                      Entry.Name.value(), Name.value());
--- a/document/src/WholeDocument.cpp
+++ b/document/src/WholeDocument.cpp
@@ -21,6 +21,22 @@
   Into += Text;
 }
 
+template <typename Sources>
+void addSources(std::string &Into, const Sources &Values) {
+  for (const auto &[Name, Entry] : Values) {
+    addText(Into, Name.value());
+    addText(Into, Entry);
+  }
+}
+
+/// Adds to `Changed` the names of the parts that `Next` writes in another way.
+template <typename Sources, typename Names>
+void addRewritten(const Sources &Base, const Sources &Next, Names &Changed) {
+  for (const auto &[Name, Text] : Next)
+    if (auto Old = Base.find(Name); Old == Base.end() || Old->second != Text)
+      Changed.insert(Name);
+}
+
 /// Names of the platform's operators are free text; nodes use them as keys
 /// and metric labels only.
 bool isUsableName(const std::string &Name) {
@@ -61,15 +77,9 @@
 std::uint64_t WholeDocument::digest() const {
   std::string Text;
   addText(Text, Source);
-  for (const auto &[Name, Entry] : RouteSources) {
-    addText(Text, Name.value());
-    addText(Text, Entry);
-  }
+  addSources(Text, RouteSources);
   Text += '|';
-  for (const auto &[Name, Entry] : ServiceSources) {
-    addText(Text, Name.value());
-    addText(Text, Entry);
-  }
+  addSources(Text, ServiceSources);
   return base::hash64(base::asBytes(Text));
 }
 
@@ -97,14 +107,8 @@
                           const WholeDocument &Next) {
   MeshKeys Keys = changedKeys(Base.Content, Next.Content);
   // Parts whose meaning is unchanged may still be written in another way.
-  for (const auto &[Name, Text] : Next.RouteSources)
-    if (auto Old = Base.RouteSources.find(Name);
-        Old == Base.RouteSources.end() || Old->second != Text)
-      Keys.Routes.insert(Name);
-  for (const auto &[Name, Text] : Next.ServiceSources)
-    if (auto Old = Base.ServiceSources.find(Name);
-        Old == Base.ServiceSources.end() || Old->second != Text)
-      Keys.Services.insert(Name);
+  addRewritten(Base.RouteSources, Next.RouteSources, Keys.Routes);
+  addRewritten(Base.ServiceSources, Next.ServiceSources, Keys.Services);
   WholeChange Change;
   Change.Label = Next.Label;
   Change.Base = Base.Label;
--- a/document/test/MeshSnapshot_test.cpp
+++ b/document/test/MeshSnapshot_test.cpp
@@ -1,4 +1,5 @@
 #include "amaranth/document/MeshSnapshot.h"
+#include "amaranth/document/RouteIndex.h"
 
 #include <catch2/catch.hpp>
 
@@ -23,7 +24,8 @@
   }
 
   std::string matched(const std::string &Path) {
-    const Route *Found = Mesh.match(Path);
+    RouteIndex Index(std::make_shared<MeshSnapshot>(Mesh));
+    const Route *Found = Index.match("", Path);
     return Found ? Found->Name.value() : "none";
   }
 
--- a/document/test/RouteIndex_test.cpp
+++ b/document/test/RouteIndex_test.cpp
@@ -6,6 +6,35 @@
 
 namespace amaranth::document {
 
+namespace {
+
+bool isSegmentPrefix(const std::string &Prefix, std::string_view Path) {
+  if (!Path.starts_with(Prefix))
+    return false;
+  return Path.size() == Prefix.size() || Prefix.ends_with('/') ||
+         Path[Prefix.size()] == '/';
+}
+
+/// The rule as a scan over all routes.
+const Route *scan(const MeshSnapshot &Mesh, const std::string &Host,
+                  const std::string &Path) {
+  const Route *Best = nullptr;
+  auto Rank = [](const Route &Entry) {
+    return std::pair(!Entry.Host.empty(), Entry.PathPrefix.size());
+  };
+  for (const auto &[Name, Candidate] : Mesh.Routes) {
+    if (!isSegmentPrefix(Candidate.PathPrefix, Path))
+      continue;
+    if (!Candidate.Host.empty() && Candidate.Host != Host)
+      continue;
+    if (!Best || Rank(Candidate) > Rank(*Best))
+      Best = &Candidate;
+  }
+  return Best;
+}
+
+} // namespace
+
 class RouteIndexTest {
 protected:
   void add(const std::string &Name, const std::string &Host,
@@ -65,7 +94,7 @@
       std::string Host = "h" + std::to_string(Random() % 3);
       std::string Target = Path(Random() % 2 == 0);
       INFO(Host << Target);
-      const Route *Wanted = Mesh.match(Target, Host);
+      const Route *Wanted = scan(Mesh, Host, Target);
       const Route *Found = Index.match(Host, Target);
       REQUIRE((Found ? Found->Name.value() : "none") ==
               (Wanted ? Wanted->Name.value() : "none"));
--- a/follower/test/ControlStateFollow_test.cpp
+++ b/follower/test/ControlStateFollow_test.cpp
@@ -1,5 +1,6 @@
 #include "Simulation.h"
 #include "amaranth/control/ControlState.h"
+#include "amaranth/document/RouteIndex.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -56,7 +57,7 @@
   Node->publish(Own);
   Sim.runUntil([&] { return Node->status().EndpointsCommitted; });
   Sim.runUntil([&] { return Sim.converged(); });
-  CHECK(Node->current()->match("/g/1"));
+  CHECK(document::RouteIndex(Node->current()).match("", "/g/1"));
   CHECK(state(Own) == document::EndpointState::Ready);
   CHECK(*Node->current() == *Sim.Newest);
   // Its lease runs out while the control process is away.
--- a/replication/src/Repair.cpp
+++ b/replication/src/Repair.cpp
@@ -16,6 +16,11 @@
          Time.now() - Found->second->LastAck < Settings.ReplaceSilentAfter;
 }
 
+bool ReplicaCore::silentFor(base::ReplicaId Id, base::Millis Span) const {
+  auto Found = Peers.find(Id);
+  return Found != Peers.end() && Time.now() - Found->second->LastAck >= Span;
+}
+
 bool ReplicaCore::isPromotable(const Member &Each) const {
   auto Found = Peers.find(Each.Id);
   return !Each.Voter && Found != Peers.end() && heardRecently(Each.Id) &&
@@ -39,12 +44,9 @@
                   [this](const Member &Each) { return isPromotable(Each); });
   if (!Successor)
     return nullptr;
-  for (const Member &Voter : All) {
-    auto Found = Peers.find(Voter.Id);
-    if (Voter.Voter && Found != Peers.end() &&
-        Time.now() - Found->second->LastAck >= Settings.ReplaceSilentAfter)
+  for (const Member &Voter : All)
+    if (Voter.Voter && silentFor(Voter.Id, Settings.ReplaceSilentAfter))
       return &Voter;
-  }
   return nullptr;
 }
 
@@ -84,13 +86,10 @@
     appendLocal(EntryKind::Membership, New.encode());
     return;
   }
-  auto Forgotten = std::find_if(New.Members.begin(), New.Members.end(),
-                                [this](const Member &Each) {
-                                  auto Found = Peers.find(Each.Id);
-                                  return !Each.Voter && Found != Peers.end() &&
-                                         Time.now() - Found->second->LastAck >=
-                                             Settings.ForgetLearnerAfter;
-                                });
+  auto Forgotten = std::find_if(
+      New.Members.begin(), New.Members.end(), [this](const Member &Each) {
+        return !Each.Voter && silentFor(Each.Id, Settings.ForgetLearnerAfter);
+      });
   if (Forgotten == New.Members.end())
     return;
   Logger->info("removing a silent learner id={:x}", Forgotten->Id.value());
--- a/replication/src/ReplicaCore.h
+++ b/replication/src/ReplicaCore.h
@@ -190,6 +190,8 @@
   /// Makes at most one change of the membership that `TargetVoters` asks for.
   void repairMembers();
   bool heardRecently(base::ReplicaId Id) const;
+  /// False for this process and for one that is not a member.
+  bool silentFor(base::ReplicaId Id, base::Millis Span) const;
   bool isPromotable(const Member &Each) const;
   const Member *replaceableVoter() const;
   bool mayRemoveVoter(base::ReplicaId Id) const;
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -17,6 +17,7 @@
 #include "amaranth/replication/Replica.h"
 #include "amaranth/rollout/RolloutController.h"
 
+#include <fmt/ranges.h>
 #include <prometheus/registry.h>
 
 #include <algorithm>
@@ -226,10 +227,8 @@
 
 void ControlDaemon::reload(const ControlSettings &Settings) {
   std::vector<std::string> Seeds = texts(Settings.Seeds);
-  std::string Joined;
-  for (const std::string &Seed : Seeds)
-    Joined += (Joined.empty() ? "" : ",") + Seed;
-  base::logger("control")->info("seeds in force seeds={}", Joined);
+  base::logger("control")->info("seeds in force seeds={}",
+                                fmt::join(Seeds, ","));
   if (!Seeds.empty())
     Self->Log.setKnownPeers(std::move(Seeds));
 }
