Shape large responses on a narrow link

Downloads filled the send buffers of all connections, and everything else of these nodes waited behind them: responses to calls 59 ms at the median and 267 ms for one in ten, calls of their own upstream 90 and 254 ms. Parent requests of session-book failed with 500.

Ruled out: slots of the upstream (1 to 3 of 9 in use), processor time (0.05 of 0.1 cores), entry nodes (responses of other services return in 1 to 2 ms).

Change: large bodies wait in the gate for the link, one piece at a time, in the order of goesFirst. Slots are free when the upstream has sent everything. Gates report the time that their link needs; entry nodes place downloads by it, and downloads leave their zone only when they would be late there.

The new tests of EgressShaper_test fail without the shaper: there the slot stays taken and the link runs ahead.

--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -41,16 +41,23 @@
       : Options(std::move(Options)), Time(Time), Counters(Counters),
         Random(Seed) {}
 
+  /// What the choice for a request depends on besides the endpoints.
+  struct Demand {
+    /// An endpoint of the own zone is taken as long as its expected wait is at
+    /// most this.
+    base::Millis LocalWait;
+    /// The response is large, hence waits for the link of its node.
+    bool Large = false;
+  };
+
   /// An endpoint of the version that is not in `Avoid`, or null. Draining and
   /// starting endpoints are never chosen; unreachable and ejected ones only
-  /// when nothing else is left, which excludes no endpoint in `Avoid`. An
-  /// endpoint of the own zone is taken as long as its expected wait is at most
-  /// `LocalWait`.
+  /// when nothing else is left, which excludes no endpoint in `Avoid`.
   const document::Endpoint *choose(const document::MeshSnapshot &Mesh,
                                    const base::ServiceName &Service,
                                    const base::VersionName &Version,
                                    const std::set<base::EndpointId> &Avoid,
-                                   base::Millis LocalWait = base::Millis(0));
+                                   const Demand &Request);
 
   void started(const base::EndpointId &Id);
   void finished(const base::EndpointId &Id);
@@ -83,13 +90,17 @@
   using Candidates = std::vector<const document::Endpoint *>;
 
   /// Expected time of one more request, relative to the other candidates.
-  double cost(const document::Endpoint &Entry) const;
+  double cost(const document::Endpoint &Entry, const Demand &Request) const;
   /// Requests at the endpoint, this node's and those of others.
   double work(const base::EndpointId &Id) const;
   double serviceMs(const base::EndpointId &Id) const;
-  double expectedWait(const document::Endpoint &Entry) const;
-  const document::Endpoint *pick(const Candidates &From);
-  Candidates localOnes(const Candidates &From, base::Millis LocalWait) const;
+  /// Time of a large response behind those that wait for the node's link, as
+  /// far as the last report tells.
+  double linkMs(const base::EndpointId &Id) const;
+  double expectedWait(const document::Endpoint &Entry,
+                      const Demand &Request) const;
+  const document::Endpoint *pick(const Candidates &From, const Demand &Request);
+  Candidates localOnes(const Candidates &From, const Demand &Request) const;
   void eject(const document::MeshSnapshot &Mesh,
              const document::Endpoint &Entry, State &Known);
 
--- a/dataplane/include/amaranth/dataplane/Gate.h
+++ b/dataplane/include/amaranth/dataplane/Gate.h
@@ -58,6 +58,8 @@
   /// Slots that the queue holds at most, as a multiple of the slots. Longer
   /// queues only add waiting time, since callers have deadlines.
   std::uint32_t QueueFactor = 2;
+  /// What the link of this VM carries; 0 when it is not to be shaped.
+  std::uint64_t LinkBytesPerSecond = 0;
   UpstreamClient::Settings Client;
 };
 
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -81,6 +81,8 @@
   base::Millis Service;
   /// Expected wait of a new request for a slot.
   base::Millis Wait;
+  /// Time that the node's link needs for the large responses that wait for it.
+  base::Millis Link;
 };
 
 struct Refusal {
--- a/dataplane/include/amaranth/dataplane/ServerExchange.h
+++ b/dataplane/include/amaranth/dataplane/ServerExchange.h
@@ -32,6 +32,10 @@
   const base::TimePoint Arrived;
   /// When the request got a slot; empty before.
   std::optional<base::TimePoint> Started;
+  /// When the upstream had sent the whole response; empty before.
+  std::optional<base::TimePoint> Read;
+  /// Bytes of the response body that were passed on.
+  std::size_t BytesSent = 0;
   ExchangeEnd Body;
   /// Called once when the exchange is ended from outside.
   std::function<void()> OnEnd;
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -5,6 +5,7 @@
 #include "amaranth/dataplane/ExchangeEnd.h"
 
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace amaranth::dataplane {
@@ -80,12 +81,19 @@
 class SlotHold {
 public:
   explicit SlotHold(SlotQueue &Queue) : Queue(Queue) {}
-  ~SlotHold() { Queue.release(); }
+  ~SlotHold() { release(); }
   SlotHold(const SlotHold &) = delete;
   SlotHold &operator=(const SlotHold &) = delete;
 
+  /// Gives the slot back early. Further calls do nothing.
+  void release() {
+    if (std::exchange(Held, false))
+      Queue.release();
+  }
+
 private:
   SlotQueue &Queue;
+  bool Held = true;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -50,13 +50,25 @@
                                  : UnknownServiceMs;
 }
 
-double Balancer::expectedWait(const Endpoint &Entry) const {
+double Balancer::linkMs(const base::EndpointId &Id) const {
+  auto Found = States.find(Id);
+  if (Found == States.end())
+    return 0;
+  // The link works off its backlog as time passes.
+  base::Millis Age = Time.now() - Found->second.ReportedAt;
+  base::Millis Rest = Found->second.Reported.Link - Age;
+  return static_cast<double>(std::max(base::Millis(0), Rest).count());
+}
+
+double Balancer::expectedWait(const Endpoint &Entry,
+                              const Demand &Request) const {
   double Slots = std::max<std::uint32_t>(1, Entry.Slots);
-  return std::max(0.0, work(Entry.Id) + 1 - Slots) / Slots *
-         serviceMs(Entry.Id);
+  double Wait =
+      std::max(0.0, work(Entry.Id) + 1 - Slots) / Slots * serviceMs(Entry.Id);
+  return Request.Large ? Wait + linkMs(Entry.Id) : Wait;
 }
 
-double Balancer::cost(const Endpoint &Entry) const {
+double Balancer::cost(const Endpoint &Entry, const Demand &Request) const {
   auto Found = States.find(Entry.Id);
   double Served = 1;
   if (Found != States.end())
@@ -69,7 +81,9 @@
   // The request to be placed counts, so that an idle endpoint in slow start
   // loses against an idle warm one.
   double Load = (work(Entry.Id) + 1) / Slots;
-  return serviceMs(Entry.Id) * (std::max(1.0, Load) + LoadWeight * Load) /
+  double Link = Request.Large ? linkMs(Entry.Id) : 0;
+  return (serviceMs(Entry.Id) * (std::max(1.0, Load) + LoadWeight * Load) +
+          Link) /
          Served;
 }
 
@@ -81,36 +95,38 @@
 
 /// The cheapest of a few candidates drawn at random. Nodes that all took the
 /// cheapest one of many by the same reports would overload it together.
-const Endpoint *Balancer::pick(const Candidates &From) {
+const Endpoint *Balancer::pick(const Candidates &From, const Demand &Request) {
   Candidates Drawn = From;
   std::shuffle(Drawn.begin(), Drawn.end(), Random);
   if (Drawn.size() > MaxDrawn)
     Drawn.resize(MaxDrawn);
   auto Best = std::min_element(Drawn.begin(), Drawn.end(),
-                               [this](const Endpoint *A, const Endpoint *B) {
-                                 return cost(*A) < cost(*B);
+                               [&](const Endpoint *A, const Endpoint *B) {
+                                 return cost(*A, Request) < cost(*B, Request);
                                });
   return Best == Drawn.end() ? nullptr : *Best;
 }
 
 Balancer::Candidates Balancer::localOnes(const Candidates &From,
-                                         base::Millis LocalWait) const {
+                                         const Demand &Request) const {
   Candidates Local;
   Candidates Soon;
   double Work = 0;
   double Slots = 0;
+  auto Longest = static_cast<double>(Request.LocalWait.count());
   for (const Endpoint *Entry : From) {
     if (Entry->Zone != Options.Zone)
       continue;
     Local.push_back(Entry);
     Work += work(Entry->Id);
     Slots += Entry->Slots;
-    if (expectedWait(*Entry) <= static_cast<double>(LocalWait.count()))
+    if (expectedWait(*Entry, Request) <= Longest)
       Soon.push_back(Entry);
   }
-  if (!Local.empty() && Work <= Options.ZoneLoadLimit * Slots)
+  // Free slots say nothing about the link.
+  if (!Request.Large && !Local.empty() && Work <= Options.ZoneLoadLimit * Slots)
     return Local;
-  if (!Soon.empty() && LocalWait > base::Millis(0))
+  if (!Soon.empty() && (Request.LocalWait > base::Millis(0) || Request.Large))
     return Soon;
   return From;
 }
@@ -119,7 +135,7 @@
                                  const base::ServiceName &Service,
                                  const base::VersionName &Version,
                                  const std::set<base::EndpointId> &Avoid,
-                                 base::Millis LocalWait) {
+                                 const Demand &Request) {
   Candidates Usable;
   Candidates Ejected;
   Candidates Unreachable;
@@ -132,11 +148,11 @@
     else if (Entry.State == EndpointState::Ready)
       (ejected(Id) ? Ejected : Usable).push_back(&Entry);
   }
-  const Endpoint *Chosen = pick(localOnes(Usable, LocalWait));
+  const Endpoint *Chosen = pick(localOnes(Usable, Request), Request);
   if (!Chosen)
-    Chosen = pick(Ejected);
+    Chosen = pick(Ejected, Request);
   if (!Chosen)
-    Chosen = pick(Unreachable);
+    Chosen = pick(Unreachable, Request);
   AMARANTH_INVARIANT(!Chosen || (Chosen->State != EndpointState::Draining &&
                                  Chosen->State != EndpointState::Starting),
                      "endpoint that takes no work was chosen");
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -23,10 +23,10 @@
 constexpr std::size_t MaxKeyBytes = 256;
 /// Part of the time until the objective that a request may wait for an
 /// upstream of its own zone before it is sent to another one. The response is
-/// as good for the caller, and the bytes stay in the zone, which matters most
-/// for downloads.
+/// as good for the caller, and the bytes stay in the zone. A download, whose
+/// bytes count most, leaves the zone only when it would be late there.
 constexpr std::int64_t LocalWaitPercent = 15;
-constexpr std::int64_t LocalWaitDownload = 40;
+constexpr std::int64_t LocalWaitDownload = 100;
 /// Without any limit of the route or the caller.
 constexpr base::Millis DefaultTimeout = base::Millis::seconds(60);
 
@@ -235,11 +235,12 @@
   if (Entry == Current.Services.end())
     return nullptr;
   std::set<base::VersionName> Empty;
+  Balancer::Demand Needed{localWait(), isLarge()};
   // A version without a usable endpoint is left out and the choice repeated.
   while (const document::VersionShare *Version = chooseVersion(
              Entry->second, Shared->Guard, Empty, Shared->Random)) {
     if (const auto *Found = Shared->Endpoints.choose(
-            Current, Service, Version->Version, Plan.avoided(), localWait()))
+            Current, Service, Version->Version, Plan.avoided(), Needed))
       return Found;
     Empty.insert(Version->Version);
   }
@@ -272,12 +273,15 @@
 }
 
 base::Millis EntryRequest::localWait() const {
+  base::TimePoint Now = Shared->Time.now();
+  // Every upstream would answer a download late. Another zone gains nothing.
+  if (!Plan.patient() && isLarge())
+    return std::max(base::Millis(0), Deadline - Now);
   if (!Plan.patient() || Objective >= Deadline)
     return base::Millis(0);
-  base::Millis Left = Objective - Shared->Time.now();
-  bool Large = Via.Kind == document::RequestKind::Download;
+  base::Millis Left = Objective - Now;
   return std::max(base::Millis(0), Left) *
-         (Large ? LocalWaitDownload : LocalWaitPercent) / 100;
+         (isLarge() ? LocalWaitDownload : LocalWaitPercent) / 100;
 }
 
 RequestHead EntryRequest::headFor(const document::Endpoint &Target) const {
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -52,6 +52,7 @@
   const document::Endpoint *choose(const document::MeshSnapshot &Current);
   /// How long a request may wait for an endpoint of the own zone.
   base::Millis localWait() const;
+  bool isLarge() const { return Via.Kind == document::RequestKind::Download; }
   RequestHead headFor(const document::Endpoint &Target) const;
   bool tryAgain(const Refusal &Why);
   bool retryStatus(unsigned Status);
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -84,7 +84,7 @@
                 Client.dropIdle();
                 enter(UpstreamEvent::Died);
               }),
-      Slots(Time),
+      Slots(Time), Egress(Executor, this->Options.LinkBytesPerSecond, Time),
       Incarnation(static_cast<std::uint64_t>(Time.wallNow().count())) {
   if (Options.Endpoint.value().empty())
     Options.Endpoint = base::EndpointId(Options.Node.value());
@@ -105,6 +105,7 @@
     Client.dropIdle();
     Lifecycle = UpstreamLifecycle();
     Times = RouteTimes();
+    Sizes = RouteSizes();
   }
   if (!Last || Restarted || Last->Instance != News.Instance)
     base::logger("gate")->info(
@@ -214,6 +215,7 @@
   Newest.Priority = std::numeric_limits<std::uint32_t>::max();
   Newest.Objective = Newest.Deadline = Time.now();
   Work.Wait = Slots.expectedWait(Newest, Work.Service);
+  Work.Link = Egress.backlog(Newest);
   return Work;
 }
 
@@ -293,16 +295,23 @@
   return Found != Snapshot->Quarantine.end() && !Found->second.Convicted;
 }
 
-bool Gate::Impl::deadlineReachable(const WaitingWork &Work,
-                                   base::Millis Wait) const {
+base::Millis Gate::Impl::expectedLink(const ServerExchange &Exchange) const {
+  auto Size = Sizes.expected(Exchange.Head.Route).value_or(0);
+  if (!Egress.shapes() || Size <= EgressShaper::PieceBytes)
+    return base::Millis(0);
+  return Egress.backlog(workOf(Exchange)) + Egress.timeFor(Size);
+}
+
+bool Gate::Impl::deadlineReachable(const WaitingWork &Work, base::Millis Wait,
+                                   base::Millis Link) const {
   base::Millis Left = Work.Deadline - Time.now();
   if (Left <= base::Millis(0))
     return false;
   // An idle upstream takes one request in any case; otherwise a median from
   // a slow period would never be replaced.
   if (Slots.inFlight() == 0)
-    return true;
-  return Wait + Work.Service <= Left;
+    return Link <= Left;
+  return Wait + Work.Service + Link <= Left;
 }
 
 std::optional<Refusal>
@@ -318,14 +327,15 @@
   WaitingWork Work = workOf(Exchange);
   base::Millis Wait =
       Slots.expectedWait(Work, Times.expected().value_or(base::Millis(0)));
+  base::Millis Link = expectedLink(Exchange);
   auto Busy = [&](Reason Why, const char *Text) {
     auto Refused = refusal(Outcome::NotRun, Why, Text);
-    Refused->RetryAfter = std::max(Wait, BusyRetryAfter);
+    Refused->RetryAfter = std::max(Wait + Link, BusyRetryAfter);
     return Refused;
   };
-  if (!deadlineReachable(Work, Wait))
+  if (!deadlineReachable(Work, Wait, Link))
     return Busy(Reason::DeadlineUnreachable, "the deadline cannot be met");
-  if (Head.Patience && Wait > *Head.Patience)
+  if (Head.Patience && Wait + Link > *Head.Patience)
     return Busy(Reason::WaitTooLong, "no slot is expected in time");
   // A request that would be late is taken only while the queue is short.
   if (Wait > base::Millis(0) && Exchange.Objective < Exchange.Deadline &&
@@ -382,12 +392,12 @@
     Keep->publish();
   }
   base::TimePoint End = Keep->Time.now() + Limit;
-  while (Keep->Slots.inFlight() != 0 && Keep->Time.now() < End)
+  while (!Keep->idle() && Keep->Time.now() < End)
     co_await Keep->Time.sleepFor(Poll);
   // The last messages are queued on their connections; a channel does not
   // tell when they are written.
   co_await Keep->Time.sleepFor(FlushTime);
-  co_return Keep->Slots.inFlight() == 0;
+  co_return Keep->idle();
 }
 
 UpstreamState Gate::state() const { return Self->Lifecycle.state(); }
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -2,8 +2,9 @@
 #define AMARANTH_DATAPLANE_SRC_GATEIMPL_H
 
 #include "CrashGuard.h"
-#include "ServiceTimes.h"
+#include "MovingMedian.h"
 #include "amaranth/dataplane/ClaimClient.h"
+#include "amaranth/dataplane/EgressShaper.h"
 #include "amaranth/dataplane/Gate.h"
 #include "amaranth/dataplane/SlotQueue.h"
 
@@ -31,7 +32,11 @@
   std::optional<Refusal> admission(const ServerExchange &Exchange) const;
   std::optional<Refusal> stateRefusal() const;
   std::optional<Refusal> quarantineRefusal(const RequestHead &Head) const;
-  bool deadlineReachable(const WaitingWork &Work, base::Millis Wait) const;
+  bool deadlineReachable(const WaitingWork &Work, base::Millis Wait,
+                         base::Millis Link) const;
+  /// Time that a response of this route is expected to wait for the link and
+  /// to take there; 0 for short ones.
+  base::Millis expectedLink(const ServerExchange &Exchange) const;
   bool isSuspect(const RequestHead &Head) const;
   base::Millis expectedService(const RequestHead &Head) const;
   WaitingWork workOf(const ServerExchange &Exchange) const;
@@ -44,6 +49,7 @@
   Answer attempt(Shared Exchange);
   /// One request that has a slot.
   struct Run {
+    SlotHold &Slot;
     /// A keyed request runs on without its caller, so that a resend gets its
     /// response; a suspect does, so that a crash is seen.
     bool RunsToEnd = false;
@@ -73,7 +79,26 @@
                  Run &State);
   boost::asio::awaitable<void> passBody(Shared Exchange,
                                         std::shared_ptr<UpstreamCall> Call,
-                                        ResponseHead Head, const Run &State);
+                                        ResponseHead Head, Run &State);
+  /// True when the body is large enough to wait for the link.
+  bool isShaped(ServerExchange &Exchange, const ResponseHead &Head) const;
+  /// As `passBody`, for a body that waits for the link. The slot is free as
+  /// soon as the upstream has sent everything.
+  boost::asio::awaitable<void> passShaped(Shared Exchange,
+                                          std::shared_ptr<UpstreamCall> Call,
+                                          ResponseHead Head, Run &State);
+  /// Counts a response that may still be sent when its slot is free.
+  class Sending {
+  public:
+    explicit Sending(Impl &Owner) : Owner(Owner) { ++Owner.SendingCount; }
+    ~Sending() { --Owner.SendingCount; }
+    Sending(const Sending &) = delete;
+    Sending &operator=(const Sending &) = delete;
+
+  private:
+    Impl &Owner;
+  };
+  bool idle() const { return Slots.inFlight() == 0 && SendingCount == 0; }
   void logEnd(const ServerExchange &Exchange,
               const std::optional<Refusal> &Refused) const;
   Headers requestFields(const ServerExchange &Exchange) const;
@@ -89,7 +114,10 @@
   UpstreamClient Client;
   CrashGuard Crashes;
   SlotQueue Slots;
+  EgressShaper Egress;
+  std::size_t SendingCount = 0;
   RouteTimes Times;
+  RouteSizes Sizes;
   UpstreamLifecycle Lifecycle;
   std::optional<Announcement> Last;
   base::TimePoint LastHeard;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <deque>
 
 namespace asio = boost::asio;
 using amaranth::protocol::MessageType;
@@ -17,6 +18,9 @@
 
 /// Part of a response that is passed on at once. Most responses fit into it.
 constexpr std::size_t ResponsePieceBytes = 16U << 10U;
+/// Bytes of a response that are read ahead of a narrow link. Larger responses
+/// keep the upstream's slot until the rest fits.
+constexpr std::size_t MaxReadAhead = 1U << 20U;
 
 /// Sends the request body to the upstream while the response is read. Ends
 /// with the exchange or the call.
@@ -77,6 +81,81 @@
   std::size_t Size = 0;
 };
 
+/// A response body between the upstream and a narrow link. The reader and the
+/// sender wake each other through the exchange.
+struct ReadAhead {
+  std::deque<base::Bytes> Pieces;
+  std::size_t Buffered = 0;
+  /// Bytes of the whole body that were read.
+  std::size_t Total = 0;
+  /// Bytes that are still to be read, as far as the head announced them.
+  std::size_t Unread = 0;
+  bool Complete = false;
+  /// The reader gave up; the rest is not sent.
+  bool Broken = false;
+  bool Sent = false;
+
+  void add(base::Bytes Piece) {
+    Buffered += Piece.size();
+    Total += Piece.size();
+    Unread -= std::min(Unread, Piece.size());
+    Pieces.push_back(std::move(Piece));
+  }
+  base::Bytes take() {
+    base::Bytes Piece = std::move(Pieces.front());
+    Pieces.pop_front();
+    Buffered -= Piece.size();
+    return Piece;
+  }
+};
+
+/// Sends what is read ahead as the link has room for it.
+asio::awaitable<void> sendAhead(std::shared_ptr<ServerExchange> Exchange,
+                                std::shared_ptr<ReadAhead> From,
+                                EgressShaper &Egress) {
+  ExchangeEnd &Body = Exchange->Body;
+  std::shared_ptr<ExchangeEnd> Sender(Exchange, &Body);
+  WaitingWork Work{Exchange->Head.Priority, Exchange->Objective,
+                   Exchange->Deadline, base::Millis(0), 0};
+  try {
+    while (!From->Sent && !From->Broken && !Body.ended()) {
+      if (From->Pieces.empty() && !From->Complete) {
+        co_await Body.changed().wait();
+        continue;
+      }
+      base::Bytes Piece;
+      if (!From->Pieces.empty()) {
+        std::size_t Left = From->Buffered + From->Unread;
+        co_await Egress.acquire(Sender, Work, From->Pieces.front().size(),
+                                Left);
+        if (From->Broken || Body.ended())
+          co_return;
+        Piece = From->take();
+        Exchange->BytesSent += Piece.size();
+      }
+      bool End = From->Complete && From->Pieces.empty();
+      co_await Body.sendData(std::move(Piece), End);
+      From->Sent = End;
+      Body.changed().notifyAll();
+    }
+  } catch (const ExchangeEnded &) {
+    // The reader sees the end of the exchange too.
+  }
+}
+
+/// Tells the sender to stop unless the whole body was read.
+class BrokenUnlessRead {
+public:
+  explicit BrokenUnlessRead(std::shared_ptr<ReadAhead> Buffer)
+      : Buffer(std::move(Buffer)) {}
+  ~BrokenUnlessRead() { Buffer->Broken = !Buffer->Complete; }
+  BrokenUnlessRead(const BrokenUnlessRead &) = delete;
+  BrokenUnlessRead &operator=(const BrokenUnlessRead &) = delete;
+
+private:
+  std::shared_ptr<ReadAhead> Buffer;
+};
+
 } // namespace
 
 asio::awaitable<void> Gate::Impl::serve(Shared Exchange) {
@@ -111,14 +190,18 @@
   if (Refused)
     Outcome = std::string(outcomeText(Refused->What)) + " " +
               reasonText(Refused->Why);
+  Load Work = load();
   base::logger(base::RequestLog)
       ->info("exchange id={} route={} priority={} waited_ms={} ran_ms={} "
-             "left_ms={} in_flight={} queued={} slots={} service_ms={} "
+             "link_ms={} bytes={} link_backlog_ms={} left_ms={} in_flight={} "
+             "queued={} slots={} service_ms={} "
              "instance={} outcome=\"{}\" detail=\"{}\"",
              Exchange.Head.CallerAttempt, Exchange.Head.Route.value(),
              Exchange.Head.Priority, (Started - Exchange.Arrived).count(),
-             (Now - Started).count(), (Exchange.Deadline - Now).count(),
-             Slots.inFlight(), Slots.queued(), Slots.limit(),
+             (Exchange.Read.value_or(Now) - Started).count(),
+             (Now - Exchange.Read.value_or(Now)).count(), Exchange.BytesSent,
+             Work.Link.count(), (Exchange.Deadline - Now).count(),
+             Work.InFlight, Work.Queued, Slots.limit(),
              expectedService(Exchange.Head).count(),
              Last ? Last->Instance : std::string(), Outcome,
              Refused ? Refused->Text : std::string());
@@ -160,7 +243,7 @@
   if (!Refused && !Suspect && isSuspect(Exchange->Head))
     Refused = refusal(Outcome::NotRun, Reason::SuspectBusy,
                       "request is suspected of crashing upstreams");
-  Run State{Suspect || Exchange->Head.IdempotencyKey, Suspect, false};
+  Run State{Hold, Suspect || Exchange->Head.IdempotencyKey, Suspect};
   if (!Refused)
     Refused = co_await claimAndRun(Exchange, State);
   if (Suspect)
@@ -328,11 +411,15 @@
 
 asio::awaitable<void> Gate::Impl::passBody(Shared Exchange,
                                            std::shared_ptr<UpstreamCall> Call,
-                                           ResponseHead Head,
-                                           const Run &State) {
+                                           ResponseHead Head, Run &State) {
   eraseConnectionHeaders(Head.Fields);
   Dialect.cleanResponse(Head.Fields);
   Head.Work = load();
+  if (isShaped(*Exchange, Head) && !State.RunsToEnd) {
+    co_await passShaped(std::move(Exchange), std::move(Call), std::move(Head),
+                        State);
+    co_return;
+  }
   bool Keyed = Exchange->Head.IdempotencyKey.has_value();
   ResponseRecorder Recorder(Head);
   ExchangeEnd &Body = Exchange->Body;
@@ -350,6 +437,8 @@
       Claims.finish(Exchange->Head, Recorder.take());
     if (Attached) {
       base::Bytes Copy(Part.begin(), Part.end());
+      Egress.took(Count);
+      Exchange->BytesSent += Count;
       try {
         co_await Body.sendData(std::move(Copy), Count == 0);
       } catch (const ExchangeEnded &Why) {
@@ -357,8 +446,10 @@
       }
       Attached = !Gone;
     }
-    if (Count == 0)
+    if (Count == 0) {
+      Sizes.add(Exchange->Head.Route, Exchange->BytesSent);
       co_return;
+    }
     // A response that is too large to be stored is of no use to a resend.
     if (Attached || State.Suspect || (Keyed && Recorder.fits()))
       continue;
@@ -368,6 +459,54 @@
   }
 }
 
+bool Gate::Impl::isShaped(ServerExchange &Exchange,
+                          const ResponseHead &Head) const {
+  constexpr auto Short = static_cast<std::int64_t>(EgressShaper::PieceBytes);
+  bool Large = Head.BodyLength == UnknownLength || Head.BodyLength > Short;
+  // What this node asked for itself does not use the link.
+  bool Remote = Exchange.Body.link().peer().Id != Options.Node.value();
+  return Egress.shapes() && Large && Remote;
+}
+
+asio::awaitable<void> Gate::Impl::passShaped(Shared Exchange,
+                                             std::shared_ptr<UpstreamCall> Call,
+                                             ResponseHead Head, Run &State) {
+  ExchangeEnd &Body = Exchange->Body;
+  auto Ahead = std::make_shared<ReadAhead>();
+  if (Head.BodyLength != UnknownLength)
+    Ahead->Unread = static_cast<std::size_t>(Head.BodyLength);
+  Body.link().post(MessageType::ResponseHead, Body.stream(), encode(Head));
+  asio::co_spawn(
+      Executor,
+      [Keep = shared_from_this(), Exchange, Ahead]() -> asio::awaitable<void> {
+        co_await sendAhead(Exchange, Ahead, Keep->Egress);
+      },
+      asio::detached);
+  Sending Counted(*this);
+  BrokenUnlessRead Guarded(Ahead);
+  base::Bytes Buffer(EgressShaper::PieceBytes);
+  while (!Ahead->Complete) {
+    while (Ahead->Buffered > MaxReadAhead && !Body.ended())
+      co_await Body.changed().wait();
+    std::size_t Count = co_await Call->readBody(Buffer);
+    if (Body.ended())
+      throw ExchangeEnded(Body.ending());
+    if (Count != 0)
+      Ahead->add(base::Bytes(
+          Buffer.begin(), Buffer.begin() + static_cast<std::ptrdiff_t>(Count)));
+    Ahead->Complete = Count == 0;
+    Body.changed().notifyAll();
+  }
+  Sizes.add(Exchange->Head.Route, Ahead->Total);
+  // The upstream is done with the request while the link is not.
+  Exchange->Read = Time.now();
+  State.Slot.release();
+  while (!Ahead->Sent && !Body.ended())
+    co_await Body.changed().wait();
+  if (!Ahead->Sent)
+    throw ExchangeEnded(Body.ending());
+}
+
 Headers Gate::Impl::requestFields(const ServerExchange &Exchange) const {
   Headers Fields = Exchange.Head.Fields;
   eraseConnectionHeaders(Fields);
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -54,14 +54,19 @@
 Offset<wire::Load> putLoad(FlatBufferBuilder &Out, const Load &Work) {
   return wire::CreateLoad(Out, Work.InFlight, Work.Queued, Work.Slots,
                           static_cast<std::uint32_t>(Work.Service.count()),
-                          static_cast<std::uint32_t>(Work.Wait.count()));
+                          static_cast<std::uint32_t>(Work.Wait.count()),
+                          static_cast<std::uint32_t>(Work.Link.count()));
 }
 
 Load takeLoad(const wire::Load *Work) {
   if (!Work)
     return {};
-  return {Work->in_flight(), Work->queued(), Work->slots(),
-          base::Millis(Work->service_ms()), base::Millis(Work->wait_ms())};
+  return {Work->in_flight(),
+          Work->queued(),
+          Work->slots(),
+          base::Millis(Work->service_ms()),
+          base::Millis(Work->wait_ms()),
+          base::Millis(Work->link_ms())};
 }
 
 template <typename Table> BodyPiece takePiece(base::ByteView Payload) {
--- a/dataplane/src/ServiceTimes.h
+++ b/dataplane/src/MovingMedian.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTH_DATAPLANE_SRC_SERVICETIMES_H
-#define AMARANTH_DATAPLANE_SRC_SERVICETIMES_H
+#ifndef AMARANTH_DATAPLANE_SRC_MOVINGMEDIAN_H
+#define AMARANTH_DATAPLANE_SRC_MOVINGMEDIAN_H
 
 #include "amaranth/base/Millis.h"
 #include "amaranth/base/StrongId.h"
@@ -12,11 +12,11 @@
 
 namespace amaranth::dataplane {
 
-/// Moving median of the last service times.
-class ServiceTimes {
+/// Moving median of the last values.
+template <typename Value> class MovingMedian {
 public:
-  void add(base::Millis Took) {
-    Recent[Count++ % Window] = Took;
+  void add(Value Newest) {
+    Recent[Count++ % Window] = Newest;
     auto Sorted = Recent;
     std::size_t Filled = std::min(Count, Window);
     auto Middle = Sorted.begin() + static_cast<std::ptrdiff_t>(Filled / 2);
@@ -26,7 +26,7 @@
   }
 
   /// Empty until there are enough samples to judge by.
-  std::optional<base::Millis> expected() const {
+  std::optional<Value> expected() const {
     constexpr std::size_t MinSamples = 4;
     if (Count < MinSamples)
       return std::nullopt;
@@ -37,39 +37,44 @@
   /// An upstream that becomes slow shows in its median after eight requests.
   static constexpr std::size_t Window = 15;
 
-  std::array<base::Millis, Window> Recent{};
+  std::array<Value, Window> Recent{};
   std::size_t Count = 0;
-  base::Millis Median;
+  Value Median{};
 };
 
-/// Service times of one upstream by route, because the work of routes
-/// differs by a multiple.
-class RouteTimes {
+/// Medians of one upstream by route, because the work and the responses of
+/// routes differ by a multiple.
+template <typename Value> class RouteMedians {
 public:
-  void add(const base::RouteName &Route, base::Millis Took) {
-    All.add(Took);
+  void add(const base::RouteName &Route, Value Newest) {
+    All.add(Newest);
     if (Routes.contains(Route) || Routes.size() < MaxRoutes)
-      Routes[Route].add(Took);
+      Routes[Route].add(Newest);
   }
 
   /// Of the route, or of all requests while the route was hardly seen.
-  std::optional<base::Millis> expected(const base::RouteName &Route) const {
+  std::optional<Value> expected(const base::RouteName &Route) const {
     auto Found = Routes.find(Route);
     if (Found != Routes.end())
       if (auto Known = Found->second.expected())
         return Known;
     return All.expected();
   }
-  std::optional<base::Millis> expected() const { return All.expected(); }
+  std::optional<Value> expected() const { return All.expected(); }
 
 private:
   /// Bounds the memory; further routes share the overall median.
   static constexpr std::size_t MaxRoutes = 256;
 
-  ServiceTimes All;
-  std::map<base::RouteName, ServiceTimes> Routes;
+  MovingMedian<Value> All;
+  std::map<base::RouteName, MovingMedian<Value>> Routes;
 };
 
+/// Time from the start of a request to its response.
+using RouteTimes = RouteMedians<base::Millis>;
+/// Bytes of response bodies.
+using RouteSizes = RouteMedians<std::size_t>;
+
 } // namespace amaranth::dataplane
 
 #endif
--- /dev/null
+++ b/dataplane/test/EgressShaper_test.cpp
@@ -0,0 +1,284 @@
+#include "MeshFixture.h"
+#include "amaranth/dataplane/EgressShaper.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace asio = boost::asio;
+
+namespace amaranth::dataplane::testing {
+
+/// Bodies that share one link, on a manual clock.
+class EgressShaperTest {
+protected:
+  /// 12 Mbit/s.
+  static constexpr std::uint64_t LinkBytesPerSecond = 1'500'000;
+
+  struct Transfer {
+    std::size_t Bytes = 0;
+    std::int64_t Objective = 0;
+    std::int64_t DoneAt = -1;
+    std::shared_ptr<ExchangeEnd> Sender;
+
+    bool inTime() const { return DoneAt >= 0 && DoneAt <= Objective; }
+  };
+
+  std::shared_ptr<Transfer> start(std::size_t Bytes, std::int64_t ObjectiveMs) {
+    auto Started = std::make_shared<Transfer>();
+    Started->Bytes = Bytes;
+    Started->Objective = Time.now().count() + ObjectiveMs;
+    Started->Sender = std::make_shared<ExchangeEnd>(
+        Context.get_executor(), nullptr, 1, ExchangeEnd::Side::Gate);
+    asio::co_spawn(Context, run(Started), asio::detached);
+    return Started;
+  }
+
+  asio::awaitable<void> run(std::shared_ptr<Transfer> Mine) {
+    base::TimePoint Objective(Mine->Objective);
+    WaitingWork Work{0, Objective, Objective + base::Millis(10'000),
+                     base::Millis(0), 0};
+    for (std::size_t Left = Mine->Bytes; Left != 0;) {
+      std::size_t Piece = std::min(Left, EgressShaper::PieceBytes);
+      co_await Shaper.acquire(Mine->Sender, Work, Piece, Left);
+      if (Mine->Sender->ended())
+        co_return;
+      Left -= Piece;
+      Sent += Piece;
+    }
+    Mine->DoneAt = Time.now().count();
+  }
+
+  void advance(std::int64_t Millis) {
+    for (; Millis > 0; --Millis) {
+      Context.restart();
+      Context.poll();
+      Time.advance(base::Millis(1));
+    }
+    Context.restart();
+    Context.poll();
+  }
+
+  asio::io_context Context;
+  base::ManualClock Time;
+  EgressShaper Shaper{Context.get_executor(), LinkBytesPerSecond, Time};
+  std::size_t Sent = 0;
+  /// Goes after all others.
+  WaitingWork Last{1, base::TimePoint(0), base::TimePoint(0), base::Millis(0),
+                   0};
+};
+
+// Guards against bodies that fill the link's queue, behind which every short
+// message would wait.
+TEST_CASE_METHOD(EgressShaperTest, "acquire never runs ahead of the link") {
+  for (int I = 0; I < 10; ++I)
+    start(90'000, 400);
+  std::size_t Carried = 0;
+  for (int Millis = 1; Millis <= 500; ++Millis) {
+    advance(1);
+    Carried += LinkBytesPerSecond / 1000;
+    CAPTURE(Millis);
+    REQUIRE(Sent <= Carried + 2 * EgressShaper::PieceBytes);
+  }
+  CHECK(Sent * 100 >= Carried * (EgressShaper::BodySharePercent - 5));
+}
+
+TEST_CASE_METHOD(EgressShaperTest,
+                 "acquire completes bodies one after the other") {
+  // 90 kB take 75 ms; side by side both would take 150 ms.
+  auto First = start(90'000, 120);
+  auto Second = start(90'000, 240);
+  advance(300);
+  CHECK(First->inTime());
+  CHECK(Second->inTime());
+}
+
+TEST_CASE_METHOD(EgressShaperTest,
+                 "acquire serves what can be in time before what cannot") {
+  auto Late = start(900'000, 100);
+  auto Timely = start(90'000, 150);
+  advance(1'000);
+  CHECK(Timely->inTime());
+  CHECK(Late->DoneAt > Timely->DoneAt);
+}
+
+TEST_CASE_METHOD(EgressShaperTest,
+                 "acquire returns and frees the link when its sender ends") {
+  auto Leaving = start(900'000, 2'000);
+  auto Staying = start(90'000, 3'000);
+  advance(10);
+  Leaving->Sender->end({Outcome::Unknown, Reason::Cancelled, "left"});
+  Leaving->Sender->changed().notifyAll();
+  advance(100);
+  CHECK(Leaving->DoneAt == -1);
+  CHECK(Staying->DoneAt >= 0);
+  CHECK(Shaper.backlog(Last) == base::Millis(0));
+}
+
+TEST_CASE_METHOD(EgressShaperTest, "took delays bodies and nothing else") {
+  Shaper.took(150'000);
+  auto Body = start(8'000, 1'000);
+  advance(90);
+  CHECK(Body->DoneAt == -1);
+  advance(60);
+  CHECK(Body->DoneAt >= 0);
+}
+
+TEST_CASE_METHOD(EgressShaperTest, "backlog is the time that the link needs") {
+  start(90'000, 1'000);
+  start(90'000, 1'000);
+  advance(1);
+  CHECK(Shaper.backlog(Last).count() >= 130);
+  CHECK(Shaper.backlog(Last).count() <= 150);
+}
+
+TEST_CASE_METHOD(EgressShaperTest, "acquire does not wait without a limit") {
+  EgressShaper Open(Context.get_executor(), 0, Time);
+  bool Done = false;
+  auto Sender = std::make_shared<ExchangeEnd>(Context.get_executor(), nullptr,
+                                              1, ExchangeEnd::Side::Gate);
+  auto Task = [&]() -> asio::awaitable<void> {
+    for (int I = 0; I < 1'000; ++I)
+      co_await Open.acquire(Sender, {}, 8'000, 8'000);
+    Done = true;
+  };
+  asio::co_spawn(Context, Task(), asio::detached);
+  Context.poll();
+  CHECK(Done);
+  CHECK(Open.backlog(Last) == base::Millis(0));
+}
+
+// Replays downloads that take all that bodies may have of a link. Bodies that
+// share the link evenly, as connections do, are the baseline.
+TEST_CASE_METHOD(EgressShaperTest,
+                 "Replay of downloads on a narrow link keeps more in time") {
+  constexpr std::int64_t ObjectiveMs = 400;
+  constexpr std::int64_t LengthMs = 20'000;
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+    INFO("seed " << Seed);
+    std::mt19937_64 Random(Seed);
+    std::lognormal_distribution<double> Size(std::log(75'000.0), 0.6);
+    std::poisson_distribution<int> Arrivals(0.0142);
+    struct Shared {
+      double Left;
+      std::int64_t Objective;
+    };
+    std::vector<Shared> Even;
+    std::size_t EvenInTime = 0;
+    std::vector<std::shared_ptr<Transfer>> Ours;
+    std::int64_t Begin = Time.now().count();
+    for (std::int64_t Now = 0; Now < LengthMs; ++Now) {
+      for (int I = Arrivals(Random); I > 0; --I) {
+        auto Bytes = static_cast<std::size_t>(Size(Random));
+        Ours.push_back(start(Bytes, ObjectiveMs));
+        Even.push_back({static_cast<double>(Bytes), Now + ObjectiveMs});
+      }
+      double Part = static_cast<double>(LinkBytesPerSecond) / 1000 *
+                    EgressShaper::BodySharePercent / 100 /
+                    static_cast<double>(std::max<std::size_t>(1, Even.size()));
+      for (Shared &Each : Even)
+        Each.Left -= Part;
+      EvenInTime += static_cast<std::size_t>(
+          std::ranges::count_if(Even, [Now](const Shared &Each) {
+            return Each.Left <= 0 && Now <= Each.Objective;
+          }));
+      std::erase_if(Even, [](const Shared &Each) { return Each.Left <= 0; });
+      advance(1);
+    }
+    auto InTime = static_cast<std::size_t>(std::ranges::count_if(
+        Ours, [](const auto &Each) { return Each->inTime(); }));
+    INFO("asked " << Ours.size() << ", in time " << InTime << ", evenly shared "
+                  << EvenInTime << ", from " << Begin);
+    CHECK(InTime > EvenInTime);
+    CHECK(InTime * 100 >= Ours.size() * 80);
+    advance(3'000);
+  }
+}
+
+/// An upstream with one slot behind a narrow link.
+class NarrowLinkTest : public MeshFixture {
+protected:
+  static constexpr std::uint64_t LinkBytesPerSecond = 100'000;
+
+  NarrowLinkTest()
+      : Left(addNode("left")),
+        Right(addNode("right", "z", 0, LinkBytesPerSecond)),
+        Upstream(addUpstream(Right, "v1", 1)) {}
+
+  /// Moves the clock until `Result` is done.
+  void finish(const CallerResult &Result) {
+    runUntil([&] {
+      Time.advance(base::Millis(5));
+      return Result.Done;
+    });
+  }
+
+  TestNode &Left;
+  TestNode &Right;
+  TestUpstream &Upstream;
+};
+
+// Guards against a slot that stays taken while the link is busy.
+TEST_CASE_METHOD(NarrowLinkTest,
+                 "A body that waits for the link leaves its slot to others") {
+  auto Large = get(Left, "/size/300000");
+  runUntil([&] { return Upstream.BytesWritten == 300'000; });
+  settle();
+  auto Short = get(Left, "/small");
+  finish(*Short);
+  CHECK(Short->status() == 200);
+  CHECK_FALSE(Large->Done);
+  finish(*Large);
+  CHECK(Large->body().size() == 300'000);
+}
+
+// Guards against a stop that cuts responses whose slots are free already.
+TEST_CASE_METHOD(NarrowLinkTest, "drain waits for bodies on the link") {
+  auto Large = get(Left, "/size/300000");
+  runUntil([&] { return Upstream.BytesWritten == 300'000; });
+  settle();
+  bool Drained = false;
+  spawn([](TestNode &Node, bool &Done) -> asio::awaitable<void> {
+    bool Whole = co_await Node.Upstream.drain(base::Millis(60'000));
+    Done = Whole;
+  }(Right, Drained));
+  settle();
+  CHECK_FALSE(Drained);
+  finish(*Large);
+  CHECK(Large->body().size() == 300'000);
+  runUntil([&] {
+    Time.advance(base::Millis(5));
+    return Drained;
+  });
+}
+
+// Guards against downloads that are taken although the link cannot carry them
+// before their deadline of 10 s.
+TEST_CASE_METHOD(NarrowLinkTest,
+                 "A gate refuses what its link cannot carry in time") {
+  for (int I = 0; I < 4; ++I)
+    finish(*get(Left, "/size/20000"));
+  // The slot is free again after each of them, the link after 6 s.
+  auto First = get(Left, "/size/500000");
+  runUntil([&] { return Upstream.BytesWritten == 580'000; });
+  auto Second = get(Left, "/size/500000");
+  runUntil([&] { return Upstream.BytesWritten == 1'080'000; });
+  auto Refused = get(Left, "/size/20000");
+  runUntil([&] { return Refused->Done; });
+  CHECK(Refused->status() == 504);
+  CHECK(Refused->has("deadline-unreachable"));
+  CHECK_FALSE(First->Done);
+}
+
+TEST_CASE_METHOD(NarrowLinkTest, "A body that breaks off on the way resets") {
+  auto Broken = get(Left, "/short");
+  finish(*Broken);
+  // 50,000 of the 100,000 bytes cannot pass for the whole response.
+  CHECK((Broken->Reset || Broken->status() == 502));
+}
+
+} // namespace amaranth::dataplane::testing
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -24,7 +24,8 @@
 const protocol::SharedKeys Keys = {{protocol::Role::Node, "secret"}};
 
 GateSettings gateSettings(const std::string &Name, const std::string &Zone,
-                          const base::Address &Inner) {
+                          const base::Address &Inner,
+                          std::uint64_t LinkBytesPerSecond) {
   GateSettings Options;
   // Test upstreams close their listening socket before their connections, and
   // the manual clock does not move by itself.
@@ -33,6 +34,7 @@
   Options.NodeAddress = Inner;
   Options.Zone = base::AvailabilityZone(Zone);
   Options.SlowStart = base::Millis(0);
+  Options.LinkBytesPerSecond = LinkBytesPerSecond;
   return Options;
 }
 
@@ -63,11 +65,12 @@
 TestNode::TestNode(asio::io_context &Context, base::Clock &Time,
                    const std::string &Name, const std::string &Zone,
                    FakeSnapshots &Snapshots, FakeControl &Control,
-                   std::size_t HoldBytes)
+                   std::size_t HoldBytes, std::uint64_t LinkBytesPerSecond)
     : Counters(Registry), Dialer(identity(Name, Zone), Keys, Time),
       Inner(Context.get_executor(), {"127.0.0.1", 0}, identity(Name, Zone),
             Keys, Time),
-      Upstream(Context.get_executor(), gateSettings(Name, Zone, Inner.local()),
+      Upstream(Context.get_executor(),
+               gateSettings(Name, Zone, Inner.local(), LinkBytesPerSecond),
                Time, Snapshots, Control, Counters, Dialect),
       Exchanges(Context.get_executor(), Upstream, Time),
       Peers(Context.get_executor(), {}, Time, Dialer),
@@ -116,9 +119,11 @@
 }
 
 TestNode &MeshFixture::addNode(const std::string &Name, const std::string &Zone,
-                               std::size_t HoldBytes) {
+                               std::size_t HoldBytes,
+                               std::uint64_t LinkBytesPerSecond) {
   Nodes.push_back(std::make_unique<TestNode>(Context, Time, Name, Zone,
-                                             Snapshots, Control, HoldBytes));
+                                             Snapshots, Control, HoldBytes,
+                                             LinkBytesPerSecond));
   TestNode &Node = *Nodes.back();
   spawn(Node.Inner.serve([&Node](std::shared_ptr<protocol::Channel> Link) {
     return Node.Exchanges.serve(std::move(Link));
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -54,7 +54,7 @@
   TestNode(boost::asio::io_context &Context, base::Clock &Time,
            const std::string &Name, const std::string &Zone,
            FakeSnapshots &Snapshots, FakeControl &Control,
-           std::size_t HoldBytes);
+           std::size_t HoldBytes, std::uint64_t LinkBytesPerSecond);
 
   prometheus::Registry Registry;
   Metrics Counters;
@@ -91,8 +91,10 @@
   ~MeshFixture();
 
   /// `HoldBytes`: the part of a response that the entry holds for a retry.
+  /// `LinkBytesPerSecond`: what the node's link carries; 0 for no limit.
   TestNode &addNode(const std::string &Name, const std::string &Zone = "z",
-                    std::size_t HoldBytes = 0);
+                    std::size_t HoldBytes = 0,
+                    std::uint64_t LinkBytesPerSecond = 0);
   /// Adds an upstream with the built-in behaviour and announces it as ready.
   TestUpstream &addUpstream(TestNode &Node, const std::string &Version = "v1",
                             std::uint32_t Slots = 4);
--- a/dataplane/test/Parts_test.cpp
+++ b/dataplane/test/Parts_test.cpp
@@ -36,7 +36,7 @@
   }
 
   std::string choose(const std::set<base::EndpointId> &Avoid = {}) {
-    const auto *Found = Balance.choose(Mesh, Service, Version, Avoid);
+    const auto *Found = Balance.choose(Mesh, Service, Version, Avoid, Request);
     return Found ? Found->Id.value() : "none";
   }
 
@@ -55,6 +55,7 @@
   document::MeshSnapshot Mesh;
   base::ServiceName Service{"s"};
   base::VersionName Version{"v"};
+  Balancer::Demand Request;
 };
 
 TEST_CASE_METHOD(BalancerTest, "choose prefers the zone up to its load limit") {
@@ -67,6 +68,31 @@
   CHECK(chooseMany(50)["far"] == 50);
 }
 
+// Guards against downloads that queue at one node of the zone while others
+// have a free link: free slots say nothing about the link.
+TEST_CASE_METHOD(BalancerTest,
+                 "choose avoids a busy link for large responses") {
+  add("busy", "a");
+  add("near", "a");
+  add("far", "b");
+  Load Work;
+  Work.Link = base::Millis(900);
+  Balance.reported(base::EndpointId("busy"), Work);
+  Request = {base::Millis(400), true};
+  CHECK(chooseMany(50)["near"] == 50);
+  Balance.reported(base::EndpointId("near"), Work);
+  CHECK(chooseMany(50)["far"] == 50);
+  // Within the time that the request may wait, the zone goes first.
+  Request.LocalWait = base::Millis(1'000);
+  CHECK(chooseMany(50)["far"] == 0);
+  // A report loses its meaning as the link works off what waits for it.
+  Time.advance(base::Millis(800));
+  Request.LocalWait = base::Millis(400);
+  CHECK(chooseMany(50)["far"] == 0);
+  Request = {};
+  CHECK(chooseMany(50)["far"] == 0);
+}
+
 TEST_CASE_METHOD(BalancerTest, "choose never takes draining or starting ones") {
   auto Before = base::invariantChecks();
   add("drains", "a", EndpointState::Draining);
--- a/tools/daemon/include/amaranth/daemon/DaemonSettings.h
+++ b/tools/daemon/include/amaranth/daemon/DaemonSettings.h
@@ -77,6 +77,8 @@
   /// Retry budget of all nodes together; absent: one of this node.
   std::optional<dataplane::SharedBudget> Retries;
   std::size_t HoldResponseBytes = 0;
+  /// What the link of this VM carries; 0 when it is not to be shaped.
+  std::uint64_t LinkBytesPerSecond = 0;
   /// Requests that were running at a crash of the upstream are isolated.
   bool IsolateCrashes = true;
   /// Callers are served for this time after the stop began.
--- a/tools/daemon/src/DaemonSettings.cpp
+++ b/tools/daemon/src/DaemonSettings.cpp
@@ -124,6 +124,14 @@
   return Result;
 }
 
+std::uint64_t readLink(base::SectionReader &Reader) {
+  constexpr double BytesPerMegabit = 125'000;
+  constexpr double MaxMegabits = 1e6;
+  return static_cast<std::uint64_t>(
+      Reader.number("link-megabits-per-second", 0, MaxMegabits, 0.0) *
+      BytesPerMegabit);
+}
+
 base::Millis readSilence(base::SectionReader &Reader, base::Millis Default) {
   if (!Reader.has("announce-interval-seconds"))
     return Default;
@@ -203,6 +211,7 @@
   Result.MetricsAddress = readOptional(Reader, "metrics-address");
   Result.CallerService = base::ServiceName(Reader.text("caller-service", ""));
   Result.Retries = readRetries(Reader);
+  Result.LinkBytesPerSecond = readLink(Reader);
   Result.HoldResponseBytes = Reader.byteSize("hold-response", 0);
   Result.IsolateCrashes = Reader.boolean("isolate-crashes", true);
   Result.LameDuck = Reader.seconds("lame-duck-seconds", base::Millis(0));
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -84,6 +84,7 @@
   Result.AnnounceSilence = Settings.AnnounceSilence;
   Result.SlowStart = Settings.SlowStart;
   Result.IsolateCrashes = Settings.IsolateCrashes;
+  Result.LinkBytesPerSecond = Settings.LinkBytesPerSecond;
   return Result;
 }
 
--- a/tools/daemon/test/DaemonSettings_test.cpp
+++ b/tools/daemon/test/DaemonSettings_test.cpp
@@ -46,6 +46,17 @@
   CHECK(Settings.ShutdownTimeout == base::Millis::seconds(30));
 }
 
+TEST_CASE_METHOD(DaemonSettingsTest,
+                 "readNodeSettings link speed is read in megabits") {
+  std::string Text = ValidNode + "announce-address = 127.0.0.1:3\n";
+  CHECK(readNodeSettings(write(Text)).LinkBytesPerSecond == 0);
+  CHECK(readNodeSettings(write(Text + "link-megabits-per-second = 12.5\n"))
+            .LinkBytesPerSecond == 1'562'500);
+  CHECK(faultsOf([&] {
+          readNodeSettings(write(Text + "link-megabits-per-second = -1\n"));
+        }) == 1);
+}
+
 TEST_CASE_METHOD(DaemonSettingsTest,
                  "readNodeSettings announce address must be loopback") {
   auto File = write(ValidNode + "announce-address = 10.0.0.1:3\n");
