Order the link by what is left, and measure each route by itself

Cause: under overload the order of objectives made one download after the other miss its objective by a little. Gates also took a route of which they knew nothing for a download, refused it, and therefore never measured it: one gate refused 1,004 calls and answered 3 with two of nine slots free.

Ruled out: slots (7 of 9 in use at the refusals) and the link itself (short responses do not wait for it).

Change: of the bodies that can be in time the one with the least left goes first; expected responses of running requests count as backlog; late downloads are taken only on a short backlog; the size of a response is known for its own route or not at all; every half second one request is taken although its deadline looks out of reach, so that old times are replaced.

--- a/dataplane/include/amaranth/dataplane/EgressShaper.h
+++ b/dataplane/include/amaranth/dataplane/EgressShaper.h
@@ -16,10 +16,11 @@
 /// Answers large responses on a narrow link. Sent as they arrive, they fill
 /// the send buffers of all connections and the link's queue, and every short
 /// message waits behind them: the calls that the upstream makes, and the
-/// responses to the calls of others. Here the large bodies wait instead, one
-/// piece at a time goes out, and the pieces leave in the order of `goesFirst`:
-/// responses that can still be in time complete one after the other instead of
-/// all late. Single-threaded.
+/// responses to the calls of others. Here the large bodies wait instead and one
+/// piece at a time goes out. The rank comes first, then what can still be in
+/// time, then the body with the least left to send: under overload the order of
+/// objectives would make one response after the other miss its objective by a
+/// little. Single-threaded.
 class EgressShaper {
 public:
   /// Larger pieces would keep short messages waiting; at 12 Mbit/s one takes
@@ -45,8 +46,9 @@
   boost::asio::awaitable<void> acquire(std::shared_ptr<ExchangeEnd> Sender,
                                        WaitingWork Work, std::size_t Piece,
                                        std::size_t Left);
-  /// Time that the link needs for the waiting bodies that go before `Work`.
-  base::Millis backlog(const WaitingWork &Work) const;
+  /// Time that the link needs for the waiting bodies that can be in time; with
+  /// `Late`, for all that wait.
+  base::Millis backlog(bool Late) const;
   /// Time that the link needs for `Bytes`; 0 for a link that is not shaped.
   base::Millis timeFor(std::size_t Bytes) const;
 
--- a/dataplane/src/EgressShaper.cpp
+++ b/dataplane/src/EgressShaper.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace asio = boost::asio;
 
@@ -40,6 +41,14 @@
     Credit = std::min(Credit, static_cast<double>(PieceBytes));
     FilledAt = Now;
   }
+  static bool sendsFirst(const Waiter &Left, const Waiter &Right,
+                         base::TimePoint Now) {
+    auto Key = [Now](const Waiter &Each) {
+      return std::tuple(Each.Work.Priority, isLate(Each.Work, Now), Each.Left,
+                        Each.Work.Sequence);
+    };
+    return Key(Left) < Key(Right);
+  }
   bool grantOne();
   asio::awaitable<void> grantAll();
 
@@ -62,7 +71,7 @@
   base::TimePoint Now = Time.now();
   auto First =
       std::ranges::min_element(Waiters, [Now](const auto &A, const auto &B) {
-        return goesFirst(A->Work, B->Work, Now);
+        return sendsFirst(*A, *B, Now);
       });
   std::shared_ptr<Waiter> Next = *First;
   Waiters.erase(First);
@@ -106,15 +115,13 @@
                                                 Self->BytesPerMilli));
 }
 
-base::Millis EgressShaper::backlog(const WaitingWork &Work) const {
+base::Millis EgressShaper::backlog(bool Late) const {
   base::TimePoint Now = Self->Time.now();
-  WaitingWork New = Work;
-  New.Sequence = Self->NextSequence;
-  std::size_t Before = 0;
+  std::size_t Waiting = 0;
   for (const auto &Each : Self->Waiters)
-    if (goesFirst(Each->Work, New, Now))
-      Before += Each->Left;
-  return timeFor(Before);
+    if (Late || !isLate(Each->Work, Now))
+      Waiting += Each->Left;
+  return timeFor(Waiting);
 }
 
 asio::awaitable<void> EgressShaper::acquire(std::shared_ptr<ExchangeEnd> Sender,
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -19,6 +19,9 @@
 /// A request is given up this part of its expected time before it could
 /// finish by its deadline, in percent: half of the requests take less.
 constexpr std::int64_t LatestStartPercent = 60;
+/// A late response is given this many times the time that the link needs for
+/// what waits, since responses that can be in time go before it.
+constexpr std::int64_t LateLinkFactor = 2;
 /// Larger announcements are taken for a mistake.
 constexpr std::uint32_t MaxSlots = 100'000;
 
@@ -215,7 +218,7 @@
   Newest.Priority = std::numeric_limits<std::uint32_t>::max();
   Newest.Objective = Newest.Deadline = Time.now();
   Work.Wait = Slots.expectedWait(Newest, Work.Service);
-  Work.Link = Egress.backlog(Newest);
+  Work.Link = Egress.backlog(false) + Egress.timeFor(PendingBytes);
   return Work;
 }
 
@@ -295,11 +298,19 @@
   return Found != Snapshot->Quarantine.end() && !Found->second.Convicted;
 }
 
-base::Millis Gate::Impl::expectedLink(const ServerExchange &Exchange) const {
-  auto Size = Sizes.expected(Exchange.Head.Route).value_or(0);
-  if (!Egress.shapes() || Size <= EgressShaper::PieceBytes)
+std::size_t Gate::Impl::expectedLarge(const ServerExchange &Exchange) const {
+  // The size of other routes says nothing: a call that was taken for a
+  // download would never be admitted, hence never be measured.
+  auto Size = Sizes.ofRoute(Exchange.Head.Route).value_or(0);
+  return Egress.shapes() && Size > EgressShaper::PieceBytes ? Size : 0;
+}
+
+base::Millis Gate::Impl::expectedLink(const ServerExchange &Exchange,
+                                      bool Late) const {
+  std::size_t Size = expectedLarge(Exchange);
+  if (Size == 0)
     return base::Millis(0);
-  return Egress.backlog(workOf(Exchange)) + Egress.timeFor(Size);
+  return Egress.backlog(Late) + Egress.timeFor(PendingBytes + Size);
 }
 
 bool Gate::Impl::deadlineReachable(const WaitingWork &Work, base::Millis Wait,
@@ -314,8 +325,19 @@
   return Wait + Work.Service + Link <= Left;
 }
 
-std::optional<Refusal>
-Gate::Impl::admission(const ServerExchange &Exchange) const {
+/// True when a request is to be taken although it is expected to miss its
+/// deadline. What is refused is not measured, so that times of a slow period
+/// would stay for ever where other routes keep the upstream busy.
+/// `Wait`: expected wait for a slot and for the link.
+bool Gate::Impl::probes(base::Millis Wait) {
+  constexpr base::Millis ProbeInterval = base::Millis(500);
+  if (Wait > base::Millis(0) || Time.now() < NextProbe)
+    return false;
+  NextProbe = Time.now() + ProbeInterval;
+  return true;
+}
+
+std::optional<Refusal> Gate::Impl::admission(const ServerExchange &Exchange) {
   const RequestHead &Head = Exchange.Head;
   if (auto Refused = stateRefusal())
     return Refused;
@@ -327,13 +349,17 @@
   WaitingWork Work = workOf(Exchange);
   base::Millis Wait =
       Slots.expectedWait(Work, Times.expected().value_or(base::Millis(0)));
-  base::Millis Link = expectedLink(Exchange);
+  // One that may be late goes behind all others, and new ones overtake it.
+  bool MayBeLate = !Head.Patience && Exchange.Objective < Exchange.Deadline;
+  base::Millis Link = expectedLink(Exchange, MayBeLate);
+  if (MayBeLate)
+    Link = Link * LateLinkFactor;
   auto Busy = [&](Reason Why, const char *Text) {
     auto Refused = refusal(Outcome::NotRun, Why, Text);
     Refused->RetryAfter = std::max(Wait + Link, BusyRetryAfter);
     return Refused;
   };
-  if (!deadlineReachable(Work, Wait, Link))
+  if (!deadlineReachable(Work, Wait, Link) && !probes(Wait + Link))
     return Busy(Reason::DeadlineUnreachable, "the deadline cannot be met");
   if (Head.Patience && Wait + Link > *Head.Patience)
     return Busy(Reason::WaitTooLong, "no slot is expected in time");
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -29,14 +29,35 @@
   Load load() const;
   std::optional<Refusal> refusal(Outcome What, Reason Why,
                                  std::string Text) const;
-  std::optional<Refusal> admission(const ServerExchange &Exchange) const;
+  std::optional<Refusal> admission(const ServerExchange &Exchange);
+  bool probes(base::Millis Wait);
   std::optional<Refusal> stateRefusal() const;
   std::optional<Refusal> quarantineRefusal(const RequestHead &Head) const;
   bool deadlineReachable(const WaitingWork &Work, base::Millis Wait,
                          base::Millis Link) const;
-  /// Time that a response of this route is expected to wait for the link and
-  /// to take there; 0 for short ones.
-  base::Millis expectedLink(const ServerExchange &Exchange) const;
+  /// Expected size of the response when it is to wait for the link; 0 for a
+  /// short one.
+  std::size_t expectedLarge(const ServerExchange &Exchange) const;
+  /// Time until the link has sent the response of a new request, with the
+  /// responses that are still at work at the upstream. With `Late`, behind
+  /// everything that waits.
+  base::Millis expectedLink(const ServerExchange &Exchange, bool Late) const;
+  /// The share of a response in `PendingBytes`, until the body is there.
+  class PendingResponse {
+  public:
+    PendingResponse(Impl &Owner, std::size_t Bytes)
+        : Owner(Owner), Bytes(Bytes) {
+      Owner.PendingBytes += Bytes;
+    }
+    ~PendingResponse() { arrived(); }
+    PendingResponse(const PendingResponse &) = delete;
+    PendingResponse &operator=(const PendingResponse &) = delete;
+    void arrived() { Owner.PendingBytes -= std::exchange(Bytes, 0); }
+
+  private:
+    Impl &Owner;
+    std::size_t Bytes;
+  };
   bool isSuspect(const RequestHead &Head) const;
   base::Millis expectedService(const RequestHead &Head) const;
   WaitingWork workOf(const ServerExchange &Exchange) const;
@@ -50,6 +71,7 @@
   /// One request that has a slot.
   struct Run {
     SlotHold &Slot;
+    PendingResponse &Response;
     /// A keyed request runs on without its caller, so that a resend gets its
     /// response; a suspect does, so that a crash is seen.
     bool RunsToEnd = false;
@@ -60,7 +82,7 @@
   };
   /// The last chance to refuse before a byte is sent.
   std::optional<Refusal> lastRefusal(const ServerExchange &Exchange) const;
-  Answer runWithSlot(Shared Exchange, bool Suspect);
+  Answer runWithSlot(Shared Exchange, bool Suspect, PendingResponse &Response);
   Answer claimAndRun(Shared Exchange, Run &State);
   Answer execute(Shared Exchange, Run &State);
   Answer failed(Shared Exchange, UpstreamError Failure, Run &State);
@@ -115,7 +137,10 @@
   CrashGuard Crashes;
   SlotQueue Slots;
   EgressShaper Egress;
+  base::TimePoint NextProbe{0};
   std::size_t SendingCount = 0;
+  /// Expected bytes of the large responses of admitted requests.
+  std::size_t PendingBytes = 0;
   RouteTimes Times;
   RouteSizes Sizes;
   UpstreamLifecycle Lifecycle;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -210,6 +210,7 @@
 Gate::Impl::Answer Gate::Impl::attempt(Shared Exchange) {
   if (auto Refused = admission(*Exchange))
     co_return Refused;
+  PendingResponse Response(*this, expectedLarge(*Exchange));
   bool Suspect = isSuspect(Exchange->Head);
   if (Suspect)
     if (auto Refused = co_await beginSuspect(Exchange))
@@ -219,7 +220,7 @@
   auto Granted = co_await Slots.acquire(std::move(Waiting), workOf(*Exchange),
                                         latestStart(*Exchange), Suspect);
   if (Granted == SlotQueue::Result::Granted)
-    co_return co_await runWithSlot(Exchange, Suspect);
+    co_return co_await runWithSlot(Exchange, Suspect, Response);
   if (Suspect)
     co_await endSuspect(Exchange, false);
   if (Granted == SlotQueue::Result::Ended)
@@ -233,7 +234,8 @@
                               "upstream changed its state");
 }
 
-Gate::Impl::Answer Gate::Impl::runWithSlot(Shared Exchange, bool Suspect) {
+Gate::Impl::Answer Gate::Impl::runWithSlot(Shared Exchange, bool Suspect,
+                                           PendingResponse &Response) {
   SlotHold Hold(Slots);
   Exchange->Started = Time.now();
   auto Refused = lastRefusal(*Exchange);
@@ -243,7 +245,7 @@
   if (!Refused && !Suspect && isSuspect(Exchange->Head))
     Refused = refusal(Outcome::NotRun, Reason::SuspectBusy,
                       "request is suspected of crashing upstreams");
-  Run State{Hold, Suspect || Exchange->Head.IdempotencyKey, Suspect};
+  Run State{Hold, Response, Suspect || Exchange->Head.IdempotencyKey, Suspect};
   if (!Refused)
     Refused = co_await claimAndRun(Exchange, State);
   if (Suspect)
@@ -415,6 +417,7 @@
   eraseConnectionHeaders(Head.Fields);
   Dialect.cleanResponse(Head.Fields);
   Head.Work = load();
+  State.Response.arrived();
   if (isShaped(*Exchange, Head) && !State.RunsToEnd) {
     co_await passShaped(std::move(Exchange), std::move(Call), std::move(Head),
                         State);
--- a/dataplane/src/MovingMedian.h
+++ b/dataplane/src/MovingMedian.h
@@ -54,13 +54,15 @@
 
   /// Of the route, or of all requests while the route was hardly seen.
   std::optional<Value> expected(const base::RouteName &Route) const {
-    auto Found = Routes.find(Route);
-    if (Found != Routes.end())
-      if (auto Known = Found->second.expected())
-        return Known;
-    return All.expected();
+    auto Known = ofRoute(Route);
+    return Known ? Known : All.expected();
   }
   std::optional<Value> expected() const { return All.expected(); }
+  /// Of the route alone; empty while it was hardly seen.
+  std::optional<Value> ofRoute(const base::RouteName &Route) const {
+    auto Found = Routes.find(Route);
+    return Found == Routes.end() ? std::nullopt : Found->second.expected();
+  }
 
 private:
   /// Bounds the memory; further routes share the overall median.
