Learn how long an upstream keeps idle connections

Cause: an upstream may forget idle connections sooner than it says. Requests sent on them were lost; those that may run once ended with status 502.

Change: a reset within 20 ms of a request on a reused connection limits the reuse of idle connections to half of that idle time for 10 s.

--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -102,6 +102,12 @@
   boost::asio::awaitable<void> passBody(Shared Exchange,
                                         std::shared_ptr<UpstreamCall> Call,
                                         ResponseHead Head, Run &State);
+  /// True for what this node asked for itself, which does not use the link.
+  bool isOwn(ExchangeEnd &Body) const;
+  /// Counts a message that does not wait for the link.
+  void countSent(ExchangeEnd &Body, std::size_t Bytes);
+  void postCounted(ExchangeEnd &Body, protocol::MessageType Type,
+                   base::Bytes Payload);
   /// True when the body is large enough to wait for the link.
   bool isShaped(ServerExchange &Exchange, const ResponseHead &Head) const;
   /// As `passBody`, for a body that waits for the link. The slot is free as
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -18,6 +18,8 @@
 
 /// Part of a response that is passed on at once. Most responses fit into it.
 constexpr std::size_t ResponsePieceBytes = 16U << 10U;
+/// Headers of the frame, of TCP and of IP around one message.
+constexpr std::size_t MessageOverheadBytes = 64;
 /// Bytes of a response that are read ahead of a narrow link. Larger responses
 /// keep the upstream's slot until the rest fits.
 constexpr std::size_t MaxReadAhead = 1U << 20U;
@@ -176,8 +178,18 @@
   if (!Refused || Exchange->Body.ended())
     co_return;
   Counters.refusal("gate", *Refused);
-  Exchange->Body.link().post(MessageType::Refusal, Exchange->Body.stream(),
-                             encode(*Refused));
+  postCounted(Exchange->Body, MessageType::Refusal, encode(*Refused));
+}
+
+void Gate::Impl::countSent(ExchangeEnd &Body, std::size_t Bytes) {
+  if (!isOwn(Body))
+    Egress.took(Bytes + MessageOverheadBytes);
+}
+
+void Gate::Impl::postCounted(ExchangeEnd &Body, MessageType Type,
+                             base::Bytes Payload) {
+  countSent(Body, Payload.size());
+  Body.link().post(Type, Body.stream(), std::move(Payload));
 }
 
 void Gate::Impl::logEnd(const ServerExchange &Exchange,
@@ -428,7 +440,7 @@
   ExchangeEnd &Body = Exchange->Body;
   bool Attached = !Body.ended();
   if (Attached)
-    Body.link().post(MessageType::ResponseHead, Body.stream(), encode(Head));
+    postCounted(Body, MessageType::ResponseHead, encode(Head));
   base::Bytes Buffer(ResponsePieceBytes);
   std::optional<ExchangeEnded> Gone;
   for (;;) {
@@ -440,7 +452,7 @@
       Claims.finish(Exchange->Head, Recorder.take());
     if (Attached) {
       base::Bytes Copy(Part.begin(), Part.end());
-      Egress.took(Count);
+      countSent(Body, Count);
       Exchange->BytesSent += Count;
       try {
         co_await Body.sendData(std::move(Copy), Count == 0);
@@ -462,13 +474,15 @@
   }
 }
 
+bool Gate::Impl::isOwn(ExchangeEnd &Body) const {
+  return Body.link().peer().Id == Options.Node.value();
+}
+
 bool Gate::Impl::isShaped(ServerExchange &Exchange,
                           const ResponseHead &Head) const {
   constexpr auto Short = static_cast<std::int64_t>(EgressShaper::PieceBytes);
   bool Large = Head.BodyLength == UnknownLength || Head.BodyLength > Short;
-  // What this node asked for itself does not use the link.
-  bool Remote = Exchange.Body.link().peer().Id != Options.Node.value();
-  return Egress.shapes() && Large && Remote;
+  return Egress.shapes() && Large && !isOwn(Exchange.Body);
 }
 
 asio::awaitable<void> Gate::Impl::passShaped(Shared Exchange,
@@ -478,7 +492,7 @@
   auto Ahead = std::make_shared<ReadAhead>();
   if (Head.BodyLength != UnknownLength)
     Ahead->Unread = static_cast<std::size_t>(Head.BodyLength);
-  Body.link().post(MessageType::ResponseHead, Body.stream(), encode(Head));
+  postCounted(Body, MessageType::ResponseHead, encode(Head));
   asio::co_spawn(
       Executor,
       [Keep = shared_from_this(), Exchange, Ahead]() -> asio::awaitable<void> {
@@ -564,7 +578,7 @@
   Head.BodyLength = static_cast<std::int64_t>(Stored.Body.size());
   Head.Work = load();
   ExchangeEnd &Body = Exchange->Body;
-  Body.link().post(MessageType::ResponseHead, Body.stream(), encode(Head));
+  postCounted(Body, MessageType::ResponseHead, encode(Head));
   base::ByteView Data = base::asBytes(Stored.Body);
   base::Bytes Copy(Data.begin(), Data.end());
   co_await Body.sendData(std::move(Copy), true);
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -1,6 +1,7 @@
 #include "amaranth/dataplane/UpstreamClient.h"
 
 #include "HttpText.h"
+#include "IdleLimit.h"
 #include "amaranth/base/Timeout.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -75,6 +76,7 @@
 
 struct UpstreamClient::Registry {
   std::set<Call *> Open;
+  IdleLimit Limit;
 };
 
 namespace {
@@ -83,10 +85,12 @@
                    public std::enable_shared_from_this<Call> {
 public:
   Call(std::shared_ptr<Pooled> Link, base::Clock &Time, base::Millis Silence,
-       bool Head, bool Chunked, std::shared_ptr<UpstreamClient::Registry> Calls,
+       bool Head, bool Chunked, std::optional<base::Millis> IdleFor,
+       std::shared_ptr<UpstreamClient::Registry> Calls,
        std::function<void(std::shared_ptr<Pooled>)> Put)
       : Link(std::move(Link)), Time(Time), Silence(Silence), Head(Head),
-        Chunked(Chunked), Calls(std::move(Calls)), Put(std::move(Put)) {
+        Chunked(Chunked), IdleFor(IdleFor), Started(Time.now()),
+        Calls(std::move(Calls)), Put(std::move(Put)) {
     this->Calls->Open.insert(this);
   }
   ~Call() override {
@@ -134,6 +138,8 @@
   void release();
   [[noreturn]] void fail(boost::system::error_code Failure) {
     abort();
+    if (IdleFor && !TimedOut && !Answered)
+      Calls->Limit.reset(Time.now(), *IdleFor, Time.now() - Started);
     if (TimedOut && Time.now() >= Deadline)
       throw UpstreamError(true, Reason::DeadlineExceeded,
                           "no response before the deadline");
@@ -148,6 +154,9 @@
   base::Millis Silence;
   bool Head;
   bool Chunked;
+  /// How long the connection had been idle; empty for a new one.
+  std::optional<base::Millis> IdleFor;
+  base::TimePoint Started;
   std::shared_ptr<UpstreamClient::Registry> Calls;
   std::function<void(std::shared_ptr<Pooled>)> Put;
   base::TimePoint Deadline = base::TimePoint::max();
@@ -157,6 +166,8 @@
   bool RequestWritten = false;
   bool ResponseRead = false;
   bool TimedOut = false;
+  /// The head of a response arrived.
+  bool Answered = false;
   /// Another response was read on this connection.
   bool Skipped = false;
 };
@@ -206,6 +217,7 @@
     Incoming->skip(Head);
     co_await readSome(true);
   } while (Incoming->get().result_int() < 200);
+  Answered = true;
   const auto &Message = Incoming->get();
   ResponseHead Result;
   Result.Status = Message.result_int();
@@ -306,14 +318,20 @@
   std::string Text = requestText(Method, Target, Fields);
   for (;;) {
     std::shared_ptr<Pooled> Link;
+    std::optional<base::Millis> IdleFor;
     while (!Keep->Idle.empty() && !Link) {
       // The most recent one is the least likely to have been closed.
       Link = std::move(Keep->Idle.back());
       Keep->Idle.pop_back();
-      if (Keep->Time.now() - Link->LastUsed > MaxAge || !Link->usable())
+      base::TimePoint Now = Keep->Time.now();
+      IdleFor = Now - Link->LastUsed;
+      if (*IdleFor > MaxAge || !Keep->Calls->Limit.allows(Now, *IdleFor) ||
+          !Link->usable())
         Link.reset();
     }
     bool Reused = Link != nullptr;
+    if (!Reused)
+      IdleFor.reset();
     if (!Link)
       Link = co_await Keep->connect();
     auto Put = [Keep,
@@ -325,7 +343,7 @@
     };
     auto Started = std::make_shared<Call>(
         Link, Keep->Time, Keep->Options.Silence, Method == "HEAD", Chunked,
-        Keep->Calls, std::move(Put));
+        IdleFor, Keep->Calls, std::move(Put));
     std::optional<UpstreamError> Failure;
     try {
       co_await Started->writeRaw(Text);
--- a/dataplane/test/Decisions_test.cpp
+++ b/dataplane/test/Decisions_test.cpp
@@ -1,4 +1,5 @@
 #include "AttemptPlan.h"
+#include "IdleLimit.h"
 #include "WorkOrder.h"
 #include "amaranth/dataplane/RetryBudget.h"
 
@@ -259,4 +260,34 @@
   }
 }
 
+// Guards against losing one request after the other on connections that the
+// upstream has forgotten.
+TEST_CASE("IdleLimit halves the time after which a connection was forgotten") {
+  IdleLimit Limit;
+  base::TimePoint Now(1'000);
+  CHECK(Limit.allows(Now, base::Millis(900)));
+  Limit.reset(Now, base::Millis(400), base::Millis(1));
+  CHECK_FALSE(Limit.allows(Now, base::Millis(400)));
+  CHECK(Limit.allows(Now, base::Millis(200)));
+  Limit.reset(Now, base::Millis(300), base::Millis(1));
+  CHECK_FALSE(Limit.allows(Now, base::Millis(150)));
+  CHECK(Limit.allows(Now, base::Millis(100)));
+}
+
+TEST_CASE("IdleLimit ignores a reset while the request was at work") {
+  IdleLimit Limit;
+  Limit.reset(base::TimePoint(1'000), base::Millis(400), base::Millis(150));
+  CHECK(Limit.allows(base::TimePoint(1'000), base::Millis(900)));
+}
+
+TEST_CASE("IdleLimit forgets a loss and keeps some reuse") {
+  IdleLimit Limit;
+  base::TimePoint Now(1'000);
+  for (int I = 0; I < 10; ++I)
+    Limit.reset(Now, base::Millis(30), base::Millis(1));
+  CHECK(Limit.allows(Now, IdleLimit::Least));
+  CHECK_FALSE(Limit.allows(Now, base::Millis(900)));
+  CHECK(Limit.allows(Now + IdleLimit::Memory, base::Millis(900)));
+}
+
 } // namespace amaranth::dataplane
