Tell callers of a node that has just started to come back in a second

Cause: a refusal before a route is known carried Retry-After of 30 ms, because the deadline was not known yet; callers with one retry spent it at once.

Change: the caller's own deadline is read first, and without a configuration or an endpoint the wait is a second, within a third of the caller's time. The new test fails without it.

--- a/dataplane/src/AttemptPlan.cpp
+++ b/dataplane/src/AttemptPlan.cpp
@@ -13,6 +13,10 @@
 /// Shorter pauses only cost a connection.
 constexpr base::Millis MinPause = base::Millis(30);
 constexpr double JitterPart = 0.3;
+/// A node that has just started gets its configuration, and an upstream the
+/// node's first answer, about a second after control is back; a caller that
+/// returns sooner wastes one of its few tries.
+constexpr base::Millis StartRoom = base::Millis(1000);
 
 } // namespace
 
@@ -48,6 +52,13 @@
   return true;
 }
 
+std::optional<base::Millis> roomAfter(Reason Why,
+                                      std::optional<base::Millis> Known) {
+  if (Why == Reason::NoConfiguration || Why == Reason::NoEndpoint)
+    return std::max(StartRoom, Known.value_or(StartRoom));
+  return Known;
+}
+
 base::Millis retryAfter(std::optional<base::Millis> Room, base::Millis Left,
                         double Jitter) {
   base::Millis Wanted = std::max(Room.value_or(UnknownRoom), MinPause);
--- a/dataplane/src/AttemptPlan.h
+++ b/dataplane/src/AttemptPlan.h
@@ -67,6 +67,11 @@
   std::optional<base::Millis> Room;
 };
 
+/// When there may be room for a request that was refused for `Why`; `Known` is
+/// what the gates said. Empty when nothing is known.
+std::optional<base::Millis> roomAfter(Reason Why,
+                                      std::optional<base::Millis> Known);
+
 /// When a refused caller should come back: when room is expected, spread by
 /// `Jitter` of -1 to 1 so that refused callers do not return together, and
 /// early enough that the request can still be served. Callers wait at most a
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -128,6 +128,8 @@
     return notRun(Reason::Malformed, Fault.what());
   }
   Id = Terms.Attempt;
+  // A refusal without a route also tells when to come back.
+  Deadline = Arrived + Terms.Wait.value_or(DefaultTimeout);
   if (auto Refused = findRoute())
     return Refused;
   if (auto Refused = checkLimits())
@@ -550,8 +552,9 @@
 asio::awaitable<void> EntryRequest::refuse(Refusal Why) {
   if (Why.What == Outcome::NotRun && Why.Why != Reason::NoRoute) {
     std::uniform_real_distribution<double> Jitter(-1, 1);
-    Why.RetryAfter = retryAfter(Plan.room(), Deadline - Shared->Time.now(),
-                                Jitter(Shared->Random));
+    Why.RetryAfter =
+        retryAfter(roomAfter(Why.Why, Plan.room()),
+                   Deadline - Shared->Time.now(), Jitter(Shared->Random));
   }
   unsigned Status = Shared->Dialect.statusOf(Why);
   Shared->Counters.refusal("entry", Why);
--- a/dataplane/test/Decisions_test.cpp
+++ b/dataplane/test/Decisions_test.cpp
@@ -290,4 +290,15 @@
   CHECK(Limit.allows(Now + IdleLimit::Memory, base::Millis(900)));
 }
 
+// Guards against callers that spend all of their tries within the second in
+// which a node that has just started gets its configuration.
+TEST_CASE("roomAfter lets callers of a node that has just started wait") {
+  CHECK(roomAfter(Reason::NoConfiguration, std::nullopt)->count() >= 500);
+  CHECK(roomAfter(Reason::NoEndpoint, base::Millis(30))->count() >= 500);
+  CHECK(roomAfter(Reason::QueueFull, base::Millis(30)) == base::Millis(30));
+  CHECK_FALSE(roomAfter(Reason::QueueFull, std::nullopt));
+  auto Room = roomAfter(Reason::NoConfiguration, std::nullopt);
+  CHECK(retryAfter(Room, base::Millis(2'000), 0).count() == 666);
+}
+
 } // namespace amaranth::dataplane
