End a response that its link does not carry by the deadline

Cause: since large bodies wait in the gate, the deadline of the call to the upstream no longer bounded them; a route's limit shorter than the caller's would have been passed without an answer.

Change: the gate breaks the response off at the deadline, and a request whose upstream has finished is no suspect of its later crash. Without the change the new test ends with the caller still waiting beyond the limit.

--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -79,6 +79,8 @@
     bool Crashed = false;
     /// The response head arrived.
     bool Answered = false;
+    /// The request may be the cause of a crash of the upstream.
+    std::optional<CrashGuard::Tracked> Tracked;
   };
   /// The last chance to refuse before a byte is sent.
   std::optional<Refusal> lastRefusal(const ServerExchange &Exchange) const;
@@ -99,9 +101,8 @@
   boost::asio::awaitable<void> drainBody(std::shared_ptr<UpstreamCall> Call);
   Answer forward(Shared Exchange, std::shared_ptr<UpstreamCall> Call,
                  Run &State);
-  boost::asio::awaitable<void> passBody(Shared Exchange,
-                                        std::shared_ptr<UpstreamCall> Call,
-                                        ResponseHead Head, Run &State);
+  Answer passBody(Shared Exchange, std::shared_ptr<UpstreamCall> Call,
+                  ResponseHead Head, Run &State);
   /// True for what this node asked for itself, which does not use the link.
   bool isOwn(ExchangeEnd &Body) const;
   /// Counts a message that does not wait for the link.
@@ -111,10 +112,10 @@
   /// True when the body is large enough to wait for the link.
   bool isShaped(ServerExchange &Exchange, const ResponseHead &Head) const;
   /// As `passBody`, for a body that waits for the link. The slot is free as
-  /// soon as the upstream has sent everything.
-  boost::asio::awaitable<void> passShaped(Shared Exchange,
-                                          std::shared_ptr<UpstreamCall> Call,
-                                          ResponseHead Head, Run &State);
+  /// soon as the upstream has sent everything. What the link has not carried
+  /// by the deadline breaks off.
+  Answer passShaped(Shared Exchange, std::shared_ptr<UpstreamCall> Call,
+                    ResponseHead Head, Run &State);
   /// Counts a response that may still be sent when its slot is free.
   class Sending {
   public:
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -260,6 +260,7 @@
   Run State{Hold, Response, Suspect || Exchange->Head.IdempotencyKey, Suspect};
   if (!Refused)
     Refused = co_await claimAndRun(Exchange, State);
+  State.Tracked.reset();
   if (Suspect)
     co_await endSuspect(Exchange, State.Crashed);
   co_return Refused;
@@ -301,7 +302,7 @@
 Gate::Impl::Answer Gate::Impl::execute(Shared Exchange, Run &State) {
   AMARANTH_INVARIANT(Lifecycle.state() == UpstreamState::Ready,
                      "work for an upstream that is not ready");
-  std::optional<CrashGuard::Tracked> Tracked;
+  std::optional<CrashGuard::Tracked> &Tracked = State.Tracked;
   Tracked.emplace(Crashes, Exchange->Head.Fingerprint);
   std::optional<UpstreamError> Failure;
   std::shared_ptr<UpstreamCall> Call;
@@ -409,8 +410,9 @@
                         "response without a sign of this upstream");
   State.Answered = true;
   if (What == UpstreamVerdict::Ran) {
-    co_await passBody(Exchange, std::move(Call), std::move(Head), State);
-    co_return std::nullopt;
+    auto Refused =
+        co_await passBody(Exchange, std::move(Call), std::move(Head), State);
+    co_return Refused;
   }
   if (Exchange->Head.IdempotencyKey)
     Claims.release(Exchange->Head);
@@ -423,17 +425,17 @@
                     "another process has the upstream's address");
 }
 
-asio::awaitable<void> Gate::Impl::passBody(Shared Exchange,
-                                           std::shared_ptr<UpstreamCall> Call,
-                                           ResponseHead Head, Run &State) {
+Gate::Impl::Answer Gate::Impl::passBody(Shared Exchange,
+                                        std::shared_ptr<UpstreamCall> Call,
+                                        ResponseHead Head, Run &State) {
   eraseConnectionHeaders(Head.Fields);
   Dialect.cleanResponse(Head.Fields);
   Head.Work = load();
   State.Response.arrived();
   if (isShaped(*Exchange, Head) && !State.RunsToEnd) {
-    co_await passShaped(std::move(Exchange), std::move(Call), std::move(Head),
-                        State);
-    co_return;
+    auto Refused = co_await passShaped(std::move(Exchange), std::move(Call),
+                                       std::move(Head), State);
+    co_return Refused;
   }
   bool Keyed = Exchange->Head.IdempotencyKey.has_value();
   ResponseRecorder Recorder(Head);
@@ -463,7 +465,7 @@
     }
     if (Count == 0) {
       Sizes.add(Exchange->Head.Route, Exchange->BytesSent);
-      co_return;
+      co_return std::nullopt;
     }
     // A response that is too large to be stored is of no use to a resend.
     if (Attached || State.Suspect || (Keyed && Recorder.fits()))
@@ -485,9 +487,9 @@
   return Egress.shapes() && Large && !isOwn(Exchange.Body);
 }
 
-asio::awaitable<void> Gate::Impl::passShaped(Shared Exchange,
-                                             std::shared_ptr<UpstreamCall> Call,
-                                             ResponseHead Head, Run &State) {
+Gate::Impl::Answer Gate::Impl::passShaped(Shared Exchange,
+                                          std::shared_ptr<UpstreamCall> Call,
+                                          ResponseHead Head, Run &State) {
   ExchangeEnd &Body = Exchange->Body;
   auto Ahead = std::make_shared<ReadAhead>();
   if (Head.BodyLength != UnknownLength)
@@ -518,10 +520,17 @@
   // The upstream is done with the request while the link is not.
   Exchange->Read = Time.now();
   State.Slot.release();
-  while (!Ahead->Sent && !Body.ended())
-    co_await Body.changed().wait();
-  if (!Ahead->Sent)
+  if (State.Tracked)
+    State.Tracked.reset();
+  while (!Ahead->Sent && !Body.ended() && Time.now() < Exchange->Deadline)
+    co_await Time.waitFor(Body.changed(), Exchange->Deadline);
+  if (Body.ended() && !Ahead->Sent)
     throw ExchangeEnded(Body.ending());
+  Ahead->Broken = !Ahead->Sent;
+  if (!Ahead->Sent)
+    co_return refusal(Outcome::Unknown, Reason::DeadlineExceeded,
+                      "the link did not carry the response in time");
+  co_return std::nullopt;
 }
 
 Headers Gate::Impl::requestFields(const ServerExchange &Exchange) const {
--- a/dataplane/test/EgressShaper_test.cpp
+++ b/dataplane/test/EgressShaper_test.cpp
@@ -317,6 +317,23 @@
   CHECK_FALSE(Large->Done);
 }
 
+// Guards against callers that wait beyond the route's limit for a response
+// that the upstream has finished long ago.
+TEST_CASE_METHOD(NarrowLinkTest, "A body that misses the deadline breaks off") {
+  auto Large = get(Left, "/size/900000");
+  runUntil([&] { return Upstream.BytesWritten == 900'000; });
+  settle();
+  // The link needs 11 s; the route allows 10 s.
+  for (int I = 0; I < 2'020 && !Large->Done; ++I) {
+    Time.advance(base::Millis(5));
+    Context.restart();
+    Context.poll();
+  }
+  runUntil([&] { return Large->Done; });
+  CHECK((Large->Reset || Large->status() == 504));
+  CHECK(Large->body().size() < 900'000);
+}
+
 TEST_CASE_METHOD(NarrowLinkTest, "A body that breaks off on the way resets") {
   auto Broken = get(Left, "/short");
   finish(*Broken);
