Drop a request whose caller left before it was read

A node that has fallen behind reads a request and the end of its connection together; the watch on the caller told only after the request had been passed on.

Change: the entry node looks at the connection once before it sends. The new test fails without it: the upstream sees the request.

--- a/dataplane/include/amaranth/dataplane/HttpConnection.h
+++ b/dataplane/include/amaranth/dataplane/HttpConnection.h
@@ -76,6 +76,9 @@
   /// request body is complete; until `stopWatch`.
   void watch(std::function<void()> OnClosed);
   void stopWatch();
+  /// True when the client has closed the connection by now. Tells at once what
+  /// `watch` tells after the events that are waiting already.
+  bool closed() const;
 
   /// True when the response is complete and another request may follow.
   bool reusable() const;
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -100,8 +100,11 @@
     Refused = co_await readPrefix();
   }
   if (!Refused) {
-    if (PrefixComplete)
+    if (PrefixComplete) {
       watchCaller();
+      // A process that fell behind reads the request and its end together.
+      CallerGone = Caller->closed();
+    }
     do
       Refused = co_await attempt();
     while (Refused && tryAgain(*Refused));
--- a/dataplane/src/HttpConnection.cpp
+++ b/dataplane/src/HttpConnection.cpp
@@ -33,6 +33,13 @@
     WriteDue = base::TimePoint::max();
   }
 
+  bool closed() {
+    char Byte = 0;
+    auto Count =
+        ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return Count == 0 || (Count < 0 && errno != EAGAIN);
+  }
+
   /// Sets the framing of the response and returns its head.
   std::string beginResponse(unsigned Status, Headers Fields,
                             std::int64_t BodyLength);
@@ -266,6 +273,8 @@
   co_await writeEnd();
 }
 
+bool HttpConnection::closed() const { return Self->closed(); }
+
 void HttpConnection::watch(std::function<void()> OnClosed) {
   Self->Watching = true;
   asio::co_spawn(
@@ -278,12 +287,8 @@
             asio::redirect_error(asio::use_awaitable, Failure));
         if (Generation != Keep->WatchGeneration || !Keep->Watching)
           co_return;
-        char Byte = 0;
-        auto Count = ::recv(Keep->Socket.native_handle(), &Byte, 1,
-                            MSG_PEEK | MSG_DONTWAIT);
-        bool Closed = Count == 0 || (Count < 0 && errno != EAGAIN);
         Keep->Watching = false;
-        if (Failure || Closed)
+        if (Failure || Keep->closed())
           OnClosed();
       },
       asio::detached);
--- a/dataplane/test/Entry_test.cpp
+++ b/dataplane/test/Entry_test.cpp
@@ -1,5 +1,6 @@
 #include "MeshFixture.h"
 
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 namespace amaranth::dataplane::testing {
@@ -124,4 +125,22 @@
   CHECK(Upstream.Seen.size() <= 6);
 }
 
+// Guards against a node that fell behind and passes on what nobody waits for.
+TEST_CASE_METHOD(EntryTest,
+                 "Request of a caller that left reaches no upstream") {
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  // The inner connection is open, so that nothing delays the request.
+  auto First = get(Node, "/first");
+  runUntil([&] { return First->Done; });
+  tcp::socket Socket(Context);
+  Socket.connect(
+      {asio::ip::make_address(Node.Entry.local().Ip), Node.Entry.local().Port});
+  std::string Text = "GET /left HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::write(Socket, asio::buffer(Text));
+  Socket.close();
+  settle();
+  CHECK(Upstream.Seen == std::vector<std::string>{"GET /first"});
+}
+
 } // namespace amaranth::dataplane::testing
