--- a/dataplane/include/amaranth/dataplane/EgressShaper.h
+++ b/dataplane/include/amaranth/dataplane/EgressShaper.h
@@ -17,10 +17,9 @@
 /// the send buffers of all connections and the link's queue, and every short
 /// message waits behind them: the calls that the upstream makes, and the
 /// responses to the calls of others. Here the large bodies wait instead and one
-/// piece at a time goes out. The rank comes first, then what can still be in
-/// time, then the body with the least left to send: under overload the order of
-/// objectives would make one response after the other miss its objective by a
-/// little. Single-threaded.
+/// piece at a time goes out, in the order of `goesFirst`: responses that can
+/// still be in time complete one after the other instead of all late.
+/// Single-threaded.
 class EgressShaper {
 public:
   /// Larger pieces would keep short messages waiting; at 12 Mbit/s one takes
--- a/dataplane/src/EgressShaper.cpp
+++ b/dataplane/src/EgressShaper.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <tuple>
 
 namespace asio = boost::asio;
 
@@ -41,14 +40,6 @@
     Credit = std::min(Credit, static_cast<double>(PieceBytes));
     FilledAt = Now;
   }
-  static bool sendsFirst(const Waiter &Left, const Waiter &Right,
-                         base::TimePoint Now) {
-    auto Key = [Now](const Waiter &Each) {
-      return std::tuple(Each.Work.Priority, isLate(Each.Work, Now), Each.Left,
-                        Each.Work.Sequence);
-    };
-    return Key(Left) < Key(Right);
-  }
   bool grantOne();
   asio::awaitable<void> grantAll();
 
@@ -71,7 +62,7 @@
   base::TimePoint Now = Time.now();
   auto First =
       std::ranges::min_element(Waiters, [Now](const auto &A, const auto &B) {
-        return sendsFirst(*A, *B, Now);
+        return goesFirst(A->Work, B->Work, Now);
       });
   std::shared_ptr<Waiter> Next = *First;
   Waiters.erase(First);
--- a/dataplane/test/EgressShaper_test.cpp
+++ b/dataplane/test/EgressShaper_test.cpp
@@ -180,8 +180,7 @@
 } // namespace
 
 // Replays downloads that ask for 0.9, 1.2 and 1.5 times of what bodies may
-// have of a link. Guards against an order in which one after the other misses
-// its objective by a little.
+// have of a link. Guards against bodies that share the link and are all late.
 TEST_CASE_METHOD(EgressShaperTest,
                  "Replay of downloads on a narrow link keeps more in time") {
   constexpr std::int64_t ObjectiveMs = 400;
