--- a/base/include/amaranth/base/Clock.h
+++ b/base/include/amaranth/base/Clock.h
@@ -21,6 +21,7 @@
 
   virtual TimePoint now() const = 0;
   virtual WallTime wallNow() const = 0;
+  virtual BootTime bootNow() const = 0;
 
   /// Resumes at or after `Deadline`. Must be awaited on an executor of the
   /// thread that owns the clock. Throws `boost::system::system_error` with
@@ -43,6 +44,7 @@
 public:
   TimePoint now() const override;
   WallTime wallNow() const override;
+  BootTime bootNow() const override;
   boost::asio::awaitable<void> sleepUntil(TimePoint Deadline) override;
   boost::asio::awaitable<void> waitFor(Signal &Awaited,
                                        TimePoint Deadline) override;
@@ -58,6 +60,7 @@
 
   TimePoint now() const override { return Now; }
   WallTime wallNow() const override { return Wall; }
+  BootTime bootNow() const override { return BootTime(Now.count()); }
   boost::asio::awaitable<void> sleepUntil(TimePoint Deadline) override;
 
   /// Moves time forward and wakes the sleepers that are due. They resume
--- a/base/include/amaranth/base/Millis.h
+++ b/base/include/amaranth/base/Millis.h
@@ -67,6 +67,7 @@
 
 struct MonotonicScale;
 struct WallScale;
+struct BootScale;
 
 } // namespace detail
 
@@ -76,6 +77,10 @@
 /// Milliseconds since the Unix epoch, UTC.
 using WallTime = detail::Point<detail::WallScale>;
 
+/// Milliseconds since the start of the machine. Unlike `TimePoint`, it counts
+/// the time in which the machine was suspended.
+using BootTime = detail::Point<detail::BootScale>;
+
 } // namespace amaranth::base
 
 #endif
--- a/base/src/Clock.cpp
+++ b/base/src/Clock.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 
 namespace asio = boost::asio;
 
@@ -27,6 +28,14 @@
           .count());
 }
 
+BootTime SystemClock::bootNow() const {
+  timespec Now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Now);
+  constexpr std::int64_t NanosPerMilli = 1'000'000;
+  return BootTime(Millis::seconds(Now.tv_sec).count() +
+                  Now.tv_nsec / NanosPerMilli);
+}
+
 asio::awaitable<void> SystemClock::sleepUntil(TimePoint Deadline) {
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   Timer.expires_at(std::chrono::steady_clock::time_point(
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -124,6 +124,9 @@
   std::optional<base::Millis> MaxQueueWait;
   /// The request must not be executed more than once.
   bool AtMostOnce = false;
+  /// When `Remaining` and `Objective` were counted, on the clock of the entry
+  /// node's machine; 0 if unknown.
+  base::BootTime Sent;
 };
 
 struct ResponseHead {
--- a/dataplane/include/amaranth/dataplane/ServerExchange.h
+++ b/dataplane/include/amaranth/dataplane/ServerExchange.h
@@ -35,6 +35,8 @@
   const base::TimePoint Arrived;
   /// Time at which the request got a slot.
   std::optional<base::TimePoint> Started;
+  /// How long the request was on its way from the entry node, at least.
+  base::Millis TransitDelay;
   /// Time at which the whole response had been read from the upstream.
   std::optional<base::TimePoint> ResponseRead;
   /// Response body bytes forwarded so far.
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -93,7 +93,7 @@
 
 asio::awaitable<void> EntryRequest::run() {
   Arrived = Context->Time.now();
-  Deadline = Arrived;
+  Deadline = LastAttempt = Arrived;
   MaybeRefusal Refused = prepare();
   if (!Refused) {
     Context->retryBudget(Service).recordRequest(Arrived);
@@ -271,6 +271,7 @@
   EvidenceCounted = false;
   InFlightGuard Tracked(Context->LoadBalancer, Target.Id);
   base::TimePoint Started = Context->Time.now();
+  LastAttempt = Started;
   AttemptHistory += fmt::format("{}{}@{}", AttemptHistory.empty() ? "" : ",",
                                 Target.Version.value(), Target.Id.value());
   MaybeRefusal Refused = co_await runExchange(Snapshot, Target);
@@ -602,12 +603,14 @@
   const document::MeshSnapshot *Snapshot = Routes ? &Routes->mesh() : nullptr;
   Log->info("request id={} from={} route={} service={} method={} document={} "
             "state={} "
-            "attempts={} trail={} took_ms={} left_ms={} status={} outcome={}",
+            "attempts={} trail={} last_attempt_ms={} took_ms={} left_ms={} "
+            "status={} outcome={}",
             RequestId, Caller->peer().address().to_string(),
             MatchedRoute.Name.value(), Service.value(), Request.Method,
             Snapshot ? Snapshot->Document.value() : 0,
             Snapshot ? Snapshot->State.value() : 0, Retries.attempts(),
-            AttemptHistory, (Context->Time.now() - Arrived).count(),
+            AttemptHistory, (LastAttempt - Arrived).count(),
+            (Context->Time.now() - Arrived).count(),
             (Deadline - Context->Time.now()).count(), Status, Outcome);
 }
 
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -87,6 +87,8 @@
   base::TimePoint Arrived;
   base::TimePoint Deadline;
   base::TimePoint Objective;
+  /// Start of the last attempt at a gate.
+  base::TimePoint LastAttempt;
   std::optional<std::string> IdempotencyKey;
   /// First bytes of the body, kept for retries and for the fingerprint.
   base::Bytes BodyPrefix;
--- a/dataplane/src/ExchangeServer.cpp
+++ b/dataplane/src/ExchangeServer.cpp
@@ -1,5 +1,7 @@
 #include "amaranth/dataplane/ExchangeServer.h"
 
+#include "TransitDelay.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
@@ -15,6 +17,7 @@
 struct ExchangeServer::Connection {
   std::shared_ptr<protocol::Channel> Channel;
   std::map<std::uint64_t, std::shared_ptr<ServerExchange>> Exchanges;
+  TransitDelay Transit;
 
   /// Ignores messages for exchanges that have already finished on this side.
   void deliver(const Frame &Message) {
@@ -56,9 +59,13 @@
                           encode(Rejection));
     return;
   }
+  base::Millis Delay;
+  if (Head.Sent != base::BootTime(0))
+    Delay = Client->Transit.record(Head.Sent, Time.bootNow());
   base::TimePoint Deadline = Time.now() + Head.Remaining;
   auto Exchange = std::make_shared<ServerExchange>(
       Executor, Client->Channel, Message.Stream, std::move(Head), Deadline);
+  Exchange->TransitDelay = Delay;
   Client->Exchanges.emplace(Message.Stream, Exchange);
   asio::co_spawn(
       Executor,
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -120,7 +120,8 @@
       Out, Service, Version, Method, Target, Fields, Head.Remaining.count(),
       Attempt, Key, Head.RequestHash, Head.Fingerprint, Head.BodyLength, Caller,
       Route, CallerAttempt, Head.Objective.count(), Head.Priority,
-      Head.MaxQueueWait ? Head.MaxQueueWait->count() : -1, Head.AtMostOnce));
+      Head.MaxQueueWait ? Head.MaxQueueWait->count() : -1, Head.AtMostOnce,
+      Head.Sent.count()));
   return protocol::takeBuffer(Out);
 }
 
@@ -205,6 +206,7 @@
   if (Table.patience_ms() >= 0)
     Head.MaxQueueWait = base::Millis(Table.patience_ms());
   Head.AtMostOnce = Table.runs_once();
+  Head.Sent = base::BootTime(Table.sent_boot_ms());
   return Head;
 }
 
--- a/dataplane/src/PeerPool.cpp
+++ b/dataplane/src/PeerPool.cpp
@@ -272,6 +272,7 @@
   co_await ensureConnected(Peer);
   auto To = Keep->findOrAddPeer(Peer);
   Head.Remaining = Deadline - Keep->Time.now();
+  Head.Sent = Keep->Time.bootNow();
   if (Head.Remaining <= base::Millis(0))
     throw notRun(RefusalReason::DeadlineExceeded,
                  "no connection before the deadline");
--- a/protocol/src/SocketChannel.cpp
+++ b/protocol/src/SocketChannel.cpp
@@ -1,5 +1,7 @@
 #include "SocketChannel.h"
 
+#include "amaranth/base/Log.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,6 +24,8 @@
 constexpr std::size_t MaxQueuedBytes = 1U << 20U;
 /// Frames gathered into one write.
 constexpr std::size_t MaxGatheredFrames = 32;
+/// Writes that took this long are logged.
+constexpr base::Millis LoggedWriteWait = base::Millis(100);
 
 /// Finds connections that carry nothing any more although none was reset.
 /// These options are hints: on a system without them the heartbeats remain.
@@ -106,7 +110,7 @@
   FrameHeader Header = encodeFrameHeader(Type, Stream, Payload.size());
   QueuedBytes += FrameHeaderBytes + Payload.size();
   LastQueued = Time.now();
-  Queue.push_back({Header, std::move(Payload)});
+  Queue.push_back({Header, std::move(Payload), LastQueued});
   Queued.notifyAll();
 }
 
@@ -157,8 +161,9 @@
       Buffers.push_back(asio::buffer(Queue[I].Header));
       Buffers.push_back(asio::buffer(Queue[I].Payload));
     }
+    std::size_t Written = 0;
     try {
-      std::size_t Written =
+      Written =
           co_await asio::async_write(Socket, Buffers, asio::use_awaitable);
       Sent += Written;
       QueuedBytes -= Written;
@@ -166,6 +171,12 @@
       close(Failure.code().message());
       co_return;
     }
+    base::Millis Waited = Time.now() - Queue.front().QueuedAt;
+    if (Waited >= LoggedWriteWait)
+      base::logger("protocol")
+          ->info("frames waited to be written peer={} waited_ms={} frames={} "
+                 "bytes={} queued_bytes={}",
+                 PeerIdentity.Id, Waited.count(), Count, Written, QueuedBytes);
     Queue.erase(Queue.begin(),
                 Queue.begin() + static_cast<std::ptrdiff_t>(Count));
     Drained.notifyAll();
--- a/protocol/src/SocketChannel.h
+++ b/protocol/src/SocketChannel.h
@@ -41,6 +41,7 @@
   struct Outgoing {
     FrameHeader Header;
     base::Bytes Payload;
+    base::TimePoint QueuedAt;
   };
 
   boost::asio::awaitable<void> writeLoop();
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -1,5 +1,6 @@
 #include "amaranth/daemon/ControlDaemon.h"
 
+#include "amaranth/base/EventLoopLag.h"
 #include "amaranth/base/InvariantMetric.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/control/ControlState.h"
@@ -127,7 +128,7 @@
   Parts(ControlSettings ControlConfig, EventLoop &Loop, base::Clock &Time)
       : Settings(std::move(ControlConfig)), Loop(Loop), Time(Time),
         Executor(Loop.context().get_executor()), Keys(readKeys(Settings)),
-        Invariants(Registry, Time),
+        Invariants(Registry, Time), LoopLag(Registry, Time),
         Disk(Settings.DataFolder, Executor), Self{protocol::Role::Control,
                                                   std::to_string(
                                                       Disk.id().value()),
@@ -170,6 +171,7 @@
   protocol::SharedKeys Keys;
   prometheus::Registry Registry;
   base::InvariantMetric Invariants;
+  base::EventLoopLag LoopLag;
   replication::LogStorage Disk;
   protocol::Identity Self;
   protocol::TcpDialer Dialer;
@@ -211,6 +213,7 @@
         return P.serveInner(std::move(Link));
       }));
   P.Loop.spawnEssential("invariant metric", P.Invariants.run());
+  P.Loop.spawnEssential("event loop lag", P.LoopLag.run());
   P.Loop.spawnEssential("operator server", P.Operators.run());
   P.Loop.spawnEssential("rollout controller", P.Rollouts.run());
   P.Loop.spawnEssential("timed rollouts", P.TimedRollouts.run());
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -1,6 +1,7 @@
 #include "amaranth/daemon/NodeDaemon.h"
 
 #include "amaranth/base/Digest.h"
+#include "amaranth/base/EventLoopLag.h"
 #include "amaranth/base/InvariantMetric.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/daemon/Shutdown.h"
@@ -131,9 +132,9 @@
       : Settings(std::move(NodeConfig)), Loop(Loop),
         Executor(Loop.context().get_executor()), Keys(readKeys(Settings)),
         Dialect(makeDialect(Settings.Interface)), Invariants(Registry, Time),
-        Dialer(identityOf(Settings), Keys, Time), Counters(Registry),
-        ConfigFollower(followerSettings(Settings), Executor, Time, Dialer,
-                       Registry),
+        LoopLag(Registry, Time), Dialer(identityOf(Settings), Keys, Time),
+        Counters(Registry), ConfigFollower(followerSettings(Settings), Executor,
+                                           Time, Dialer, Registry),
         Upstream(Executor, gateSettings(Settings), Time, ConfigFollower,
                  ConfigFollower, Counters, *Dialect),
         Exchanges(Executor, Upstream, Time),
@@ -168,6 +169,7 @@
   std::unique_ptr<dataplane::HttpDialect> Dialect;
   prometheus::Registry Registry;
   base::InvariantMetric Invariants;
+  base::EventLoopLag LoopLag;
   protocol::TcpDialer Dialer;
   dataplane::Metrics Counters;
   follower::Follower ConfigFollower;
@@ -198,6 +200,7 @@
         return P.serveInner(std::move(Link));
       }));
   P.Loop.spawnEssential("invariant metric", P.Invariants.run());
+  P.Loop.spawnEssential("event loop lag", P.LoopLag.run());
   P.Loop.spawnEssential("gate", P.Upstream.run());
   P.Loop.spawnEssential("peer pool", P.Peers.run());
   P.Loop.spawnEssential("caller server", P.Entry.serve());
