Deliver all received frames in one turn of the event loop

Cause: a channel read the header and the payload of each frame with an operation of its own, so a connection delivered half a frame for each turn of the event loop. In a busy process, frames waited in the receive buffer although the process had time to read them, and the writer at the other end was blocked.

Change: the channel reads into a buffer and takes every complete frame from it without suspending.

--- a/protocol/src/SocketChannel.cpp
+++ b/protocol/src/SocketChannel.cpp
@@ -6,11 +6,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <netinet/tcp.h>
 
 namespace asio = boost::asio;
@@ -22,6 +23,9 @@
 /// `send` waits above this; it bounds the memory of a connection whose peer
 /// reads slowly.
 constexpr std::size_t MaxQueuedBytes = 1U << 20U;
+/// Free space of the receive buffer for one read.
+constexpr std::size_t MinReadBytes = 8U << 10U;
+constexpr std::size_t MaxReadBytes = 64U << 10U;
 /// Frames gathered into one write.
 constexpr std::size_t MaxGatheredFrames = 32;
 /// Writes that took this long are logged.
@@ -79,17 +83,55 @@
   Sent += co_await asio::async_write(Socket, Buffers, asio::use_awaitable);
 }
 
-asio::awaitable<Frame> SocketChannel::readFrame() {
+std::optional<Frame> SocketChannel::takeFrame() {
+  std::size_t Available = Input.size() - InputBegin;
+  if (Available < FrameHeaderBytes)
+    return std::nullopt;
+  auto Begin = Input.begin() + static_cast<std::ptrdiff_t>(InputBegin);
   FrameHeader Raw{};
-  co_await asio::async_read(Socket, asio::buffer(Raw), asio::use_awaitable);
+  std::copy_n(Begin, FrameHeaderBytes, Raw.begin());
   DecodedHeader Header = decodeFrameHeader(Raw);
-  Frame Result{Header.Type, Header.Stream, base::Bytes(Header.PayloadBytes)};
-  if (Header.PayloadBytes != 0)
-    co_await asio::async_read(Socket, asio::buffer(Result.Payload),
-                              asio::use_awaitable);
-  Received += FrameHeaderBytes + Header.PayloadBytes;
+  std::size_t FrameBytes = FrameHeaderBytes + Header.PayloadBytes;
+  if (Available < FrameBytes) {
+    Input.reserve(InputBegin + FrameBytes);
+    return std::nullopt;
+  }
+  Frame Result{Header.Type, Header.Stream,
+               base::Bytes(Begin + FrameHeaderBytes,
+                           Begin + static_cast<std::ptrdiff_t>(FrameBytes))};
+  InputBegin += FrameBytes;
+  Received += FrameBytes;
+  return Result;
+}
+
+asio::awaitable<void> SocketChannel::readInput() {
+  Input.erase(Input.begin(),
+              Input.begin() + static_cast<std::ptrdiff_t>(InputBegin));
+  InputBegin = 0;
+  // An incomplete frame has reserved its size.
+  std::size_t Filled = Input.size();
+  std::size_t Room =
+      std::clamp(Input.capacity() - Filled, MinReadBytes, MaxReadBytes);
+  Input.resize(Filled + Room);
+  auto Free = asio::buffer(Input) + Filled;
+  boost::system::error_code Failure;
+  std::size_t Count = co_await Socket.async_read_some(
+      Free, asio::redirect_error(asio::use_awaitable, Failure));
+  Input.resize(Filled + Count);
+  if (Failure)
+    throw boost::system::system_error(Failure);
   LastReceived = Time.now();
-  co_return Result;
+  // Releases the memory of a large frame.
+  if (Input.capacity() > MaxReadBytes && Input.size() <= MinReadBytes)
+    Input.shrink_to_fit();
+}
+
+asio::awaitable<Frame> SocketChannel::readFrame() {
+  for (;;) {
+    if (auto Next = takeFrame())
+      co_return std::move(*Next);
+    co_await readInput();
+  }
 }
 
 asio::awaitable<void> SocketChannel::send(MessageType Type,
--- a/protocol/src/SocketChannel.h
+++ b/protocol/src/SocketChannel.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace amaranth::protocol::detail {
@@ -44,6 +45,10 @@
     base::TimePoint QueuedAt;
   };
 
+  /// Takes the next frame out of `Input`; nothing while it is incomplete.
+  std::optional<Frame> takeFrame();
+  /// Reads what the socket has into `Input`, at least one byte.
+  boost::asio::awaitable<void> readInput();
   boost::asio::awaitable<void> writeLoop();
   boost::asio::awaitable<void> heartbeatLoop();
   [[noreturn]] void throwClosed() const;
@@ -54,6 +59,9 @@
   base::Signal Queued;
   base::Signal Drained;
   base::Signal Closed;
+  /// Received bytes; those before `InputBegin` have been taken.
+  base::Bytes Input;
+  std::size_t InputBegin = 0;
   std::deque<Outgoing> Queue;
   std::size_t QueuedBytes = 0;
   std::uint64_t Sent = 0;
--- a/protocol/test/Connection_test.cpp
+++ b/protocol/test/Connection_test.cpp
@@ -4,9 +4,11 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 
@@ -87,6 +89,72 @@
   CHECK(Accepted->peer().Id == "n1");
 }
 
+// Guards against frames that wait in the receive buffer of a busy process
+// although it has time to read them: each turn of the event loop used to read
+// half a frame of a connection.
+TEST_CASE_METHOD(ConnectionTest,
+                 "Channel with received frames delivers them in few turns") {
+  dial("secret");
+  REQUIRE(Client);
+  constexpr std::uint64_t FrameCount = 50;
+  for (std::uint64_t I = 1; I <= FrameCount; ++I)
+    Client->post(MessageType::Delta, I, base::Bytes(100, 7));
+  runUntil(
+      [&] { return Accepted && Accepted->bytesReceived() > FrameCount * 100; });
+  // The server returns each frame. The client reads only after all of them have
+  // arrived in its receive buffer.
+  runUntil([&] { return Accepted->bytesSent() > FrameCount * 100; });
+  std::uint64_t Received = 0;
+  unsigned Turns = 0;
+  // Keeps the event loop busy: each run of this handler is one turn.
+  std::function<void()> Turn = [&] {
+    ++Turns;
+    if (Received < FrameCount)
+      asio::post(Context, Turn);
+  };
+  asio::post(Context, Turn);
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        while (Received < FrameCount) {
+          co_await Client->receive();
+          ++Received;
+        }
+      },
+      asio::detached);
+  runUntil([&] { return Received == FrameCount; });
+  constexpr unsigned MaxTurns = 5;
+  CHECK(Turns <= MaxTurns);
+}
+
+// Guards against a buffer that cannot hold a frame larger than one read.
+TEST_CASE_METHOD(ConnectionTest, "Channel delivers large and small frames") {
+  dial("secret");
+  REQUIRE(Client);
+  std::vector<std::size_t> Sizes = {0, 1, 100'000, 3, 2'000'000, 16'384, 5};
+  std::vector<std::size_t> Received;
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        for (std::size_t Size : Sizes)
+          co_await Client->send(MessageType::Delta, 1, base::Bytes(Size, 7));
+      },
+      asio::detached);
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        while (Received.size() < Sizes.size()) {
+          Frame Next = co_await Client->receive();
+          CHECK(std::ranges::count(Next.Payload, 7) ==
+                static_cast<std::ptrdiff_t>(Next.Payload.size()));
+          Received.push_back(Next.Payload.size());
+        }
+      },
+      asio::detached);
+  runUntil([&] { return Received.size() == Sizes.size(); });
+  CHECK(Received == Sizes);
+}
+
 TEST_CASE_METHOD(ConnectionTest, "Dialer with a wrong key is refused") {
   dial("guess");
   CHECK_FALSE(Client);
