Start no exchange before its cancellation was looked for

Cause: the gate started each request when its frame was delivered, and the first bytes left for the upstream before the next frame was looked at. A busy gate finds the request and its cancellation in the same receive buffer.

Change: the exchange server starts what it has received once the channel has no further message (Channel::hasReceived).

--- a/dataplane/include/amaranth/dataplane/ExchangeServer.h
+++ b/dataplane/include/amaranth/dataplane/ExchangeServer.h
@@ -33,6 +33,8 @@
   struct Connection;
 
   void open(std::shared_ptr<Connection> Client, const protocol::Frame &Message);
+  /// Starts the exchanges that have been received since the last call.
+  void startExchanges(std::shared_ptr<Connection> Client);
 
   boost::asio::any_io_executor Executor;
   Gate &Upstream;
--- a/dataplane/src/ExchangeServer.cpp
+++ b/dataplane/src/ExchangeServer.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace asio = boost::asio;
 using amaranth::protocol::Frame;
@@ -17,6 +19,8 @@
 struct ExchangeServer::Connection {
   std::shared_ptr<protocol::Channel> Channel;
   std::map<std::uint64_t, std::shared_ptr<ServerExchange>> Exchanges;
+  /// Exchanges that have been received but not started.
+  std::vector<std::shared_ptr<ServerExchange>> Unstarted;
   TransitDelay Transit;
 
   /// Ignores messages for exchanges that have already finished on this side.
@@ -67,15 +71,20 @@
       Executor, Client->Channel, Message.Stream, std::move(Head), Deadline);
   Exchange->TransitDelay = Delay;
   Client->Exchanges.emplace(Message.Stream, Exchange);
-  asio::co_spawn(
-      Executor,
-      [this, Client, Exchange]() -> asio::awaitable<void> {
-        co_await Upstream.serve(Exchange);
-        Exchange->Body.end(
-            {ExecutionOutcome::Unknown, RefusalReason::Cancelled, "finished"});
-        Client->Exchanges.erase(Exchange->Body.streamId());
-      },
-      asio::detached);
+  Client->Unstarted.push_back(std::move(Exchange));
+}
+
+void ExchangeServer::startExchanges(std::shared_ptr<Connection> Client) {
+  for (auto &Exchange : std::exchange(Client->Unstarted, {}))
+    asio::co_spawn(
+        Executor,
+        [this, Client, Exchange]() -> asio::awaitable<void> {
+          co_await Upstream.serve(Exchange);
+          Exchange->Body.end({ExecutionOutcome::Unknown,
+                              RefusalReason::Cancelled, "finished"});
+          Client->Exchanges.erase(Exchange->Body.streamId());
+        },
+        asio::detached);
 }
 
 asio::awaitable<void>
@@ -100,6 +109,9 @@
         throw base::ProtocolError(fmt::format(
             "unexpected message type {}", static_cast<unsigned>(Message.Type)));
       }
+      // A cancellation may have arrived behind its request.
+      if (!Client->Channel->hasReceived())
+        startExchanges(Client);
     }
   } catch (const protocol::ChannelClosed &Error) {
     Cause = Error.what();
--- a/follower/test/Simulation.h
+++ b/follower/test/Simulation.h
@@ -44,6 +44,7 @@
   void post(protocol::MessageType Type, std::uint64_t Stream,
             base::Bytes Payload) override;
   boost::asio::awaitable<protocol::Frame> receive() override;
+  bool hasReceived() const override { return Inner->hasReceived(); }
   void close(const std::string &Reason) override { Inner->close(Reason); }
   bool isOpen() const override { return Inner->isOpen(); }
   std::uint64_t bytesSent() const override { return Inner->bytesSent(); }
--- a/protocol/include/amaranth/protocol/Channel.h
+++ b/protocol/include/amaranth/protocol/Channel.h
@@ -70,6 +70,10 @@
   /// when the connection ended or was silent for `SilenceTimeout`.
   virtual boost::asio::awaitable<Frame> receive() = 0;
 
+  /// True if a further message has been received, so that `receive` returns
+  /// without waiting.
+  virtual bool hasReceived() const = 0;
+
   /// Ends the connection; pending operations throw `ChannelClosed`.
   virtual void close(const std::string &Reason) = 0;
   virtual bool isOpen() const = 0;
--- a/protocol/src/SocketChannel.cpp
+++ b/protocol/src/SocketChannel.cpp
@@ -83,31 +83,30 @@
   Sent += co_await asio::async_write(Socket, Buffers, asio::use_awaitable);
 }
 
-std::optional<Frame> SocketChannel::takeFrame() {
-  std::size_t Available = Input.size() - InputBegin;
-  if (Available < FrameHeaderBytes)
-    return std::nullopt;
-  auto Begin = Input.begin() + static_cast<std::ptrdiff_t>(InputBegin);
-  FrameHeader Raw{};
-  std::copy_n(Begin, FrameHeaderBytes, Raw.begin());
-  DecodedHeader Header = decodeFrameHeader(Raw);
-  std::size_t FrameBytes = FrameHeaderBytes + Header.PayloadBytes;
-  if (Available < FrameBytes) {
-    Input.reserve(InputBegin + FrameBytes);
-    return std::nullopt;
+void SocketChannel::takeFrames() {
+  base::ByteView Rest(Input);
+  while (Rest.size() >= FrameHeaderBytes) {
+    FrameHeader Raw{};
+    std::copy_n(Rest.begin(), FrameHeaderBytes, Raw.begin());
+    DecodedHeader Header = decodeFrameHeader(Raw);
+    std::size_t FrameBytes = FrameHeaderBytes + Header.PayloadBytes;
+    if (Rest.size() < FrameBytes) {
+      Input.reserve(Input.size() - Rest.size() + FrameBytes);
+      break;
+    }
+    base::ByteView Payload =
+        Rest.subspan(FrameHeaderBytes, Header.PayloadBytes);
+    if (Header.Type != MessageType::Heartbeat)
+      ReceivedFrames.push_back({Header.Type, Header.Stream,
+                                base::Bytes(Payload.begin(), Payload.end())});
+    Received += FrameBytes;
+    Rest = Rest.subspan(FrameBytes);
   }
-  Frame Result{Header.Type, Header.Stream,
-               base::Bytes(Begin + FrameHeaderBytes,
-                           Begin + static_cast<std::ptrdiff_t>(FrameBytes))};
-  InputBegin += FrameBytes;
-  Received += FrameBytes;
-  return Result;
+  Input.erase(Input.begin(),
+              Input.end() - static_cast<std::ptrdiff_t>(Rest.size()));
 }
 
 asio::awaitable<void> SocketChannel::readInput() {
-  Input.erase(Input.begin(),
-              Input.begin() + static_cast<std::ptrdiff_t>(InputBegin));
-  InputBegin = 0;
   // An incomplete frame has reserved its size.
   std::size_t Filled = Input.size();
   std::size_t Room =
@@ -121,17 +120,18 @@
   if (Failure)
     throw boost::system::system_error(Failure);
   LastReceived = Time.now();
+  takeFrames();
   // Releases the memory of a large frame.
-  if (Input.capacity() > MaxReadBytes && Input.size() <= MinReadBytes)
+  if (Input.empty() && Input.capacity() > MaxReadBytes)
     Input.shrink_to_fit();
 }
 
 asio::awaitable<Frame> SocketChannel::readFrame() {
-  for (;;) {
-    if (auto Next = takeFrame())
-      co_return std::move(*Next);
+  while (ReceivedFrames.empty())
     co_await readInput();
-  }
+  Frame Next = std::move(ReceivedFrames.front());
+  ReceivedFrames.pop_front();
+  co_return Next;
 }
 
 asio::awaitable<void> SocketChannel::send(MessageType Type,
@@ -160,9 +160,7 @@
   auto Self = shared_from_this();
   while (Open) {
     try {
-      Frame Next = co_await readFrame();
-      if (Next.Type != MessageType::Heartbeat)
-        co_return Next;
+      co_return co_await readFrame();
     } catch (const boost::system::system_error &Failure) {
       close(Failure.code() == asio::error::eof ? "closed by the peer"
                                                : Failure.code().message());
--- a/protocol/src/SocketChannel.h
+++ b/protocol/src/SocketChannel.h
@@ -8,7 +8,6 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <deque>
-#include <optional>
 #include <vector>
 
 namespace amaranth::protocol::detail {
@@ -33,6 +32,7 @@
   void post(MessageType Type, std::uint64_t Stream,
             base::Bytes Payload) override;
   boost::asio::awaitable<Frame> receive() override;
+  bool hasReceived() const override { return Open && !ReceivedFrames.empty(); }
   void close(const std::string &Reason) override;
   bool isOpen() const override { return Open; }
   std::uint64_t bytesSent() const override { return Sent; }
@@ -45,10 +45,10 @@
     base::TimePoint QueuedAt;
   };
 
-  /// Takes the next frame out of `Input`; nothing while it is incomplete.
-  std::optional<Frame> takeFrame();
-  /// Reads what the socket has into `Input`, at least one byte.
+  /// Reads what the socket has, at least one byte.
   boost::asio::awaitable<void> readInput();
+  /// Moves the complete frames of `Input` to `ReceivedFrames`.
+  void takeFrames();
   boost::asio::awaitable<void> writeLoop();
   boost::asio::awaitable<void> heartbeatLoop();
   [[noreturn]] void throwClosed() const;
@@ -59,9 +59,10 @@
   base::Signal Queued;
   base::Signal Drained;
   base::Signal Closed;
-  /// Received bytes; those before `InputBegin` have been taken.
+  /// Received bytes of incomplete frames.
   base::Bytes Input;
-  std::size_t InputBegin = 0;
+  /// Complete frames except heartbeats.
+  std::deque<Frame> ReceivedFrames;
   std::deque<Outgoing> Queue;
   std::size_t QueuedBytes = 0;
   std::uint64_t Sent = 0;
--- a/protocol/test/MemoryChannel.h
+++ b/protocol/test/MemoryChannel.h
@@ -22,6 +22,7 @@
   void post(MessageType Type, std::uint64_t Stream,
             base::Bytes Payload) override;
   boost::asio::awaitable<Frame> receive() override;
+  bool hasReceived() const override { return !Inbox.empty(); }
   void close(const std::string &Reason) override;
   bool isOpen() const override { return Open; }
   std::uint64_t bytesSent() const override { return Sent; }
