Count the deadline of a request from its departure

Cause: the gate added the remaining time in a request head to the moment at which it read the head. Time in the sender's queue, on the link and in the receive buffer was not counted, so a late request looked fresh, and its upstream was told a deadline that was too long.

Change: the gate takes the measured delay of the request off its deadline and its objective, and refuses at once what has expired on the way. TransitDelay measures against the fastest recent message of the connection on the clocks that count suspended time, so it needs no common time of day.

--- a/dataplane/include/amaranth/dataplane/ServerExchange.h
+++ b/dataplane/include/amaranth/dataplane/ServerExchange.h
@@ -13,10 +13,10 @@
   ServerExchange(const boost::asio::any_io_executor &Executor,
                  std::shared_ptr<protocol::Channel> Channel,
                  std::uint64_t StreamId, RequestHead Request,
-                 base::TimePoint Deadline)
-      : Head(std::move(Request)), Deadline(Deadline),
-        Objective(Deadline - Head.Remaining + Head.Objective),
-        Arrived(Deadline - Head.Remaining),
+                 base::TimePoint Arrived, base::Millis TransitDelay)
+      : Head(std::move(Request)), Arrived(Arrived), TransitDelay(TransitDelay),
+        Deadline(Arrived - TransitDelay + Head.Remaining),
+        Objective(Arrived - TransitDelay + Head.Objective),
         Body(Executor, std::move(Channel), StreamId,
              ExchangeStream::Role::Gate) {}
 
@@ -29,14 +29,14 @@
   }
 
   const RequestHead Head;
+  const base::TimePoint Arrived;
+  /// How long the request was on its way from the entry node, at least.
+  const base::Millis TransitDelay;
   const base::TimePoint Deadline;
   /// Time by which a response meets the latency objective.
   const base::TimePoint Objective;
-  const base::TimePoint Arrived;
   /// Time at which the request got a slot.
   std::optional<base::TimePoint> Started;
-  /// How long the request was on its way from the entry node, at least.
-  base::Millis TransitDelay;
   /// Time at which the whole response had been read from the upstream.
   std::optional<base::TimePoint> ResponseRead;
   /// Response body bytes forwarded so far.
--- a/dataplane/src/ExchangeServer.cpp
+++ b/dataplane/src/ExchangeServer.cpp
@@ -66,10 +66,9 @@
   base::Millis Delay;
   if (Head.Sent != base::BootTime(0))
     Delay = Client->Transit.record(Head.Sent, Time.bootNow());
-  base::TimePoint Deadline = Time.now() + Head.Remaining;
   auto Exchange = std::make_shared<ServerExchange>(
-      Executor, Client->Channel, Message.Stream, std::move(Head), Deadline);
-  Exchange->TransitDelay = Delay;
+      Executor, Client->Channel, Message.Stream, std::move(Head), Time.now(),
+      Delay);
   Client->Exchanges.emplace(Message.Stream, Exchange);
   Client->Unstarted.push_back(std::move(Exchange));
 }
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -368,6 +368,10 @@
                        "another service or version runs here");
   if (auto Refused = quarantineRefusal(Head))
     return Refused;
+  if (Time.now() >= Exchange.Deadline)
+    return makeRefusal(ExecutionOutcome::NotRun,
+                       RefusalReason::DeadlineExceeded,
+                       "the deadline passed on the way to this node");
   SchedulingParams Work = schedulingParams(Exchange);
   base::Millis Wait = Slots.expectedWait(
       Work, ServiceTimes.expected().value_or(base::Millis(0)));
--- a/dataplane/src/TransitDelay.h
+++ b/dataplane/src/TransitDelay.h
@@ -4,6 +4,7 @@
 #include "amaranth/base/Millis.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace amaranth::dataplane {
 
@@ -21,9 +22,10 @@
   /// Records a message and returns its delay.
   base::Millis record(base::BootTime Sent, base::BootTime Received) {
     base::Millis Difference(Received.count() - Sent.count());
-    if (Received - WindowStart >= Window) {
+    if (!WindowStart || Received - *WindowStart >= Window) {
       // After a longer pause, the previous window is outdated too.
-      Previous = Received - WindowStart >= Window * 2 ? Difference : Current;
+      bool Outdated = !WindowStart || Received - *WindowStart >= Window * 2;
+      Previous = Outdated ? Difference : Current;
       Current = Difference;
       WindowStart = Received;
     }
@@ -32,7 +34,7 @@
   }
 
 private:
-  base::BootTime WindowStart = base::BootTime(0) - Window * 2;
+  std::optional<base::BootTime> WindowStart;
   /// Smallest difference of the clocks in this window and in the one before.
   base::Millis Current;
   base::Millis Previous;
--- a/dataplane/test/ExchangeServer_test.cpp
+++ b/dataplane/test/ExchangeServer_test.cpp
@@ -41,6 +41,22 @@
     Entry->post(MessageType::RequestHead, NextStream++, encode(Head));
   }
 
+  /// Receives the next refusal and skips the messages before it.
+  Refusal receiveRefusal() {
+    std::optional<Refusal> Result;
+    auto Receive = [](std::shared_ptr<MemoryChannel> From,
+                      std::optional<Refusal> &Into) -> asio::awaitable<void> {
+      while (!Into) {
+        protocol::Frame Next = co_await From->receive();
+        if (Next.Type == MessageType::Refusal)
+          Into = decodeRefusal(Next.Payload);
+      }
+    };
+    spawn(Receive(Entry, Result));
+    runUntil([&] { return Result.has_value(); });
+    return *Result;
+  }
+
   TestNode &Node;
   TestUpstream &Upstream;
   std::shared_ptr<MemoryChannel> Entry;
@@ -59,4 +75,29 @@
   CHECK(Upstream.Seen == std::vector<std::string>{"GET /wanted"});
 }
 
+// Guards against a deadline that starts when the gate reads the request: one
+// that waited on the way reached the upstream after its caller had left.
+TEST_CASE_METHOD(ExchangeServerTest,
+                 "Request delayed beyond its deadline is not run") {
+  // The fastest message gives the offset of the two clocks.
+  constexpr base::Millis ClockOffset = base::Millis(123'456);
+  base::BootTime OnTime = Time.bootNow() + ClockOffset;
+  postRequest("/first", OnTime, base::Millis(700));
+  runUntil([&] { return Upstream.Seen.size() == 1; });
+
+  Time.advance(base::Millis(800));
+  postRequest("/late", OnTime, base::Millis(700));
+  Refusal Late = receiveRefusal();
+  CHECK(Late.Outcome == ExecutionOutcome::NotRun);
+  CHECK(Late.Reason == RefusalReason::DeadlineExceeded);
+  CHECK(Upstream.Seen.size() == 1);
+
+  postRequest("/in-time", OnTime, base::Millis(1000));
+  runUntil([&] { return Upstream.Seen.size() == 2; });
+  const auto *Passed =
+      findHeader(Upstream.SeenFields[1], "X-Request-Deadline-Ms");
+  REQUIRE(Passed);
+  CHECK(std::stoi(*Passed) == 200);
+}
+
 } // namespace amaranth::dataplane::testing
