Bound what is read of a response without end

An upstream in trouble may send bytes that are no answer without end, in a head or in a body, until the caller closes.

Cause: heads and forwarded bodies were bounded already, by the size limit of a head, flow control and the deadline. Three loops were not: informational responses before the final one, responses to other requests, and the rest of a response that says that the request was not run. They went on until the deadline, held the slot, and the caller got 'unknown' instead of 'not run'.

Change: at most 16 informational responses, and 8 responses or 1 MiB of other requests, are skipped before the call fails as broken. The rest of a refusal is read for 64 KiB or 100 ms; then its connection is closed and the caller gets 'not run', which the head says.

Tests: EndlessResponse_test. 'Endless head is answered with 502' (with endless 100 Continue), 'Endless body of a refusal ...' and 'Stalled body of a refusal ...' failed before; the cases of an endless head, of surplus bytes and of an endless body passed before, too. All pass now.

--- a/dataplane/include/amaranth/dataplane/UpstreamClient.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamClient.h
@@ -36,15 +36,16 @@
 
   virtual boost::asio::awaitable<void> writeBody(base::ByteView Data) = 0;
   virtual boost::asio::awaitable<void> writeEnd() = 0;
-  /// Reads the head of the final response and skips informational ones. Without
-  /// a length, the body extends to the end of the connection.
+  /// Reads the head of the final response and skips informational ones, up to a
+  /// limit. Without a length, the body extends to the end of the connection.
   virtual boost::asio::awaitable<ResponseHead> readHead() = 0;
   /// Reads the next part of the response body; returns 0 at its end. Throws if
   /// the body is shorter than its declared length.
   virtual boost::asio::awaitable<std::size_t>
   readBody(std::span<std::uint8_t> Into) = 0;
   /// Discards the rest of a response that belongs to another request. The next
-  /// head may be the matching one. The connection is not reused.
+  /// head may be the matching one. The connection is not reused. Throws if the
+  /// responses that were skipped exceed a limit in number or size.
   virtual boost::asio::awaitable<void> skipResponse() = 0;
   /// After `Deadline` the call fails with `RefusalReason::DeadlineExceeded`.
   /// The precision is that of the calls to `UpstreamClient::abortExpiredCalls`.
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -104,8 +104,10 @@
   boost::asio::awaitable<ResponseHead>
   readOwnHead(ExchangePtr Exchange, std::shared_ptr<UpstreamCall> Call);
   /// Reads and discards the rest of a response that is not forwarded, so that
-  /// its connection can be reused.
-  boost::asio::awaitable<void> discardBody(std::shared_ptr<UpstreamCall> Call);
+  /// its connection can be reused. Closes the connection instead if the rest is
+  /// long or slow.
+  boost::asio::awaitable<void> discardBody(ExchangePtr Exchange,
+                                           std::shared_ptr<UpstreamCall> Call);
   RefusalTask forwardResponse(ExchangePtr Exchange,
                               std::shared_ptr<UpstreamCall> Call,
                               Execution &State);
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -18,6 +18,10 @@
 
 /// Read buffer size for response bodies. Most responses fit into one buffer.
 constexpr std::size_t ResponsePieceBytes = 16U << 10U;
+/// Limits for the rest of a response that is not forwarded. The caller waits
+/// for it, and its only use is a connection that can be used again.
+constexpr std::size_t MaxDiscardedBytes = 64U << 10U;
+constexpr base::Millis MaxDiscardTime = base::Millis(100);
 /// Frame, TCP and IP headers of one message.
 constexpr std::size_t MessageOverheadBytes = 64;
 /// Bytes of a response that are buffered while they wait for the link. A larger
@@ -401,10 +405,22 @@
 }
 
 asio::awaitable<void>
-Gate::Impl::discardBody(std::shared_ptr<UpstreamCall> Call) {
-  base::Bytes Buffer(MaxPieceBytes);
-  while (co_await Call->readBody(Buffer) != 0)
-    ;
+Gate::Impl::discardBody(ExchangePtr Exchange,
+                        std::shared_ptr<UpstreamCall> Call) {
+  Call->setDeadline(std::min(Exchange->Deadline, Time.now() + MaxDiscardTime));
+  base::Bytes Buffer(ResponsePieceBytes);
+  std::size_t Discarded = 0;
+  try {
+    while (Discarded <= MaxDiscardedBytes) {
+      std::size_t Count = co_await Call->readBody(Buffer);
+      if (Count == 0)
+        co_return;
+      Discarded += Count;
+    }
+  } catch (const UpstreamError &) {
+    // The head has already told the outcome of the request.
+  }
+  Call->abort();
 }
 
 Gate::Impl::RefusalTask
@@ -440,7 +456,7 @@
   }
   if (Exchange->Head.IdempotencyKey)
     Claims.release(Exchange->Head);
-  co_await discardBody(Call);
+  co_await discardBody(Exchange, Call);
   if (Verdict == ResponseClass::NotExecuted)
     co_return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::UpstreamShed,
                           "upstream answered " + std::to_string(Head.Status) +
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -30,6 +30,12 @@
 
 namespace {
 
+/// What one call accepts before the response to its request: a faulty upstream
+/// may send such responses without end.
+constexpr unsigned MaxInformationalResponses = 16;
+constexpr unsigned MaxSkippedResponses = 8;
+constexpr std::size_t MaxSkippedBytes = 1U << 20U;
+
 struct PooledConnection {
   explicit PooledConnection(tcp::socket Connected)
       : Socket(std::move(Connected)) {}
@@ -171,8 +177,9 @@
   bool TimedOut = false;
   /// The response head has been received.
   bool Answered = false;
-  /// Another request's response was skipped on this connection.
-  bool Skipped = false;
+  /// Responses to other requests, and the bytes of their bodies.
+  unsigned SkippedResponses = 0;
+  std::size_t SkippedBytes = 0;
 };
 
 asio::awaitable<void> Call::writeBody(base::ByteView Data) {
@@ -215,7 +222,12 @@
 
 asio::awaitable<ResponseHead> Call::readHead() {
   auto Keep = shared_from_this();
+  unsigned HeadsRead = 0;
   do {
+    if (HeadsRead++ > MaxInformationalResponses)
+      throw UpstreamError(true, RefusalReason::UpstreamBroken,
+                          fmt::format("more than {} informational responses",
+                                      MaxInformationalResponses));
     Incoming.emplace();
     Incoming->header_limit(MaxHeaderBytes);
     Incoming->body_limit(boost::none);
@@ -240,13 +252,19 @@
 
 asio::awaitable<void> Call::skipResponse() {
   auto Keep = shared_from_this();
-  Skipped = true;
-  base::Bytes Buffer(MaxPieceBytes);
-  while (!Incoming->is_done()) {
-    Incoming->get().body().data = Buffer.data();
-    Incoming->get().body().size = Buffer.size();
+  ++SkippedResponses;
+  base::Bytes Discarded(MaxPieceBytes);
+  while (!Incoming->is_done() && SkippedBytes <= MaxSkippedBytes) {
+    Incoming->get().body().data = Discarded.data();
+    Incoming->get().body().size = Discarded.size();
     co_await readSome(false);
+    SkippedBytes += Discarded.size() - Incoming->get().body().size;
   }
+  if (SkippedResponses > MaxSkippedResponses || !Incoming->is_done())
+    throw UpstreamError(
+        true, RefusalReason::UpstreamBroken,
+        fmt::format("{} responses with {} bytes belong to other requests",
+                    SkippedResponses, SkippedBytes));
 }
 
 asio::awaitable<std::size_t> Call::readBody(std::span<std::uint8_t> Into) {
@@ -268,7 +286,7 @@
   if (!RequestWritten || !ResponseRead || !Connection)
     return;
   // Data after the response belongs to no request.
-  if (Skipped || Buffer.size() != 0 || !Incoming->keep_alive()) {
+  if (SkippedResponses != 0 || Buffer.size() != 0 || !Incoming->keep_alive()) {
     abort();
     return;
   }
--- /dev/null
+++ b/dataplane/test/EndlessResponse_test.cpp
@@ -0,0 +1,191 @@
+#include "MeshFixture.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace amaranth::dataplane::testing {
+
+/// A node whose upstream answers the first request of each connection with
+/// `Prefix` and then sends `Filler` until the connection is closed.
+class EndlessResponseTest : public MeshFixture {
+protected:
+  /// What the node may read of an endless response, with kernel buffers.
+  static constexpr std::size_t MaxBytes = 4U << 20U;
+
+  EndlessResponseTest()
+      : Node(addNode("n")),
+        Listener(Context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    auto Accept = [](EndlessResponseTest &Test) -> asio::awaitable<void> {
+      boost::system::error_code Failure;
+      while (!Failure) {
+        auto Socket = std::make_shared<tcp::socket>(Test.Context);
+        co_await Test.Listener.async_accept(
+            *Socket, asio::redirect_error(asio::use_awaitable, Failure));
+        if (!Failure)
+          Test.spawn(answer(Test, Socket));
+      }
+    };
+    spawn(Accept(*this));
+    Announcement Message;
+    Message.Service = base::ServiceName("s");
+    Message.Version = base::VersionName("v1");
+    Message.Upstream = {"127.0.0.1", Listener.local_endpoint().port()};
+    Message.Slots = 4;
+    Message.ReportedState = Announcement::State::Ready;
+    Message.Incarnation = Message.Sequence = 1;
+    REQUIRE(Node.UpstreamGate.announce(Message));
+    applyPublished();
+  }
+  ~EndlessResponseTest() {
+    Stopping = true;
+    boost::system::error_code Ignored;
+    Listener.close(Ignored);
+  }
+
+  static asio::awaitable<void> answer(EndlessResponseTest &Test,
+                                      std::shared_ptr<tcp::socket> Socket) {
+    ++Test.Connections;
+    boost::system::error_code Failure;
+    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+    std::string Request;
+    co_await asio::async_read_until(*Socket, asio::dynamic_buffer(Request),
+                                    "\r\n\r\n", Token);
+    co_await asio::async_write(*Socket, asio::buffer(Test.Prefix), Token);
+    while (!Failure && !Test.Stopping && !Test.Filler.empty())
+      Test.BytesWritten +=
+          co_await asio::async_write(*Socket, asio::buffer(Test.Filler), Token);
+    // Without a filler, the response just never ends.
+    while (!Failure && !Test.Stopping)
+      co_await Socket->async_read_some(asio::buffer(Request), Token);
+    ++Test.Closed;
+  }
+
+  /// Sends a POST, which is not retried, and returns the response.
+  std::shared_ptr<CallerResult> exchange(std::string Head, std::string Rest) {
+    Prefix = std::move(Head);
+    Filler = std::move(Rest);
+    auto Result = post(Node, "/x", "b");
+    runUntil([&] { return Result->Done; });
+    return Result;
+  }
+
+  /// Checks that no connection is kept for another request.
+  void checkClosed() {
+    runUntil([&] { return Closed == Connections; });
+    CHECK(BytesWritten < MaxBytes);
+    CHECK(Node.UpstreamGate.load().InFlight == 0);
+  }
+
+  TestNode &Node;
+  tcp::acceptor Listener;
+  std::string Prefix;
+  std::string Filler;
+  std::size_t BytesWritten = 0;
+  unsigned Connections = 0;
+  unsigned Closed = 0;
+  bool Stopping = false;
+};
+
+// Guards against a head without end that fills the memory of the gate or holds
+// its slot until the deadline.
+TEST_CASE_METHOD(EndlessResponseTest, "Endless head is answered with 502") {
+  struct Case {
+    std::string Prefix;
+    std::string Filler;
+  };
+  const std::vector<Case> Cases = {
+      {"", std::string(1000, 'x')},
+      {"", std::string(1000, '\0')},
+      {"HTTP/1.1 200 OK\r\nX: ", std::string(1000, 'x')},
+      {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 200 OK\r\nX-Test-Mismatched: 1\r\n"
+           "Content-Length: 0\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nX-Test-Mismatched: 1\r\n\r\n",
+       std::string(1000, 'x')},
+  };
+  for (const Case &Each : Cases) {
+    INFO(Each.Prefix << Each.Filler.substr(0, 60));
+    BytesWritten = 0;
+    auto Result = exchange(Each.Prefix, Each.Filler);
+    CHECK(Result->status() == 502);
+    CHECK(Result->has("X-Amaranth-Outcome: unknown"));
+    checkClosed();
+  }
+}
+
+// Guards against a caller that waits for the end of a body that it does not
+// get: the head already says that the request was not run.
+TEST_CASE_METHOD(EndlessResponseTest,
+                 "Endless body of a refusal is answered with not-run") {
+  auto Result = exchange("HTTP/1.1 503 Busy\r\nX-Test-Not-Executed: 1\r\n\r\n",
+                         std::string(1000, 'x'));
+  CHECK(Result->status() == 503);
+  CHECK(Result->has("X-Amaranth-Outcome: not-run"));
+  CHECK(Result->has("X-Amaranth-Reason: upstream-shed"));
+  checkClosed();
+}
+
+TEST_CASE_METHOD(EndlessResponseTest,
+                 "Stalled body of a refusal is answered with not-run") {
+  Prefix = "HTTP/1.1 503 Busy\r\nX-Test-Not-Executed: 1\r\n"
+           "Content-Length: 10\r\n\r\n";
+  auto Result = post(Node, "/x", "b");
+  runUntil([&] { return Connections == 1; });
+  settle();
+  constexpr int MaxSteps = 4;
+  for (int Step = 0; Step < MaxSteps && !Result->Done; ++Step) {
+    Time.advance(base::Millis(100));
+    settle();
+  }
+  REQUIRE(Result->Done);
+  CHECK(Result->has("X-Amaranth-Outcome: not-run"));
+  checkClosed();
+}
+
+// Guards against surplus bytes that reach the next request.
+TEST_CASE_METHOD(EndlessResponseTest,
+                 "Endless bytes behind a response end its connection") {
+  for (unsigned Round = 1; Round <= 2; ++Round) {
+    auto Result = exchange("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd",
+                           std::string(1000, 'x'));
+    CHECK(Result->status() == 200);
+    CHECK(Result->body() == "abcd");
+    CHECK(Connections == Round);
+  }
+}
+
+// Guards against an answer that looks complete, and against memory that grows
+// with the response.
+TEST_CASE_METHOD(EndlessResponseTest,
+                 "Endless body ends with a reset at the deadline") {
+  Prefix = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  Filler = "3e8\r\n" + std::string(1000, 'x') + "\r\n";
+  PauseReading = true;
+  auto Result = get(Node, "/x", "X-Request-Deadline-Ms: 500\r\n");
+  runUntil([&] { return BytesWritten > 0; });
+  std::size_t Before = 0;
+  do {
+    Before = BytesWritten;
+    settle();
+  } while (BytesWritten != Before);
+  // Two flow-control windows and the kernel buffers of three connections.
+  CHECK(Before < 24'000'000);
+  Time.advance(base::Millis(600));
+  runUntil([&] { return Closed == 1; });
+  PauseReading = false;
+  Release.notifyAll();
+  runUntil([&] { return Result->Done; });
+  CHECK(Result->Reset);
+  CHECK(Node.UpstreamGate.load().InFlight == 0);
+}
+
+} // namespace amaranth::dataplane::testing
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -50,6 +50,41 @@
   std::vector<Headers> SeenFields;
 };
 
+/// The native dialect with fields by which an upstream says more about a
+/// response.
+class TestDialect final : public HttpDialect {
+public:
+  CallerMetadata callerMetadata(const Headers &Fields) const override {
+    return Native.callerMetadata(Fields);
+  }
+  void setUpstreamFields(Headers &Fields,
+                         const UpstreamMetadata &Metadata) const override {
+    Native.setUpstreamFields(Fields, Metadata);
+  }
+  ResponseClass
+  classifyResponse(const ResponseHead &Head,
+                   const std::string & /*Attempt*/) const override {
+    if (findHeader(Head.Fields, "X-Test-Mismatched"))
+      return ResponseClass::Mismatched;
+    return findHeader(Head.Fields, "X-Test-Not-Executed")
+               ? ResponseClass::NotExecuted
+               : ResponseClass::Executed;
+  }
+  void removeInternalFields(Headers &Fields) const override {
+    Native.removeInternalFields(Fields);
+  }
+  unsigned statusOf(const Refusal &Refused) const override {
+    return Native.statusOf(Refused);
+  }
+  Headers refusalFields(const Refusal &Refused,
+                        const std::string &Attempt) const override {
+    return Native.refusalFields(Refused, Attempt);
+  }
+
+private:
+  NativeDialect Native;
+};
+
 /// A complete node on loopback addresses.
 struct TestNode {
   TestNode(boost::asio::io_context &Context, base::Clock &Time,
@@ -59,7 +94,7 @@
 
   prometheus::Registry Registry;
   Metrics Counters;
-  NativeDialect Dialect;
+  TestDialect Dialect;
   protocol::TcpDialer Dialer;
   protocol::Listener Inner;
   Gate UpstreamGate;
