Accept all waiting nodes in one turn of the event loop

Change: after each accepted connection, up to 64 waiting ones are accepted without suspending; the handler of a connection is a named function now.

Test: 'Listener accepts waiting connections in few turns'.

--- a/protocol/include/amaranth/protocol/Connection.h
+++ b/protocol/include/amaranth/protocol/Connection.h
@@ -71,6 +71,9 @@
   /// Accepts until `stop`. Each connection runs in its own task.
   boost::asio::awaitable<void> serve(Handler Handle);
 
+  /// Open connections, authenticated or not.
+  std::size_t connections() const;
+
   /// Stops accepting; open connections are not touched.
   void stop();
 
--- a/protocol/src/Connection.cpp
+++ b/protocol/src/Connection.cpp
@@ -19,6 +19,8 @@
 
 constexpr base::Millis HandshakeTimeout = base::Millis(2000);
 constexpr base::Millis AcceptRetryDelay = base::Millis(100);
+/// Leaves time for the open connections while many nodes connect.
+constexpr unsigned MaxAcceptsPerTurn = 64;
 
 tcp::endpoint endpointOf(const base::Address &Address) {
   return {asio::ip::make_address(Address.Ip), Address.Port};
@@ -55,11 +57,20 @@
       fmt::format("cannot connect to {}: {}", Peer.text(), Reason));
 }
 
-struct Listener::Impl {
+struct Listener::Impl : std::enable_shared_from_this<Listener::Impl> {
   Impl(const asio::any_io_executor &Executor, const base::Address &Local,
        Identity Self, SharedKeys Keys, base::Clock &Time)
       : Acceptor(Executor, endpointOf(Local)), Self(std::move(Self)),
-        Keys(std::move(Keys)), Time(Time) {}
+        Keys(std::move(Keys)), Time(Time) {
+    Acceptor.non_blocking(true);
+  }
+
+  /// Accepts the connections that are in the accept queue.
+  void acceptWaiting(const Handler &Handle);
+  /// Serves the connection in a task of its own, unless there are too many.
+  void startConnection(tcp::socket Socket, const Handler &Handle);
+  asio::awaitable<void>
+  serveConnection(std::shared_ptr<detail::SocketChannel> Link, Handler Handle);
 
   tcp::acceptor Acceptor;
   Identity Self;
@@ -97,6 +108,8 @@
   return {Bound.address().to_string(), Bound.port()};
 }
 
+std::size_t Listener::connections() const { return Shared->Connections; }
+
 void Listener::stop() {
   boost::system::error_code Ignored;
   Shared->Acceptor.close(Ignored);
@@ -118,36 +131,58 @@
       co_await Keep->Time.sleepFor(AcceptRetryDelay);
       continue;
     }
-    if (Keep->Connections >= MaxConnections)
-      continue;
-    auto Link =
-        std::make_shared<detail::SocketChannel>(std::move(Socket), Keep->Time);
-    asio::co_spawn(
-        Keep->Acceptor.get_executor(),
-        [Keep, Link, Handle]() -> asio::awaitable<void> {
-          ConnectionCount Counted(Keep->Connections);
-          std::string Reason = "handler finished";
-          try {
-            bool Opened = co_await base::withTimeout(
-                Keep->Time, HandshakeTimeout,
-                detail::openAsListener(Link, Keep->Self, Keep->Keys));
-            if (!Opened)
-              throw base::ProtocolError("handshake timed out");
-            co_await Handle(Link);
-          } catch (const ChannelClosed &) {
-            Reason = "closed";
-          } catch (const boost::system::system_error &Error) {
-            Reason = Error.code().message();
-          } catch (const std::exception &Error) {
-            Reason = Error.what();
-            base::logger("protocol")
-                ->warn("connection ended peer=\"{}\" error=\"{}\"",
-                       Link->peer().Id, Reason);
-          }
-          Link->close(Reason);
-        },
-        asio::detached);
+    Keep->startConnection(std::move(Socket), Handle);
+    Keep->acceptWaiting(Handle);
+  }
+}
+
+void Listener::Impl::acceptWaiting(const Handler &Handle) {
+  for (unsigned I = 0; I < MaxAcceptsPerTurn && Acceptor.is_open(); ++I) {
+    tcp::socket Socket(Acceptor.get_executor());
+    boost::system::error_code Failure;
+    Acceptor.accept(Socket, Failure);
+    // The next asynchronous accept reports a real error.
+    if (Failure)
+      return;
+    startConnection(std::move(Socket), Handle);
+  }
+}
+
+void Listener::Impl::startConnection(tcp::socket Socket,
+                                     const Handler &Handle) {
+  if (Connections >= MaxConnections)
+    return;
+  auto Link = std::make_shared<detail::SocketChannel>(std::move(Socket), Time);
+  asio::co_spawn(
+      Acceptor.get_executor(),
+      [Keep = shared_from_this(), Link, Handle]() -> asio::awaitable<void> {
+        co_await Keep->serveConnection(Link, Handle);
+      },
+      asio::detached);
+}
+
+asio::awaitable<void>
+Listener::Impl::serveConnection(std::shared_ptr<detail::SocketChannel> Link,
+                                Handler Handle) {
+  ConnectionCount Counted(Connections);
+  std::string Reason = "handler finished";
+  try {
+    bool Opened = co_await base::withTimeout(
+        Time, HandshakeTimeout, detail::openAsListener(Link, Self, Keys));
+    if (!Opened)
+      throw base::ProtocolError("handshake timed out");
+    co_await Handle(Link);
+  } catch (const ChannelClosed &) {
+    Reason = "closed";
+  } catch (const boost::system::system_error &Error) {
+    Reason = Error.code().message();
+  } catch (const std::exception &Error) {
+    Reason = Error.what();
+    base::logger("protocol")
+        ->warn("connection ended peer=\"{}\" error=\"{}\"", Link->peer().Id,
+               Reason);
   }
+  Link->close(Reason);
 }
 
 } // namespace amaranth::protocol
--- a/protocol/test/Connection_test.cpp
+++ b/protocol/test/Connection_test.cpp
@@ -199,6 +199,30 @@
   CHECK(Client->isOpen());
 }
 
+// Guards against nodes that wait in the accept queue of a busy process: each
+// turn of the event loop used to accept one connection.
+TEST_CASE_METHOD(ConnectionTest,
+                 "Listener accepts waiting connections in few turns") {
+  constexpr std::size_t ClientCount = 50;
+  auto Address = Server.local();
+  std::vector<asio::ip::tcp::socket> Clients;
+  for (std::size_t I = 0; I < ClientCount; ++I) {
+    Clients.emplace_back(Context);
+    Clients.back().connect({asio::ip::make_address(Address.Ip), Address.Port});
+  }
+  unsigned Turns = 0;
+  // Keeps the event loop busy: each run of this handler is one turn.
+  std::function<void()> Turn = [&] {
+    ++Turns;
+    if (Server.connections() < ClientCount)
+      asio::post(Context, Turn);
+  };
+  asio::post(Context, Turn);
+  runUntil([&] { return Server.connections() == ClientCount; });
+  constexpr unsigned MaxTurns = 5;
+  CHECK(Turns <= MaxTurns);
+}
+
 // Guards against a connection that holds memory before it is authenticated.
 TEST_CASE_METHOD(ConnectionTest,
                  "Listener garbage instead of a Hello closes the connection") {
