Check a request again after the connect to its upstream

Cause: the gate checked cancellation, deadline and the state of the upstream, and wrote the remaining time into the head, before it opened a connection. The connect may take up to a second when the accept queue of the upstream is full; then the request was sent although its caller had left, or with a deadline that was too long.

Change: UpstreamClient::begin asks for the header fields when the connection is open, and the gate repeats its last check there. A request that is not sent is refused as not run with the actual reason.

Tests: 'Request cancelled during the connect is not run' and 'Request expired during the connect is not run'. Before, the upstream ran both; now neither.

--- a/dataplane/include/amaranth/dataplane/UpstreamClient.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamClient.h
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <span>
 
@@ -87,11 +88,17 @@
 
   /// Sets the address. Closes the pooled connections if it changed.
   void setAddress(const base::Address &Upstream);
-  /// Writes the head, on a new connection if no pooled one is usable.
+  /// Provides the header fields of a request.
+  using FieldSource = std::function<Headers()>;
+
+  /// Writes the head, on a new connection if no pooled one is usable. Calls
+  /// `Fields` after the connection is open, right before the head is written:
+  /// the deadline in it is current then. If it throws an `UpstreamError`,
+  /// nothing is sent and the error is passed on.
   /// `BodyLength` determines the framing of the body. `AtMostOnce` means that
   /// the request must not be executed more than once.
   boost::asio::awaitable<std::shared_ptr<UpstreamCall>>
-  begin(std::string Method, std::string Target, Headers Fields,
+  begin(std::string Method, std::string Target, FieldSource Fields,
         std::int64_t BodyLength, bool AtMostOnce);
   /// True if a new connection is refused, that is, no process listens. False if
   /// it is accepted or the result is unknown.
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -308,9 +308,14 @@
 asio::awaitable<std::shared_ptr<UpstreamCall>>
 Gate::Impl::beginCall(ExchangePtr Exchange) {
   const RequestHead &Head = Exchange->Head;
-  Headers Fields = requestFields(*Exchange);
   std::string Method = Head.Method;
   std::string Target = Head.Target;
+  UpstreamClient::FieldSource Fields = [this, Exchange] {
+    // The request may have expired or been cancelled during the connect.
+    if (auto Refused = refusalBeforeSend(*Exchange))
+      throw UpstreamError(false, Refused->Reason, Refused->Text);
+    return requestFields(*Exchange);
+  };
   co_return co_await Client.begin(std::move(Method), std::move(Target),
                                   std::move(Fields), Head.BodyLength,
                                   Head.AtMostOnce);
@@ -380,8 +385,10 @@
         Options.CrashReportTimeout);
   if (!Failure.sent()) {
     State.Crashed = false;
-    co_return makeRefusal(ExecutionOutcome::NotRun,
-                          RefusalReason::UpstreamUnreachable, Failure.what());
+    auto Reason = Failure.reason() == RefusalReason::UpstreamBroken
+                      ? RefusalReason::UpstreamUnreachable
+                      : Failure.reason();
+    co_return makeRefusal(ExecutionOutcome::NotRun, Reason, Failure.what());
   }
   co_return makeRefusal(ExecutionOutcome::Unknown,
                         State.Crashed ? RefusalReason::UpstreamCrashed
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -328,18 +328,28 @@
   closeIdleConnections();
 }
 
+namespace {
+
+/// Adds the field that defines the length of a request body.
+Headers withFraming(Headers Fields, const std::string &Method,
+                    std::int64_t BodyLength) {
+  if (BodyLength == UnknownLength)
+    Fields.emplace_back("Transfer-Encoding", "chunked");
+  else if (BodyLength != 0 || !isIdempotent(Method))
+    Fields.emplace_back("Content-Length", std::to_string(BodyLength));
+  return Fields;
+}
+
+} // namespace
+
 asio::awaitable<std::shared_ptr<UpstreamCall>>
-UpstreamClient::begin(std::string Method, std::string Target, Headers Fields,
-                      std::int64_t BodyLength, bool AtMostOnce) {
+UpstreamClient::begin(std::string Method, std::string Target,
+                      FieldSource Fields, std::int64_t BodyLength,
+                      bool AtMostOnce) {
   auto Keep = Shared;
   base::Millis MaxAge = AtMostOnce ? Keep->Options.MaxIdleAgeAtMostOnce
                                    : Keep->Options.MaxIdleAge;
   bool Chunked = BodyLength == UnknownLength;
-  if (Chunked)
-    Fields.emplace_back("Transfer-Encoding", "chunked");
-  else if (BodyLength != 0 || !isIdempotent(Method))
-    Fields.emplace_back("Content-Length", std::to_string(BodyLength));
-  std::string Text = requestText(Method, Target, Fields);
   for (;;) {
     std::shared_ptr<PooledConnection> Connection;
     std::optional<base::Millis> IdleFor;
@@ -358,6 +368,8 @@
       IdleFor.reset();
     if (!Connection)
       Connection = co_await Keep->connect();
+    std::string Text =
+        requestText(Method, Target, withFraming(Fields(), Method, BodyLength));
     auto ReturnToPool = [Keep, Generation = Keep->Generation](
                             std::shared_ptr<PooledConnection> Done) {
       Done->LastUsed = Keep->Time.now();
@@ -370,7 +382,7 @@
         Chunked, IdleFor, Keep->Calls, std::move(ReturnToPool));
     std::optional<UpstreamError> Failure;
     try {
-      co_await Started->writeRaw(Text);
+      co_await Started->writeRaw(std::move(Text));
     } catch (const UpstreamError &Error) {
       Failure = Error;
     }
--- a/dataplane/test/ExchangeServer_test.cpp
+++ b/dataplane/test/ExchangeServer_test.cpp
@@ -75,6 +75,35 @@
   CHECK(Upstream.Seen == std::vector<std::string>{"GET /wanted"});
 }
 
+// Guards against work for a caller that leaves while the gate opens a
+// connection to the upstream.
+TEST_CASE_METHOD(ExchangeServerTest,
+                 "Request cancelled during the connect is not run") {
+  postRequest("/cancelled", Time.bootNow(), base::Millis(1000));
+  Context.restart();
+  while (Node.UpstreamGate.load().InFlight == 0)
+    REQUIRE(Context.poll_one() == 1);
+  Entry->post(MessageType::Cancel, NextStream - 1, encodeCancel());
+  runUntil([&] { return Node.UpstreamGate.load().InFlight == 0; });
+  settle();
+  CHECK(Upstream.Seen.empty());
+}
+
+// Guards against a deadline that passes while the gate opens a connection.
+TEST_CASE_METHOD(ExchangeServerTest,
+                 "Request expired during the connect is not run") {
+  postRequest("/expired", Time.bootNow(), base::Millis(500));
+  Context.restart();
+  while (Node.UpstreamGate.load().InFlight == 0)
+    REQUIRE(Context.poll_one() == 1);
+  Time.advance(base::Millis(600));
+  Refusal Expired = receiveRefusal();
+  CHECK(Expired.Outcome == ExecutionOutcome::NotRun);
+  CHECK(Expired.Reason == RefusalReason::DeadlineExceeded);
+  settle();
+  CHECK(Upstream.Seen.empty());
+}
+
 // Guards against a deadline that starts when the gate reads the request: one
 // that waited on the way reached the upstream after its caller had left.
 TEST_CASE_METHOD(ExchangeServerTest,
--- a/dataplane/test/UpstreamClient_test.cpp
+++ b/dataplane/test/UpstreamClient_test.cpp
@@ -69,8 +69,9 @@
     asio::co_spawn(
         Context,
         [&]() -> asio::awaitable<void> {
-          Headers Fields;
-          Fields.emplace_back("Host", "h");
+          UpstreamClient::FieldSource Fields = [] {
+            return Headers{{"Host", "h"}};
+          };
           auto Running =
               co_await Client.begin("GET", "/", std::move(Fields), 0, false);
           co_await Running->writeEnd();
