Share the accept loop of both servers and check departure times

The loops that accept waiting connections stood twice; base::acceptWaiting serves both. A request head with a negative departure time is refused as malformed, since the difference of the clocks could overflow.

--- a/dataplane/src/HttpServer.cpp
+++ b/dataplane/src/HttpServer.cpp
@@ -1,3 +1,4 @@
+#include "amaranth/base/Accept.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/dataplane/HttpConnection.h"
 
@@ -17,8 +18,6 @@
 
 constexpr base::Millis StallCheckInterval = base::Millis(500);
 constexpr base::Millis AcceptRetryDelay = base::Millis(100);
-/// Leaves time for the requests of open connections while many clients connect.
-constexpr unsigned MaxAcceptsPerTurn = 64;
 
 } // namespace
 
@@ -31,8 +30,6 @@
   }
 
   asio::awaitable<void> accept(Handler Handle);
-  /// Accepts the connections that are in the accept queue.
-  void acceptWaiting(const Handler &Handle);
   /// Serves the connection in a task of its own, unless there are too many.
   void startConnection(tcp::socket Socket, Handler Handle);
   asio::awaitable<void> abortStalledConnections();
@@ -66,19 +63,9 @@
       continue;
     }
     startConnection(std::move(Socket), Handle);
-    acceptWaiting(Handle);
-  }
-}
-
-void HttpServer::Impl::acceptWaiting(const Handler &Handle) {
-  for (unsigned I = 0; I < MaxAcceptsPerTurn && !Stopping; ++I) {
-    tcp::socket Socket(Acceptor.get_executor());
-    boost::system::error_code Failure;
-    Acceptor.accept(Socket, Failure);
-    // The next asynchronous accept reports a real error.
-    if (Failure)
-      return;
-    startConnection(std::move(Socket), Handle);
+    base::acceptWaiting(Acceptor, [&](tcp::socket Waiting) {
+      startConnection(std::move(Waiting), Handle);
+    });
   }
 }
 
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -206,6 +206,8 @@
   if (Table.patience_ms() >= 0)
     Head.MaxQueueWait = base::Millis(Table.patience_ms());
   Head.AtMostOnce = Table.runs_once();
+  if (Table.sent_boot_ms() < 0)
+    throw base::ProtocolError("negative departure time in a request head");
   Head.Sent = base::BootTime(Table.sent_boot_ms());
   return Head;
 }
--- a/dataplane/test/ExchangeServer_test.cpp
+++ b/dataplane/test/ExchangeServer_test.cpp
@@ -19,8 +19,16 @@
         Context.get_executor(), {protocol::Role::Node, "entry", {}},
         {protocol::Role::Node, "n", {}});
     Entry = Near;
-    auto Serve = [](TestNode &Node, std::shared_ptr<protocol::Channel> Link)
-        -> asio::awaitable<void> { co_await Node.Exchanges.serve(Link); };
+    auto Serve =
+        [](TestNode &Node,
+           std::shared_ptr<protocol::Channel> Link) -> asio::awaitable<void> {
+      // Closes the connection as `protocol::Listener` does.
+      try {
+        co_await Node.Exchanges.serve(Link);
+      } catch (const base::ProtocolError &Failure) {
+        Link->close(Failure.what());
+      }
+    };
     spawn(Serve(Node, Far));
     settle();
   }
@@ -129,4 +137,12 @@
   CHECK(std::stoi(*Passed) == 200);
 }
 
+TEST_CASE_METHOD(
+    ExchangeServerTest,
+    "Request with a negative departure time closes the connection") {
+  postRequest("/x", base::BootTime(-1), base::Millis(1000));
+  runUntil([&] { return !Entry->isOpen(); });
+  CHECK(Upstream.Seen.empty());
+}
+
 } // namespace amaranth::dataplane::testing
--- a/protocol/src/Connection.cpp
+++ b/protocol/src/Connection.cpp
@@ -1,6 +1,7 @@
 #include "amaranth/protocol/Connection.h"
 
 #include "Handshake.h"
+#include "amaranth/base/Accept.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/base/Timeout.h"
 
@@ -19,8 +20,6 @@
 
 constexpr base::Millis HandshakeTimeout = base::Millis(2000);
 constexpr base::Millis AcceptRetryDelay = base::Millis(100);
-/// Leaves time for the open connections while many nodes connect.
-constexpr unsigned MaxAcceptsPerTurn = 64;
 
 tcp::endpoint endpointOf(const base::Address &Address) {
   return {asio::ip::make_address(Address.Ip), Address.Port};
@@ -65,8 +64,6 @@
     Acceptor.non_blocking(true);
   }
 
-  /// Accepts the connections that are in the accept queue.
-  void acceptWaiting(const Handler &Handle);
   /// Serves the connection in a task of its own, unless there are too many.
   void startConnection(tcp::socket Socket, const Handler &Handle);
   asio::awaitable<void>
@@ -132,19 +129,9 @@
       continue;
     }
     Keep->startConnection(std::move(Socket), Handle);
-    Keep->acceptWaiting(Handle);
-  }
-}
-
-void Listener::Impl::acceptWaiting(const Handler &Handle) {
-  for (unsigned I = 0; I < MaxAcceptsPerTurn && Acceptor.is_open(); ++I) {
-    tcp::socket Socket(Acceptor.get_executor());
-    boost::system::error_code Failure;
-    Acceptor.accept(Socket, Failure);
-    // The next asynchronous accept reports a real error.
-    if (Failure)
-      return;
-    startConnection(std::move(Socket), Handle);
+    base::acceptWaiting(Keep->Acceptor, [&](tcp::socket Waiting) {
+      Keep->startConnection(std::move(Waiting), Handle);
+    });
   }
 }
 
