Log the fingerprints of requests and of the suspects of a crash

Change: exchange lines and crash lines name fingerprints; a node warns at its start when isolation is disabled.

--- a/dataplane/src/CrashDetector.cpp
+++ b/dataplane/src/CrashDetector.cpp
@@ -1,5 +1,6 @@
 #include "CrashDetector.h"
 
+#include "amaranth/base/Digest.h"
 #include "amaranth/base/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,6 +23,15 @@
 /// resent requests reached nodes that did not know the suspect yet.
 constexpr base::Millis PropagationDelay = base::Millis(400);
 
+std::string fingerprintList(const std::vector<std::uint64_t> &Fingerprints) {
+  std::string Result;
+  for (std::uint64_t Each : Fingerprints) {
+    Result += Result.empty() ? "" : ",";
+    Result += base::hex64(Each);
+  }
+  return Result;
+}
+
 } // namespace
 
 CrashDetector::CrashDetector(const asio::any_io_executor &Executor,
@@ -86,8 +96,10 @@
     std::vector<std::uint64_t> Fingerprints = suspectFingerprints();
     AbandonedRequests.clear();
     base::logger("dataplane")
-        ->warn("upstream crashed endpoint={} suspects={}", Upstream.value(),
-               Fingerprints.size());
+        ->warn("upstream crashed endpoint={} isolation={} suspects={} "
+               "fingerprints={}",
+               Upstream.value(), ReportCrashes, Fingerprints.size(),
+               fingerprintList(Fingerprints));
     OnCrash();
     if (!Fingerprints.empty() && ReportCrashes)
       co_await report(Service, Upstream, std::move(Fingerprints), Limit);
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -211,13 +211,14 @@
               reasonText(Refused->Reason);
   UpstreamLoad Work = load();
   base::logger(base::RequestLog)
-      ->info("exchange id={} route={} priority={} transit_ms={} waited_ms={} "
-             "ran_ms={} "
+      ->info("exchange id={} route={} fingerprint={} priority={} "
+             "transit_ms={} waited_ms={} ran_ms={} "
              "link_ms={} bytes={} link_backlog_ms={} left_ms={} in_flight={} "
              "queued={} slots={} service_ms={} "
              "instance={} outcome=\"{}\" detail=\"{}\"",
              Exchange.Head.CallerAttempt, Exchange.Head.Route.value(),
-             Exchange.Head.Priority, Exchange.TransitDelay.count(),
+             base::hex64(Exchange.Head.Fingerprint), Exchange.Head.Priority,
+             Exchange.TransitDelay.count(),
              (Started - Exchange.Arrived).count(),
              (Exchange.ResponseRead.value_or(Now) - Started).count(),
              (Now - Exchange.ResponseRead.value_or(Now)).count(),
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -212,6 +212,9 @@
     base::logger("node")->warn("authentication is disabled: every process that "
                                "can reach {} is trusted",
                                P.Inner.local().text());
+  if (!P.Settings.IsolateCrashes)
+    base::logger("node")->warn("crash isolation is disabled: a request that "
+                               "crashes upstreams is not refused");
   base::logger("node")->info(
       "node started node={} zone={} caller={} inner={} announce={}",
       P.Settings.Id.value(), P.Settings.Zone.value(), P.Entry.local().text(),
