--- a/cmake/Amaranth.cmake
+++ b/cmake/Amaranth.cmake
@@ -22,18 +22,22 @@
     BOOST_ASIO_NO_DEPRECATED)
 endfunction()
 
-# amaranth_test(<package> SOURCES <files> DEPENDS <targets>)
-# Defines one Catch2 program for the package and registers it with CTest.
+# amaranth_test(<package> [NAME <name>] SOURCES <files> DEPENDS <targets>)
+# Defines one Catch2 program for the package and registers it with CTest, by
+# default as <package>_test.
 function(amaranth_test Package)
   if(NOT AMARANTH_TESTS)
     return()
   endif()
-  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
-  add_executable(${Package}_test ${Arg_SOURCES})
-  target_link_libraries(${Package}_test
+  cmake_parse_arguments(Arg "" "NAME" "SOURCES;DEPENDS" ${ARGN})
+  if(NOT Arg_NAME)
+    set(Arg_NAME ${Package}_test)
+  endif()
+  add_executable(${Arg_NAME} ${Arg_SOURCES})
+  target_link_libraries(${Arg_NAME}
     PRIVATE amaranth_test_main amaranth_${Package} ${Arg_DEPENDS})
-  amaranth_warnings(${Package}_test)
-  add_test(NAME ${Package}_test COMMAND ${Package}_test)
+  amaranth_warnings(${Arg_NAME})
+  add_test(NAME ${Arg_NAME} COMMAND ${Arg_NAME})
   # Keeps a test that waits for a condition that never holds from hanging CI.
-  set_tests_properties(${Package}_test PROPERTIES TIMEOUT 300)
+  set_tests_properties(${Arg_NAME} PROPERTIES TIMEOUT 300)
 endfunction()
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -175,6 +175,27 @@
   Snapshots.set(Mesh);
 }
 
+void MeshFixture::applyQuarantine() {
+  auto Set = [this](std::uint64_t Fingerprint, bool Convicted) {
+    Mesh.Quarantine[Fingerprint] = {Fingerprint, base::ServiceName("s"),
+                                    Convicted,
+                                    Time.wallNow() + base::Millis(600'000)};
+  };
+  for (const control::Command &Request : Control.Seen) {
+    if (const auto *Report = std::get_if<control::ReportCrash>(&Request))
+      for (std::uint64_t Fingerprint : Report->Fingerprints)
+        if (!Mesh.Quarantine.contains(Fingerprint))
+          Set(Fingerprint, false);
+    if (const auto *End = std::get_if<control::EndSuspectRun>(&Request)) {
+      if (End->Crashed)
+        Set(End->Fingerprint, true);
+      else
+        Mesh.Quarantine.erase(End->Fingerprint);
+    }
+  }
+  applyPublished();
+}
+
 asio::awaitable<void> MeshFixture::answer(TestUpstream &Upstream,
                                           std::shared_ptr<HttpConnection> Link,
                                           HttpRequest Request) {
@@ -188,6 +209,10 @@
     Body.append(base::asText({Buffer.data(), Count}));
   while (Held && Request.Target.starts_with("/hold"))
     co_await Release.wait();
+  if (Request.Target.starts_with("/crash")) {
+    Upstream.crash();
+    co_return;
+  }
   if (Request.Target.starts_with("/break")) {
     Link->abort();
     co_return;
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -25,6 +25,7 @@
 
   /// Closes the listening socket and resets open connections, like a crash.
   void crash() {
+    Crashed = true;
     Server.stop();
     for (auto &Weak : Connections)
       if (auto Link = Weak.lock())
@@ -32,6 +33,7 @@
   }
 
   HttpServer Server;
+  bool Crashed = false;
   std::vector<std::weak_ptr<HttpConnection>> Connections;
   /// Body bytes of downloads that the node has read.
   std::uint64_t BytesWritten = 0;
@@ -140,6 +142,9 @@
                 std::uint32_t Slots = 4, std::uint64_t Incarnation = 1);
   /// Copies the endpoints that the gates published into the snapshot.
   void applyPublished();
+  /// Copies the suspects and convictions that the gates reported into the
+  /// snapshot.
+  void applyQuarantine();
 
   /// Sends `Raw` unchanged and reads until the connection ends.
   std::shared_ptr<CallerResult> send(const base::Address &To, std::string Raw);
