--- a/control/include/amaranth/control/Commands.h
+++ b/control/include/amaranth/control/Commands.h
@@ -113,25 +113,26 @@
   std::string Reason;
 };
 
-/// Reports the requests that were in flight at an upstream when it crashed.
+/// Reports the requests that may have crashed an upstream, because they were
+/// running there. Safe to retry.
 struct ReportCrash {
   base::ServiceName Service;
   base::EndpointId Upstream;
   std::vector<std::uint64_t> Fingerprints;
+  /// Random id of the crash. A report with a known id has no further effect.
+  std::uint64_t Crash = 0;
 };
 
-/// Acquires the lease to run a suspect request in isolation. There is one lease
-/// for each service; it ends with `EndSuspectRun` or after
-/// `SuspectLeaseDuration`.
+/// Has no effect. Logs of earlier versions contain it.
 struct BeginSuspectRun {
   base::ServiceName Service;
   std::uint64_t Fingerprint = 0;
   std::string Attempt;
 };
-inline constexpr base::Millis SuspectLeaseDuration = base::Millis::seconds(30);
 
-/// Reports the result of an isolated run: the suspect either crashed the
-/// upstream or is cleared.
+/// Reports the result of a suspect's run: the suspect either crashed an
+/// upstream at which no other suspect was running, and is convicted, or is
+/// cleared. Safe to retry. A convicted request is not cleared.
 struct EndSuspectRun {
   base::ServiceName Service;
   std::uint64_t Fingerprint = 0;
@@ -212,8 +213,7 @@
   Forbidden = 5,
   /// The resulting document would be invalid.
   Invalid = 6,
-  /// `BeginSuspectRun`: another suspect run of the service is in progress.
-  /// Other commands: a table is full.
+  /// A table is full.
   Busy = 7,
   /// The command could not be decoded.
   Malformed = 8,
--- a/control/src/Commands.cpp
+++ b/control/src/Commands.cpp
@@ -89,7 +89,9 @@
   auto Service = writeString(Out, Value.Service);
   auto Upstream = writeString(Out, Value.Upstream);
   auto Fingerprints = Out.CreateVector(Value.Fingerprints);
-  return wire::CreateReportCrash(Out, Service, Upstream, Fingerprints).Union();
+  return wire::CreateReportCrash(Out, Service, Upstream, Fingerprints,
+                                 Value.Crash)
+      .Union();
 }
 
 Offset<void> write(Builder &Out, const BeginSuspectRun &Value) {
@@ -209,6 +211,7 @@
   Result.Upstream = idOf<base::EndpointId>(Value.upstream());
   Result.Fingerprints.assign(Value.fingerprints()->begin(),
                              Value.fingerprints()->end());
+  Result.Crash = Value.crash();
   return Result;
 }
 
--- a/control/src/ControlState.cpp
+++ b/control/src/ControlState.cpp
@@ -200,37 +200,38 @@
 
   CommandResult handle(const ReportCrash &Request,
                        detail::EntryContext Context) {
-    bool Changed = false;
+    detail::QuarantineTable::Effect Effect;
     CommandResult Result =
-        Quarantine.reportCrash(Request, Context.Time, Changed);
-    markChangedIf(Changed, Context);
+        Quarantine.reportCrash(Request, Context.Time, Effect);
+    recordQuarantine(Request.Service, Effect, Context);
     return Result;
   }
 
-  CommandResult handle(const BeginSuspectRun &Request,
-                       detail::EntryContext Context) {
-    bool Changed = false;
-    CommandResult Result = Quarantine.beginRun(Request, Context.Time, Changed);
-    markChangedIf(Changed, Context);
-    return Result;
+  static CommandResult handle(const BeginSuspectRun & /*Request*/,
+                              detail::EntryContext /*Context*/) {
+    return detail::makeResult(ResultCode::Accepted);
   }
 
   CommandResult handle(const EndSuspectRun &Request,
                        detail::EntryContext Context) {
-    bool Changed = false;
-    bool Convicted = false;
-    CommandResult Result =
-        Quarantine.endRun(Request, Context.Time, Changed, Convicted);
-    if (Convicted) {
+    detail::QuarantineTable::Effect Effect;
+    CommandResult Result = Quarantine.endRun(Request, Context.Time, Effect);
+    recordQuarantine(Request.Service, Effect, Context);
+    return Result;
+  }
+
+  void recordQuarantine(const base::ServiceName &Service,
+                        const detail::QuarantineTable::Effect &Effect,
+                        detail::EntryContext Context) {
+    for (std::uint64_t Fingerprint : Effect.Convicted) {
       AuditEntry Entry = makeSystemEntry(Context);
-      Entry.Section = "service " + Request.Service.value();
+      Entry.Section = "service " + Service.value();
       Entry.Result = "convicted";
-      Entry.Reason = "request " + base::hex64(Request.Fingerprint) +
-                     " crashed an upstream that ran nothing else";
+      Entry.Reason = "request " + base::hex64(Fingerprint) +
+                     " was running during two or more crashes";
       Audit.add(std::move(Entry));
     }
-    markChangedIf(Changed, Context);
-    return Result;
+    markChangedIf(Effect.Changed, Context);
   }
 
   static AuditEntry makeSystemEntry(detail::EntryContext Context) {
@@ -294,7 +295,8 @@
     auto RolloutList = Rollouts.write(Out);
     auto Barred = Rollouts.writeBarred(Out);
     auto QuarantineList = Quarantine.write(Out);
-    auto Leases = Quarantine.writeLeases(Out);
+    auto Leases = Out.CreateVector(
+        std::vector<detail::Offset<wire::SuspectLeaseRecord>>());
     auto WholeRecord = Documents.write(Out);
     auto Labels = Documents.writeLabels(Out);
     auto VersionList = Versions.write(Out);
--- a/control/src/QuarantineTable.cpp
+++ b/control/src/QuarantineTable.cpp
@@ -1,111 +1,105 @@
 #include "QuarantineTable.h"
 
 #include "CommandResults.h"
-#include "amaranth/base/Invariant.h"
 
-namespace amaranth::control::detail {
-
-namespace {
+#include <set>
 
-constexpr std::size_t MaxIdBytes = 512;
-
-bool isId(const std::string &Text) {
-  return !Text.empty() && Text.size() <= MaxIdBytes;
-}
-
-} // namespace
+namespace amaranth::control::detail {
 
 CommandResult QuarantineTable::reportCrash(const ReportCrash &Request,
-                                           base::WallTime Now, bool &Changed) {
-  if (!isId(Request.Service.value()) ||
+                                           base::WallTime Now, Effect &Result) {
+  if (Request.Service.value().empty() ||
       Request.Fingerprints.size() > MaxCrashFingerprints)
     return makeResult(
         ResultCode::Invalid,
         "a crash report requires a service and at most 1024 requests");
-  for (std::uint64_t Fingerprint : Request.Fingerprints) {
-    if (!addSuspect(Fingerprint, Request.Service, Now))
-      return makeResult(ResultCode::Busy, "the quarantine table is full");
-    Changed = true;
+  std::vector<Record *> Known;
+  std::set<std::uint64_t> Fingerprints(Request.Fingerprints.begin(),
+                                       Request.Fingerprints.end());
+  for (std::uint64_t Fingerprint : Fingerprints) {
+    auto Found = Records.find(Fingerprint);
+    if (Found == Records.end())
+      continue;
+    // A convicted request explains the crash; a known id is a resent report.
+    if (Found->second.Entry.Convicted ||
+        (Request.Crash != 0 && Found->second.LastCrash == Request.Crash))
+      return makeResult(ResultCode::Accepted);
+    Known.push_back(&Found->second);
   }
-  return makeResult(ResultCode::Accepted);
-}
-
-bool QuarantineTable::addSuspect(std::uint64_t Fingerprint,
-                                 const base::ServiceName &Service,
-                                 base::WallTime Now) {
-  auto It = Records.find(Fingerprint);
-  if (It == Records.end()) {
-    if (Records.size() >= MaxQuarantineEntries && !evictOldestSuspect())
-      return false;
-    Records[Fingerprint] = {
-        {Fingerprint, Service, false, Now + ConvictionDuration}, ""};
-    return true;
+  if (Known.empty())
+    for (std::uint64_t Fingerprint : Fingerprints) {
+      Record *Added = findOrAdd(Fingerprint, Request.Service, Now);
+      if (!Added)
+        return makeResult(ResultCode::Busy, "the quarantine table is full");
+      Known.push_back(Added);
+    }
+  bool Repeated = Known.front()->Crashes != 0;
+  Result.Changed = !Known.empty();
+  for (Record *Each : Known) {
+    ++Each->Crashes;
+    Each->Entry.Until = Now + ConvictionDuration;
   }
-  if (!It->second.Entry.Convicted)
-    It->second.Entry.Until = Now + ConvictionDuration;
-  return true;
-}
-
-CommandResult QuarantineTable::beginRun(const BeginSuspectRun &Request,
-                                        base::WallTime Now, bool &Changed) {
-  if (!isId(Request.Attempt))
-    return makeResult(ResultCode::Invalid,
-                      "a suspect run requires an attempt id of 1 to 512 bytes");
-  auto It = Records.find(Request.Fingerprint);
-  if (It == Records.end())
-    return makeResult(ResultCode::Accepted, "the request is not a suspect");
-  document::QuarantineEntry &Entry = It->second.Entry;
-  if (Entry.Service != Request.Service)
-    return makeResult(ResultCode::Invalid,
-                      "the suspect belongs to another service");
-  if (Entry.Convicted)
-    return makeResult(ResultCode::Forbidden, "the request is convicted");
-  auto [Active, Inserted] = Leases.try_emplace(Request.Service);
-  if (!Inserted) {
-    bool SameRun = Active->second.Fingerprint == Request.Fingerprint &&
-                   Active->second.Attempt == Request.Attempt;
-    return makeResult(SameRun ? ResultCode::Accepted : ResultCode::Busy);
+  bool OnlySuspect = Repeated && Known.size() == 1;
+  for (Record *Each : Known) {
+    if (OnlySuspect || Each->Crashes >= MaxSuspectCrashes)
+      convict(*Each, Now, Result);
+    Each->LastCrash = Request.Crash;
   }
-  Active->second = {Request.Fingerprint, Request.Attempt,
-                    Now + SuspectLeaseDuration};
-  It->second.LastAttempt = Request.Attempt;
-  // The entry must outlive the run; otherwise a crash during the run could not
-  // convict the request.
-  Entry.Until = Now + ConvictionDuration;
-  Changed = true;
   return makeResult(ResultCode::Accepted);
 }
 
 CommandResult QuarantineTable::endRun(const EndSuspectRun &Request,
-                                      base::WallTime Now, bool &Changed,
-                                      bool &Convicted) {
-  auto Active = Leases.find(Request.Service);
-  if (Active != Leases.end() &&
-      Active->second.Fingerprint == Request.Fingerprint &&
-      Active->second.Attempt == Request.Attempt)
-    Leases.erase(Active);
-  auto It = Records.find(Request.Fingerprint);
-  if (It == Records.end() || It->second.Entry.Convicted)
-    return makeResult(ResultCode::Accepted);
-  if (It->second.LastAttempt.empty() ||
-      It->second.LastAttempt != Request.Attempt)
-    return makeResult(
-        ResultCode::Conflict,
-        "the attempt is not the last one allowed to run the suspect");
-  Changed = true;
+                                      base::WallTime Now, Effect &Result) {
+  if (Request.Service.value().empty())
+    return makeResult(ResultCode::Invalid,
+                      "the result of a run requires a service");
+  auto Found = Records.find(Request.Fingerprint);
   if (!Request.Crashed) {
-    Records.erase(It);
+    if (Found == Records.end() || Found->second.Entry.Convicted)
+      return makeResult(ResultCode::Accepted);
+    Records.erase(Found);
+    Result.Changed = true;
     return makeResult(ResultCode::Accepted);
   }
-  Convicted = true;
-  It->second.Entry.Convicted = true;
-  It->second.Entry.Until = Now + ConvictionDuration;
+  // The report of the first crash may still be on its way.
+  Record *Culprit = findOrAdd(Request.Fingerprint, Request.Service, Now);
+  if (!Culprit)
+    return makeResult(ResultCode::Busy, "the quarantine table is full");
+  if (!Culprit->Entry.Convicted)
+    convict(*Culprit, Now, Result);
   return makeResult(ResultCode::Accepted);
 }
 
+void QuarantineTable::convict(Record &Culprit, base::WallTime Now,
+                              Effect &Result) {
+  Culprit.Entry.Convicted = true;
+  Culprit.Entry.Until = Now + ConvictionDuration;
+  Result.Convicted.push_back(Culprit.Entry.Fingerprint);
+  Result.Changed = true;
+  if (Culprit.LastCrash == 0)
+    return;
+  std::erase_if(Records, [&](const auto &Item) {
+    const Record &Other = Item.second;
+    return !Other.Entry.Convicted && Other.Crashes == 1 &&
+           Other.LastCrash == Culprit.LastCrash;
+  });
+}
+
+QuarantineTable::Record *
+QuarantineTable::findOrAdd(std::uint64_t Fingerprint,
+                           const base::ServiceName &Service,
+                           base::WallTime Now) {
+  auto Found = Records.find(Fingerprint);
+  if (Found != Records.end())
+    return &Found->second;
+  if (Records.size() >= MaxQuarantineEntries && !evictOldestSuspect())
+    return nullptr;
+  Record &Added = Records[Fingerprint];
+  Added.Entry = {Fingerprint, Service, false, Now + ConvictionDuration};
+  return &Added;
+}
+
 bool QuarantineTable::expire(base::WallTime Now) {
-  std::erase_if(Leases,
-                [Now](const auto &Item) { return Item.second.Until <= Now; });
   return std::erase_if(Records, [Now](const auto &Item) {
            return Item.second.Entry.Until <= Now;
          }) != 0;
@@ -129,22 +123,10 @@
   std::vector<Offset<wire::QuarantineRecord>> List;
   for (const auto &[Fingerprint, Value] : Records) {
     auto Service = writeString(Out, Value.Entry.Service);
-    auto Attempt = Out.CreateString(Value.LastAttempt);
+    auto Attempt = Out.CreateString("");
     List.push_back(wire::CreateQuarantineRecord(
         Out, Fingerprint, Service, Value.Entry.Convicted,
-        Value.Entry.Until.count(), Attempt));
-  }
-  return Out.CreateVector(List);
-}
-
-Offset<flatbuffers::Vector<Offset<wire::SuspectLeaseRecord>>>
-QuarantineTable::writeLeases(Builder &Out) const {
-  std::vector<Offset<wire::SuspectLeaseRecord>> List;
-  for (const auto &[Service, Value] : Leases) {
-    auto Name = writeString(Out, Service);
-    auto Attempt = Out.CreateString(Value.Attempt);
-    List.push_back(wire::CreateSuspectLeaseRecord(
-        Out, Name, Value.Fingerprint, Attempt, Value.Until.count()));
+        Value.Entry.Until.count(), Attempt, Value.Crashes, Value.LastCrash));
   }
   return Out.CreateVector(List);
 }
@@ -154,11 +136,8 @@
     Records[Item->fingerprint()] = {
         {Item->fingerprint(), base::ServiceName(Item->service()->str()),
          Item->convicted(), base::WallTime(Item->until())},
-        Item->last_attempt()->str()};
-  for (const wire::SuspectLeaseRecord *Item : *From.leases())
-    Leases[base::ServiceName(Item->service()->str())] = {
-        Item->fingerprint(), Item->attempt()->str(),
-        base::WallTime(Item->until())};
+        Item->crashes(),
+        Item->last_crash()};
 }
 
 } // namespace amaranth::control::detail
--- a/control/src/QuarantineTable.h
+++ b/control/src/QuarantineTable.h
@@ -4,6 +4,7 @@
 #include "WireConversion.h"
 
 #include <map>
+#include <vector>
 
 namespace amaranth::control::detail {
 
@@ -11,54 +12,54 @@
 /// Maximum number of requests in one crash report; far above the number of
 /// slots of an upstream.
 inline constexpr std::size_t MaxCrashFingerprints = 1024;
+/// A suspect of so many crashes is convicted even if other suspects were
+/// running each time.
+inline constexpr std::uint32_t MaxSuspectCrashes = 3;
 
-/// Requests that crashed upstreams or are suspected of it. A request becomes a
-/// suspect when an upstream crashes while the request is in flight, even if it
-/// was the only one, because the crash may have another cause. It is convicted
-/// only by a crash during an isolated run.
+/// Requests that crashed upstreams or are suspected of it. The requests that
+/// were running during a crash become suspects. A suspect is convicted by a
+/// second crash during which it was the only suspect running.
 class QuarantineTable {
 public:
   struct Record {
     document::QuarantineEntry Entry;
-    /// Last attempt that was granted the lease to run the suspect.
-    std::string LastAttempt;
+    /// Crashes during which the request was running.
+    std::uint32_t Crashes = 0;
+    /// Id of the last one.
+    std::uint64_t LastCrash = 0;
+  };
+  /// What a command changed.
+  struct Effect {
+    /// The entries distributed to nodes changed.
+    bool Changed = false;
+    std::vector<std::uint64_t> Convicted;
   };
 
-  /// Sets `Changed` if the entries distributed to nodes changed.
   CommandResult reportCrash(const ReportCrash &Request, base::WallTime Now,
-                            bool &Changed);
-  CommandResult beginRun(const BeginSuspectRun &Request, base::WallTime Now,
-                         bool &Changed);
-  /// Sets `Convicted` if this call convicted the request.
+                            Effect &Result);
   CommandResult endRun(const EndSuspectRun &Request, base::WallTime Now,
-                       bool &Changed, bool &Convicted);
-  /// Removes expired entries and leases. Returns whether an entry was removed.
+                       Effect &Result);
+  /// Removes expired entries. Returns whether an entry was removed.
   bool expire(base::WallTime Now);
 
   const std::map<std::uint64_t, Record> &records() const { return Records; }
 
   Offset<flatbuffers::Vector<Offset<wire::QuarantineRecord>>>
   write(Builder &Out) const;
-  Offset<flatbuffers::Vector<Offset<wire::SuspectLeaseRecord>>>
-  writeLeases(Builder &Out) const;
   void read(const wire::ControlSnapshot &From);
 
 private:
-  struct Lease {
-    std::uint64_t Fingerprint = 0;
-    std::string Attempt;
-    base::WallTime Until;
-  };
-
   /// Removes the suspect that expires first. Convicted requests are kept.
   /// Returns false if there is no suspect.
   bool evictOldestSuspect();
-  /// Returns false if the table is full of convicted requests.
-  bool addSuspect(std::uint64_t Fingerprint, const base::ServiceName &Service,
-                  base::WallTime Now);
+  /// Returns null if the table is full of convicted requests.
+  Record *findOrAdd(std::uint64_t Fingerprint, const base::ServiceName &Service,
+                    base::WallTime Now);
+  /// Convicts the request and clears the suspects of its earlier crash, which
+  /// it explains.
+  void convict(Record &Culprit, base::WallTime Now, Effect &Result);
 
   std::map<std::uint64_t, Record> Records;
-  std::map<base::ServiceName, Lease> Leases;
 };
 
 } // namespace amaranth::control::detail
--- a/dataplane/include/amaranth/dataplane/EntryServer.h
+++ b/dataplane/include/amaranth/dataplane/EntryServer.h
@@ -4,6 +4,7 @@
 #include "amaranth/base/Clock.h"
 #include "amaranth/base/Settings.h"
 #include "amaranth/dataplane/Balancer.h"
+#include "amaranth/dataplane/CrashQuarantine.h"
 #include "amaranth/dataplane/HttpConnection.h"
 #include "amaranth/dataplane/HttpDialect.h"
 #include "amaranth/dataplane/Metrics.h"
@@ -48,8 +49,8 @@
   EntryServer(const boost::asio::any_io_executor &Executor,
               EntrySettings Options, base::Clock &Time,
               follower::SnapshotSource &Snapshots,
-              follower::ControlCalls &Control, PeerPool &Peers,
-              Metrics &Counters, const HttpDialect &Dialect);
+              follower::ControlCalls &Control, CrashQuarantine &Quarantine,
+              PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect);
   ~EntryServer();
 
   base::Address local() const;
--- a/dataplane/include/amaranth/dataplane/Gate.h
+++ b/dataplane/include/amaranth/dataplane/Gate.h
@@ -4,6 +4,7 @@
 #include "amaranth/base/Clock.h"
 #include "amaranth/base/Settings.h"
 #include "amaranth/base/StrongId.h"
+#include "amaranth/dataplane/CrashQuarantine.h"
 #include "amaranth/dataplane/HttpDialect.h"
 #include "amaranth/dataplane/Messages.h"
 #include "amaranth/dataplane/Metrics.h"
@@ -53,11 +54,12 @@
   base::Millis SlowStart = base::Millis::seconds(5);
   /// Upper bound of the time to commit a claim.
   base::Millis ClaimTimeout = base::Millis::seconds(2);
-  /// Upper bound of the time for which responses are delayed after a crash
-  /// until the crash report is committed.
+  /// Upper bound of the time for which the response to a request that may have
+  /// crashed the upstream is delayed until all nodes should know of it. At most
+  /// half of the time to the deadline is used.
   base::Millis CrashReportTimeout = base::Millis::seconds(1);
-  /// Whether requests that were running during a crash are reported as suspects
-  /// and isolated.
+  /// Whether requests that were running during a crash are suspected and
+  /// reported, and refused after the second crash.
   bool IsolateCrashes = true;
   /// Maximum queue length per slot. Longer queues would only add waiting time,
   /// because callers have deadlines.
@@ -75,8 +77,8 @@
   /// The references must outlive the gate and the exchanges that it serves.
   Gate(const boost::asio::any_io_executor &Executor, GateSettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
-       follower::ControlCalls &Control, Metrics &Counters,
-       const HttpDialect &Dialect);
+       follower::ControlCalls &Control, CrashQuarantine &Quarantine,
+       Metrics &Counters, const HttpDialect &Dialect);
   ~Gate();
 
   /// Runs the periodic work: announcement timeout, slow start and idle
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -127,6 +127,8 @@
   /// When `Remaining` and `Objective` were counted, on the clock of the entry
   /// node's machine; 0 if unknown.
   base::BootTime Sent;
+  /// The request was running at an upstream that crashed.
+  bool Suspect = false;
 };
 
 struct ResponseHead {
--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -33,6 +33,8 @@
   /// `Result` is `granted`, `replayed`, `taken`, `conflict`, `unavailable`.
   void countClaim(const std::string &Result);
   void countCrash();
+  /// Counts a request that this node convicted of crashing upstreams.
+  void countConviction();
   void setGateLoad(const UpstreamLoad &Load);
 
 private:
@@ -45,6 +47,7 @@
   prometheus::Family<prometheus::Counter> &Claims;
   prometheus::Family<prometheus::Histogram> &Latency;
   prometheus::Counter &Crashes;
+  prometheus::Counter &Convictions;
   prometheus::Gauge &InFlight;
   prometheus::Gauge &Queued;
   prometheus::Gauge &Slots;
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -34,13 +34,14 @@
   explicit SlotQueue(base::Clock &Time) : Time(Time) {}
 
   /// Waits for a slot until `LatestStart`, or under overload only while the
-  /// objective can still be met; see `acceptsLateRequests`. With `Exclusive`,
-  /// waits until no other exchange holds a slot, and blocks all others until
-  /// the slot is released.
+  /// objective can still be met; see `acceptsLateRequests`. Of the exchanges
+  /// with `Suspect`, only one holds a slot at a time: when the upstream
+  /// crashes, there is only one request to blame.
   boost::asio::awaitable<Result>
   acquire(std::shared_ptr<ExchangeStream> Exchange, SchedulingParams Work,
-          base::TimePoint LatestStart, bool Exclusive);
-  void release();
+          base::TimePoint LatestStart, bool Suspect);
+  /// `Suspect` must be the same as in the call of `acquire`.
+  void release(bool Suspect);
   /// Lowering the limit does not affect exchanges that already hold a slot.
   void setLimit(std::uint32_t Slots);
   /// Completes all pending `acquire` calls with `Dropped`.
@@ -60,20 +61,21 @@
   struct Waiter {
     std::shared_ptr<ExchangeStream> Exchange;
     SchedulingParams Work;
-    bool Exclusive = false;
+    bool Suspect = false;
     bool Granted = false;
     bool Dropped = false;
   };
   using WaiterList = std::vector<std::shared_ptr<Waiter>>;
 
-  bool canGrant(bool Exclusive) const;
+  /// The first waiter in order that can have a slot now; the end if there is
+  /// none.
   WaiterList::iterator nextWaiter();
   void grantNext();
 
   base::Clock &Time;
   std::uint32_t Limit = 0;
   std::uint32_t Running = 0;
-  bool ExclusiveHeld = false;
+  bool SuspectRunning = false;
   std::uint64_t NextSequence = 0;
   WaiterList Waiters;
 };
@@ -81,7 +83,7 @@
 /// Releases a granted slot at the end of a scope.
 class SlotGuard {
 public:
-  explicit SlotGuard(SlotQueue &Queue) : Queue(Queue) {}
+  SlotGuard(SlotQueue &Queue, bool Suspect) : Queue(Queue), Suspect(Suspect) {}
   ~SlotGuard() { release(); }
   SlotGuard(const SlotGuard &) = delete;
   SlotGuard &operator=(const SlotGuard &) = delete;
@@ -89,11 +91,12 @@
   /// Releases the slot early. Further calls have no effect.
   void release() {
     if (std::exchange(HoldsSlot, false))
-      Queue.release();
+      Queue.release(Suspect);
   }
 
 private:
   SlotQueue &Queue;
+  bool Suspect;
   bool HoldsSlot = true;
 };
 
--- a/dataplane/src/CrashDetector.cpp
+++ b/dataplane/src/CrashDetector.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace asio = boost::asio;
 
@@ -14,13 +15,15 @@
 
 namespace {
 
-/// How long broken and abandoned requests remain suspects. A supervisor may
+/// How long broken and abandoned requests count as running. A supervisor may
 /// restart a crashed upstream before any connection is refused; the new
 /// incarnation is announced within this time.
 constexpr base::Millis DisconnectRetention = base::Millis::seconds(5);
-/// Time from the commit of a report until it is in the snapshots of the other
-/// nodes; control sends each node one update every 50 ms. Without this delay,
-/// resent requests reached nodes that did not know the suspect yet.
+/// Time for the commit of a report while responses wait for it.
+constexpr base::Millis ReportTimeout = base::Millis::seconds(1);
+/// Time from the commit of a report until it is in the snapshots of the
+/// other nodes; control sends each node one update every 50 ms. Without this
+/// delay, the caller's resend reaches nodes that do not know of it yet.
 constexpr base::Millis PropagationDelay = base::Millis(400);
 
 std::string fingerprintList(const std::vector<std::uint64_t> &Fingerprints) {
@@ -36,10 +39,12 @@
 
 CrashDetector::CrashDetector(const asio::any_io_executor &Executor,
                              base::Clock &Time, ClaimClient &Claims,
-                             UpstreamClient &Client, bool ReportCrashes,
-                             std::function<void()> OnCrash)
+                             UpstreamClient &Client,
+                             CrashQuarantine &Quarantine, Metrics &Counters,
+                             bool ReportCrashes, std::function<void()> OnCrash)
     : Executor(Executor), Time(Time), Claims(Claims), Client(Client),
-      ReportCrashes(ReportCrashes), OnCrash(std::move(OnCrash)) {}
+      Quarantine(Quarantine), Counters(Counters), ReportCrashes(ReportCrashes),
+      OnCrash(std::move(OnCrash)) {}
 
 CrashDetector::TrackedRequest::TrackedRequest(CrashDetector &Owner,
                                               std::uint64_t Fingerprint)
@@ -54,7 +59,7 @@
   Owner.RunningRequests.erase(Found);
 }
 
-std::vector<std::uint64_t> CrashDetector::suspectFingerprints() {
+std::vector<std::uint64_t> CrashDetector::runningFingerprints() {
   auto FirstRetained =
       AbandonedRequests.lower_bound(Time.now() - DisconnectRetention);
   AbandonedRequests.erase(AbandonedRequests.begin(), FirstRetained);
@@ -68,13 +73,13 @@
   return Result;
 }
 
-asio::awaitable<bool> CrashDetector::handleBrokenConnection(
+asio::awaitable<CrashRole> CrashDetector::handleBrokenConnection(
     base::ServiceName Service, base::EndpointId Upstream,
-    std::uint64_t Fingerprint, base::Millis Limit) {
+    std::uint64_t Fingerprint, bool CallerResends, base::Millis Limit) {
   // Requests interrupted by the same crash share one check and one report.
   if (!ActiveCheck) {
     ActiveCheck = std::make_shared<CrashCheck>(Executor);
-    asio::co_spawn(Executor, runCheck(ActiveCheck, Service, Upstream, Limit),
+    asio::co_spawn(Executor, runCheck(ActiveCheck, Service, Upstream),
                    asio::detached);
   }
   auto Check = ActiveCheck;
@@ -82,39 +87,80 @@
     co_await Check->Changed.wait();
   if (!Check->Crashed)
     RecentDisconnects.emplace(Time.now(), Fingerprint);
-  co_return Check->Crashed;
+  CrashRole Role = roleOf(*Check, Fingerprint);
+  bool Waits = Role == CrashRole::Culprit ||
+               (Role == CrashRole::Suspect && CallerResends);
+  base::TimePoint End = Time.now() + Limit;
+  while (Waits && !Check->Reported && Time.now() < End)
+    co_await Time.waitFor(Check->Changed, End);
+  co_return Role;
+}
+
+CrashRole CrashDetector::roleOf(const CrashCheck &Check,
+                                std::uint64_t Fingerprint) const {
+  if (!Check.Crashed)
+    return CrashRole::NoCrash;
+  if (!ReportCrashes)
+    return CrashRole::Suspect;
+  if (Check.Cause.Culprit == Fingerprint)
+    return CrashRole::Culprit;
+  return std::ranges::find(Check.Cause.Suspects, Fingerprint) !=
+                 Check.Cause.Suspects.end()
+             ? CrashRole::Suspect
+             : CrashRole::Bystander;
 }
 
 asio::awaitable<void> CrashDetector::runCheck(std::shared_ptr<CrashCheck> Check,
                                               base::ServiceName Service,
-                                              base::EndpointId Upstream,
-                                              base::Millis Limit) {
+                                              base::EndpointId Upstream) {
   Check->Crashed = co_await Client.refusesConnections();
   if (Check->Crashed) {
-    // Requests whose connection was refused are no longer tracked at this
-    // point; those that wait for this check still are.
-    std::vector<std::uint64_t> Fingerprints = suspectFingerprints();
+    // Requests whose connection was refused no longer count as running at this
+    // point; those that wait for this check still do.
+    Check->Cause = attribute(Upstream, runningFingerprints());
     AbandonedRequests.clear();
-    base::logger("dataplane")
-        ->warn("upstream crashed endpoint={} isolation={} suspects={} "
-               "fingerprints={}",
-               Upstream.value(), ReportCrashes, Fingerprints.size(),
-               fingerprintList(Fingerprints));
     OnCrash();
-    if (!Fingerprints.empty() && ReportCrashes)
-      co_await report(Service, Upstream, std::move(Fingerprints), Limit);
   }
   ActiveCheck.reset();
   Check->Done = true;
   Check->Changed.notifyAll();
+  if (auto Command = makeReport(Service, Upstream, Check->Cause))
+    co_await report(std::move(*Command), ReportTimeout);
+  Check->Reported = true;
+  Check->Changed.notifyAll();
+}
+
+CrashAttribution
+CrashDetector::attribute(const base::EndpointId &Upstream,
+                         const std::vector<std::uint64_t> &Running) {
+  CrashAttribution Cause;
+  if (ReportCrashes)
+    Cause = Quarantine.attributeCrash(Running);
+  if (Cause.Culprit)
+    Counters.countConviction();
+  base::logger("dataplane")
+      ->warn("upstream crashed endpoint={} isolation={} running={} suspects={} "
+             "culprit={}",
+             Upstream.value(), ReportCrashes, fingerprintList(Running),
+             Cause.Suspects.size(),
+             Cause.Culprit ? base::hex64(*Cause.Culprit) : "unknown");
+  return Cause;
+}
+
+std::optional<control::Command>
+CrashDetector::makeReport(const base::ServiceName &Service,
+                          const base::EndpointId &Upstream,
+                          const CrashAttribution &Cause) {
+  if (Cause.Culprit)
+    return control::EndSuspectRun{Service, *Cause.Culprit, {}, true};
+  if (Cause.Suspects.empty())
+    return std::nullopt;
+  return control::ReportCrash{Service, Upstream, Cause.Suspects,
+                              base::randomU64()};
 }
 
-asio::awaitable<void>
-CrashDetector::report(base::ServiceName Service, base::EndpointId Upstream,
-                      std::vector<std::uint64_t> Fingerprints,
-                      base::Millis Limit) {
-  control::Command Command =
-      control::ReportCrash{Service, Upstream, std::move(Fingerprints)};
+asio::awaitable<void> CrashDetector::report(control::Command Command,
+                                            base::Millis Limit) {
   base::TimePoint End = Time.now() + Limit;
   auto Result = co_await Claims.commit(Command, Limit);
   if (Result)
@@ -125,16 +171,17 @@
 
 void CrashDetector::handleRestart(const base::ServiceName &Service,
                                   const base::EndpointId &Upstream) {
-  std::vector<std::uint64_t> Fingerprints;
+  std::set<std::uint64_t> Broken;
   for (const auto &[At, Fingerprint] : RecentDisconnects)
     if (Time.now() - At <= DisconnectRetention)
-      Fingerprints.push_back(Fingerprint);
+      Broken.insert(Fingerprint);
   RecentDisconnects.clear();
-  if (Fingerprints.empty() || !ReportCrashes)
+  if (Broken.empty() || !ReportCrashes)
     return;
+  CrashAttribution Cause = attribute(Upstream, {Broken.begin(), Broken.end()});
   OnCrash();
-  Claims.commitInBackground(
-      control::ReportCrash{Service, Upstream, std::move(Fingerprints)});
+  if (auto Command = makeReport(Service, Upstream, Cause))
+    Claims.commitInBackground(std::move(*Command));
 }
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/CrashDetector.h
+++ b/dataplane/src/CrashDetector.h
@@ -3,6 +3,7 @@
 
 #include "amaranth/base/Signal.h"
 #include "amaranth/dataplane/ClaimClient.h"
+#include "amaranth/dataplane/CrashQuarantine.h"
 #include "amaranth/dataplane/UpstreamClient.h"
 
 #include <functional>
@@ -12,19 +13,32 @@
 
 namespace amaranth::dataplane {
 
+/// Part of a request in the crash during which it was running.
+enum class CrashRole : std::uint8_t {
+  /// The upstream did not crash; only the connection failed.
+  NoCrash,
+  /// Another request caused the crash.
+  Bystander,
+  /// The request may have caused the crash.
+  Suspect,
+  /// The request caused the crash.
+  Culprit,
+};
+
 /// Distinguishes a crash of the upstream from the failure of a single
-/// connection, and reports the requests that were running to the control
-/// processes before their callers receive a response.
+/// connection, and reports its suspects or its culprit to the control
+/// processes.
 class CrashDetector {
 public:
   /// `OnCrash` is called once for each detected crash. Without
-  /// `ReportCrashes`, requests are not reported and responses are not delayed.
+  /// `ReportCrashes`, requests are neither suspected nor reported.
   CrashDetector(const boost::asio::any_io_executor &Executor, base::Clock &Time,
-                ClaimClient &Claims, UpstreamClient &Client, bool ReportCrashes,
-                std::function<void()> OnCrash);
+                ClaimClient &Claims, UpstreamClient &Client,
+                CrashQuarantine &Quarantine, Metrics &Counters,
+                bool ReportCrashes, std::function<void()> OnCrash);
 
-  /// Marks a request that may have reached the upstream as a crash suspect
-  /// while the object lives, and a few seconds longer if it was abandoned.
+  /// Counts a request that may have reached the upstream as running while the
+  /// object lives, and a few seconds longer if it was abandoned.
   class TrackedRequest {
   public:
     TrackedRequest(CrashDetector &Owner, std::uint64_t Fingerprint);
@@ -39,17 +53,18 @@
     bool Abandoned = false;
   };
 
-  /// Called when a connection broke while a request was running. Returns true
-  /// if the upstream crashed; by then the report is committed or `Limit` has
-  /// passed.
-  boost::asio::awaitable<bool> handleBrokenConnection(base::ServiceName Service,
-                                                      base::EndpointId Upstream,
-                                                      std::uint64_t Fingerprint,
-                                                      base::Millis Limit);
+  /// Called when a connection broke while a request was running. Its caller may
+  /// send a culprit, or a suspect with `CallerResends`, again at once and to
+  /// any node. For these it completes only when all nodes should know the
+  /// report, or after `Limit`.
+  boost::asio::awaitable<CrashRole>
+  handleBrokenConnection(base::ServiceName Service, base::EndpointId Upstream,
+                         std::uint64_t Fingerprint, bool CallerResends,
+                         base::Millis Limit);
 
   /// Called when the upstream announced a new incarnation without having
-  /// announced its shutdown. Reports the requests whose connection broke
-  /// shortly before.
+  /// announced its shutdown. The requests whose connection broke shortly before
+  /// may have caused its crash.
   void handleRestart(const base::ServiceName &Service,
                      const base::EndpointId &Upstream);
 
@@ -60,22 +75,33 @@
     base::Signal Changed;
     bool Done = false;
     bool Crashed = false;
+    CrashAttribution Cause;
+    /// The report is committed and distributed, or given up.
+    bool Reported = false;
   };
 
   boost::asio::awaitable<void> runCheck(std::shared_ptr<CrashCheck> Check,
                                         base::ServiceName Service,
-                                        base::EndpointId Upstream,
-                                        base::Millis Limit);
-  boost::asio::awaitable<void> report(base::ServiceName Service,
-                                      base::EndpointId Upstream,
-                                      std::vector<std::uint64_t> Fingerprints,
+                                        base::EndpointId Upstream);
+  /// Attributes a crash to the `Running` requests.
+  CrashAttribution attribute(const base::EndpointId &Upstream,
+                             const std::vector<std::uint64_t> &Running);
+  /// The command that reports the cause to control; empty if there is none.
+  static std::optional<control::Command>
+  makeReport(const base::ServiceName &Service, const base::EndpointId &Upstream,
+             const CrashAttribution &Cause);
+  /// Completes when the report is committed and distributed, or after `Limit`.
+  boost::asio::awaitable<void> report(control::Command Command,
                                       base::Millis Limit);
-  std::vector<std::uint64_t> suspectFingerprints();
+  std::vector<std::uint64_t> runningFingerprints();
+  CrashRole roleOf(const CrashCheck &Check, std::uint64_t Fingerprint) const;
 
   boost::asio::any_io_executor Executor;
   base::Clock &Time;
   ClaimClient &Claims;
   UpstreamClient &Client;
+  CrashQuarantine &Quarantine;
+  Metrics &Counters;
   bool ReportCrashes;
   std::function<void()> OnCrash;
   std::map<std::uint64_t, std::uint64_t> RunningRequests;
--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -16,11 +16,11 @@
   EntryContext(const boost::asio::any_io_executor &Executor,
                EntrySettings Settings, base::Clock &Time,
                follower::SnapshotSource &Snapshots,
-               follower::ControlCalls &Control, PeerPool &Peers,
-               Metrics &Counters, const HttpDialect &Dialect)
+               follower::ControlCalls &Control, CrashQuarantine &Quarantine,
+               PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect)
       : Executor(Executor), Options(std::move(Settings)), Time(Time),
-        Snapshots(Snapshots), Control(Control), Peers(Peers),
-        Counters(Counters), Dialect(Dialect),
+        Snapshots(Snapshots), Control(Control), Quarantine(Quarantine),
+        Peers(Peers), Counters(Counters), Dialect(Dialect),
         LoadBalancer(Options.LoadBalancing, Time, Counters, Options.Seed),
         Guard(Time), Random(Options.Seed + 1) {}
 
@@ -56,6 +56,7 @@
   base::Clock &Time;
   follower::SnapshotSource &Snapshots;
   follower::ControlCalls &Control;
+  CrashQuarantine &Quarantine;
   PeerPool &Peers;
   Metrics &Counters;
   const HttpDialect &Dialect;
--- a/dataplane/src/EntryRefusal.cpp
+++ b/dataplane/src/EntryRefusal.cpp
@@ -1,5 +1,7 @@
 #include "EntryRefusal.h"
 
+#include "amaranth/base/Digest.h"
+
 namespace amaranth::dataplane {
 
 bool isFinal(const Refusal &Refused) {
@@ -9,23 +11,21 @@
   case RefusalReason::ClaimUnavailable:
   case RefusalReason::KeyConflict:
   case RefusalReason::Quarantined:
-  case RefusalReason::SuspectBusy:
   case RefusalReason::NoConfiguration:
   case RefusalReason::NoRoute:
   case RefusalReason::Malformed:
   case RefusalReason::TooLarge:
   case RefusalReason::NoEndpoint:
     return true;
-  case RefusalReason::UpstreamCrashed:
-    // A request that was running when an upstream crashed may have caused the
-    // crash. A resend could crash a second upstream before the request is
-    // quarantined.
-    return Refused.Outcome == ExecutionOutcome::Unknown;
   default:
     return false;
   }
 }
 
+std::string quarantineText(std::uint64_t Fingerprint) {
+  return "request " + base::hex64(Fingerprint) + " has crashed upstreams";
+}
+
 bool isBusy(RefusalReason Code) {
   return Code == RefusalReason::WaitTooLong ||
          Code == RefusalReason::QueueFull ||
--- a/dataplane/src/EntryRefusal.h
+++ b/dataplane/src/EntryRefusal.h
@@ -8,6 +8,8 @@
 /// Returns true if every other endpoint would refuse for the same reason, or if
 /// the request must not be sent to another one.
 bool isFinal(const Refusal &Refused);
+/// Text of the refusal of a request that has crashed upstreams.
+std::string quarantineText(std::uint64_t Fingerprint);
 /// Returns true if the endpoint has no capacity for the request at present.
 bool isBusy(RefusalReason Code);
 /// Returns true if an upstream received the request, even if it refused to run
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -99,6 +99,8 @@
     Context->retryBudget(Service).recordRequest(Arrived);
     Refused = co_await readBodyPrefix();
   }
+  if (!Refused)
+    Refused = quarantineRefusal();
   if (!Refused) {
     if (BodyPrefixComplete) {
       watchCaller();
@@ -317,6 +319,7 @@
   Head.Objective = Objective - Context->Time.now();
   Head.Priority = MatchedRoute.Priority;
   Head.AtMostOnce = !isRepeatable();
+  Head.Suspect = Context->Quarantine.isSuspect(Fingerprint);
   if (Retries.limitsQueueWait() && Objective < Deadline) {
     base::Millis ServiceTime =
         Context->LoadBalancer.expectedServiceTime(Target.Id);
@@ -358,6 +361,8 @@
                         RefusalReason::DeadlineExceeded,
                         "no response before the deadline"};
     }
+    if (Context->Quarantine.isSuspect(Fingerprint))
+      Context->Quarantine.recordAnswer(Fingerprint);
     bool Error = Head->Status >= 500;
     Context->LoadBalancer.recordLoad(Target.Id, Head->Load);
     countEvidence(*Snapshot, Target, Error, Started);
@@ -528,7 +533,7 @@
   if (Refused.Outcome == ExecutionOutcome::Unknown)
     MayHaveRun = true;
   if (CallerGone || Retries.attempts() == 0 || !isBodyReplayable() ||
-      Context->Time.now() >= Deadline)
+      Context->Time.now() >= Deadline || quarantineRefusal())
     return false;
   auto Next = Retries.onRefusal(Refused.Endpoint, Refused, isRepeatable(),
                                 maxAttempts());
@@ -554,6 +559,7 @@
                                  base::TimePoint Started) {
   if (Refused.Load.Slots != 0)
     Context->LoadBalancer.recordLoad(Target.Id, Refused.Load);
+  recordCrash(Refused);
   if (CallerGone)
     return;
   if (isEndpointFault(Refused.Reason))
@@ -564,6 +570,25 @@
     countEvidence(Snapshot, Target, true, Started);
 }
 
+EntryRequest::MaybeRefusal EntryRequest::quarantineRefusal() const {
+  auto Left = Context->Quarantine.convictedFor(Fingerprint);
+  if (!Left)
+    return std::nullopt;
+  Refusal Refused =
+      notRun(RefusalReason::Quarantined, quarantineText(Fingerprint));
+  Refused.RetryAfter = *Left;
+  return Refused;
+}
+
+void EntryRequest::recordCrash(const Refusal &Refused) {
+  if (Refused.Outcome != ExecutionOutcome::Unknown)
+    return;
+  if (Refused.Reason == RefusalReason::Quarantined)
+    Context->Quarantine.convict(Fingerprint);
+  if (Refused.Reason == RefusalReason::UpstreamCrashed)
+    Context->Quarantine.addSuspect(Fingerprint);
+}
+
 void EntryRequest::countEvidence(const document::MeshSnapshot &Snapshot,
                                  const document::Endpoint &Target, bool Error,
                                  base::TimePoint Started) {
@@ -577,8 +602,10 @@
 }
 
 asio::awaitable<void> EntryRequest::sendRefusal(Refusal Refused) {
+  // A convicted request is refused for a known time.
   if (Refused.Outcome == ExecutionOutcome::NotRun &&
-      Refused.Reason != RefusalReason::NoRoute) {
+      Refused.Reason != RefusalReason::NoRoute &&
+      Refused.Reason != RefusalReason::Quarantined) {
     std::uniform_real_distribution<double> Jitter(-1, 1);
     Refused.RetryAfter =
         retryAfter(capacityDelayAfter(Refused.Reason, Retries.capacityDelay()),
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -71,6 +71,10 @@
   void countEvidence(const document::MeshSnapshot &Snapshot,
                      const document::Endpoint &Target, bool Error,
                      base::TimePoint Started);
+  /// Refusal of a request that is convicted of crashing upstreams.
+  MaybeRefusal quarantineRefusal() const;
+  /// Takes over what a gate says about a crash during which the request ran.
+  void recordCrash(const Refusal &Refused);
   /// Cancels the running attempt when the caller disconnects.
   void watchCaller();
   void logCompletion(const std::string &Outcome, unsigned Status);
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -14,12 +14,12 @@
 struct EntryServer::Impl {
   Impl(const asio::any_io_executor &Executor, EntrySettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
-       follower::ControlCalls &Control, PeerPool &Peers, Metrics &Counters,
-       const HttpDialect &Dialect)
+       follower::ControlCalls &Control, CrashQuarantine &Quarantine,
+       PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect)
       : Server(Executor, Options.ListenAddress, Options.HttpLimits, Time),
-        Context(std::make_shared<EntryContext>(Executor, std::move(Options),
-                                               Time, Snapshots, Control, Peers,
-                                               Counters, Dialect)) {}
+        Context(std::make_shared<EntryContext>(
+            Executor, std::move(Options), Time, Snapshots, Control, Quarantine,
+            Peers, Counters, Dialect)) {}
 
   HttpServer Server;
   std::shared_ptr<EntryContext> Context;
@@ -28,10 +28,12 @@
 EntryServer::EntryServer(const asio::any_io_executor &Executor,
                          EntrySettings Options, base::Clock &Time,
                          follower::SnapshotSource &Snapshots,
-                         follower::ControlCalls &Control, PeerPool &Peers,
+                         follower::ControlCalls &Control,
+                         CrashQuarantine &Quarantine, PeerPool &Peers,
                          Metrics &Counters, const HttpDialect &Dialect)
     : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Snapshots,
-                                  Control, Peers, Counters, Dialect)) {}
+                                  Control, Quarantine, Peers, Counters,
+                                  Dialect)) {}
 
 EntryServer::~EntryServer() = default;
 
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -1,3 +1,4 @@
+#include "EntryRefusal.h"
 #include "GateImpl.h"
 #include "SchedulingOrder.h"
 #include "amaranth/base/Log.h"
@@ -76,13 +77,15 @@
 
 Gate::Impl::Impl(const asio::any_io_executor &Executor, GateSettings Settings,
                  base::Clock &Time, follower::SnapshotSource &Snapshots,
-                 follower::ControlCalls &Control, Metrics &Counters,
-                 const HttpDialect &Dialect)
+                 follower::ControlCalls &Control, CrashQuarantine &Quarantine,
+                 Metrics &Counters, const HttpDialect &Dialect)
     : Executor(Executor), Options(std::move(Settings)), Time(Time),
-      Snapshots(Snapshots), Control(Control), Counters(Counters),
-      Dialect(Dialect), Claims(Executor, Control, Time, Counters),
+      Snapshots(Snapshots), Control(Control), Quarantine(Quarantine),
+      Counters(Counters), Dialect(Dialect),
+      Claims(Executor, Control, Time, Counters),
       Client(Executor, Options.Client, Time),
-      Crashes(Executor, Time, Claims, Client, Options.IsolateCrashes,
+      Crashes(Executor, Time, Claims, Client, Quarantine, Counters,
+              Options.IsolateCrashes,
               [this] {
                 this->Counters.countCrash();
                 Client.closeIdleConnections();
@@ -282,15 +285,14 @@
 
 std::optional<Refusal>
 Gate::Impl::quarantineRefusal(const RequestHead &Head) const {
-  auto Snapshot = Snapshots.current();
-  if (!Snapshot)
+  auto Left = Quarantine.convictedFor(Head.Fingerprint);
+  if (!Left || !Options.IsolateCrashes)
     return std::nullopt;
-  auto Found = Snapshot->Quarantine.find(Head.Fingerprint);
-  if (Found == Snapshot->Quarantine.end() || !Found->second.Convicted ||
-      Found->second.Until <= Time.wallNow())
-    return std::nullopt;
-  return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::Quarantined,
-                     "this request has crashed upstreams");
+  auto Refused =
+      makeRefusal(ExecutionOutcome::NotRun, RefusalReason::Quarantined,
+                  quarantineText(Head.Fingerprint));
+  Refused->RetryAfter = *Left;
+  return Refused;
 }
 
 std::optional<Refusal>
@@ -308,11 +310,14 @@
 }
 
 bool Gate::Impl::isSuspect(const RequestHead &Head) const {
-  auto Snapshot = Snapshots.current();
-  if (!Snapshot)
-    return false;
-  auto Found = Snapshot->Quarantine.find(Head.Fingerprint);
-  return Found != Snapshot->Quarantine.end() && !Found->second.Convicted;
+  return Options.IsolateCrashes && Quarantine.isSuspect(Head.Fingerprint);
+}
+
+void Gate::Impl::recordAnswer(const RequestHead &Head, bool Suspect) {
+  Quarantine.recordAnswer(Head.Fingerprint);
+  if (Suspect)
+    Claims.commitInBackground(
+        control::EndSuspectRun{Head.Service, Head.Fingerprint, {}, false});
 }
 
 std::size_t
@@ -407,10 +412,10 @@
 
 Gate::Gate(const asio::any_io_executor &Executor, GateSettings Options,
            base::Clock &Time, follower::SnapshotSource &Snapshots,
-           follower::ControlCalls &Control, Metrics &Counters,
-           const HttpDialect &Dialect)
+           follower::ControlCalls &Control, CrashQuarantine &Quarantine,
+           Metrics &Counters, const HttpDialect &Dialect)
     : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Snapshots,
-                                  Control, Counters, Dialect)) {}
+                                  Control, Quarantine, Counters, Dialect)) {}
 
 Gate::~Gate() = default;
 
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -15,8 +15,8 @@
 struct Gate::Impl : std::enable_shared_from_this<Gate::Impl> {
   Impl(const boost::asio::any_io_executor &Executor, GateSettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
-       follower::ControlCalls &Control, Metrics &Counters,
-       const HttpDialect &Dialect);
+       follower::ControlCalls &Control, CrashQuarantine &Quarantine,
+       Metrics &Counters, const HttpDialect &Dialect);
 
   // Lifecycle and admission control (Gate.cpp).
   bool announce(const Announcement &Update);
@@ -61,6 +61,9 @@
     std::size_t Bytes;
   };
   bool isSuspect(const RequestHead &Head) const;
+  /// Records that the upstream answered the request, which clears it as a
+  /// suspect.
+  void recordAnswer(const RequestHead &Head, bool Suspect);
   base::Millis expectedServiceTime(const RequestHead &Head) const;
   SchedulingParams schedulingParams(const ServerExchange &Exchange) const;
   base::TimePoint latestStart(const ServerExchange &Exchange) const;
@@ -74,12 +77,10 @@
   struct Execution {
     SlotGuard &Slot;
     PendingResponse &Response;
-    /// The request continues when its caller goes away: a keyed request, so
-    /// that a resend gets its response, and a suspect, so that a crash is
-    /// detected.
+    /// The request has a key and continues when its caller goes away, so that
+    /// a resend gets its response.
     bool RunsToCompletion = false;
     bool Suspect = false;
-    bool Crashed = false;
     bool HeadReceived = false;
     /// Set while the request may be the cause of a crash of the upstream.
     std::optional<CrashDetector::TrackedRequest> Tracked;
@@ -93,8 +94,6 @@
   RefusalTask execute(ExchangePtr Exchange, Execution &State);
   RefusalTask handleFailure(ExchangePtr Exchange, UpstreamError Failure,
                             Execution &State);
-  RefusalTask beginSuspect(ExchangePtr Exchange);
-  boost::asio::awaitable<void> endSuspect(ExchangePtr Exchange, bool Crashed);
   boost::asio::awaitable<void> replayStored(ExchangePtr Exchange,
                                             control::StoredResponse Stored);
   boost::asio::awaitable<std::shared_ptr<UpstreamCall>>
@@ -151,6 +150,7 @@
   base::Clock &Time;
   follower::SnapshotSource &Snapshots;
   follower::ControlCalls &Control;
+  CrashQuarantine &Quarantine;
   Metrics &Counters;
   const HttpDialect &Dialect;
   ClaimClient Claims;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -1,3 +1,4 @@
+#include "EntryRefusal.h"
 #include "GateImpl.h"
 #include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
@@ -230,13 +231,12 @@
 }
 
 Gate::Impl::RefusalTask Gate::Impl::admitAndExecute(ExchangePtr Exchange) {
+  if (Exchange->Head.Suspect)
+    Quarantine.addSuspect(Exchange->Head.Fingerprint);
   if (auto Refused = checkAdmission(*Exchange))
     co_return Refused;
   PendingResponse Response(*this, expectedShapedBytes(*Exchange));
   bool Suspect = isSuspect(Exchange->Head);
-  if (Suspect)
-    if (auto Refused = co_await beginSuspect(Exchange))
-      co_return Refused;
   // Shares ownership of the exchange, which contains the object that the queue
   // waits on.
   std::shared_ptr<ExchangeStream> Waiting(Exchange, &Exchange->Body);
@@ -245,8 +245,6 @@
                              latestStart(*Exchange), Suspect);
   if (Granted == SlotQueue::Result::Granted)
     co_return co_await executeWithSlot(Exchange, Suspect, Response);
-  if (Suspect)
-    co_await endSuspect(Exchange, false);
   if (Granted == SlotQueue::Result::Ended)
     co_return std::nullopt;
   if (Granted == SlotQueue::Result::Expired)
@@ -263,23 +261,20 @@
 Gate::Impl::RefusalTask Gate::Impl::executeWithSlot(ExchangePtr Exchange,
                                                     bool Suspect,
                                                     PendingResponse &Response) {
-  SlotGuard Hold(Slots);
+  SlotGuard Hold(Slots, Suspect);
   Exchange->Started = Time.now();
   auto Refused = refusalBeforeSend(*Exchange);
   if (!Refused)
     Refused = quarantineRefusal(Exchange->Head);
-  // A request that became a suspect while queued must run exclusively, but its
-  // slot was not acquired that way.
+  // A request that became a suspect while queued did not wait for other
+  // suspects.
   if (!Refused && !Suspect && isSuspect(Exchange->Head))
     Refused = makeRefusal(ExecutionOutcome::NotRun, RefusalReason::SuspectBusy,
                           "request is suspected of crashing upstreams");
-  Execution State{Hold, Response, Suspect || Exchange->Head.IdempotencyKey,
+  Execution State{Hold, Response, Exchange->Head.IdempotencyKey.has_value(),
                   Suspect};
   if (!Refused)
     Refused = co_await claimAndExecute(Exchange, State);
-  State.Tracked.reset();
-  if (Suspect)
-    co_await endSuspect(Exchange, State.Crashed);
   co_return Refused;
 }
 
@@ -380,20 +375,35 @@
   bool Cancelled = Exchange->Body.ended() && !State.RunsToCompletion;
   bool MayBeCrash = Failure.reason() == RefusalReason::UpstreamBroken ||
                     Failure.reason() == RefusalReason::UpstreamUnreachable;
+  CrashRole Role = CrashRole::NoCrash;
+  // The entry node repeats other requests itself, and names them as suspects.
+  bool CallerResends = Head.AtMostOnce;
+  base::Millis Limit = std::min(Options.CrashReportTimeout,
+                                (Exchange->Deadline - Time.now()) / 2);
   if (!Cancelled && MayBeCrash)
-    State.Crashed = co_await Crashes.handleBrokenConnection(
-        Head.Service, Options.Endpoint, Head.Fingerprint,
-        Options.CrashReportTimeout);
+    Role = co_await Crashes.handleBrokenConnection(
+        Head.Service, Options.Endpoint, Head.Fingerprint, CallerResends, Limit);
   if (!Failure.sent()) {
-    State.Crashed = false;
     auto Reason = Failure.reason() == RefusalReason::UpstreamBroken
                       ? RefusalReason::UpstreamUnreachable
                       : Failure.reason();
     co_return makeRefusal(ExecutionOutcome::NotRun, Reason, Failure.what());
   }
-  co_return makeRefusal(ExecutionOutcome::Unknown,
-                        State.Crashed ? RefusalReason::UpstreamCrashed
-                                      : Failure.reason(),
+  switch (Role) {
+  case CrashRole::Culprit:
+    co_return makeRefusal(ExecutionOutcome::Unknown, RefusalReason::Quarantined,
+                          quarantineText(Head.Fingerprint));
+  case CrashRole::Suspect:
+    co_return makeRefusal(ExecutionOutcome::Unknown,
+                          RefusalReason::UpstreamCrashed, Failure.what());
+  case CrashRole::Bystander:
+    co_return makeRefusal(ExecutionOutcome::Unknown,
+                          RefusalReason::UpstreamBroken,
+                          "another request crashed the upstream");
+  case CrashRole::NoCrash:
+    break;
+  }
+  co_return makeRefusal(ExecutionOutcome::Unknown, Failure.reason(),
                         Failure.what());
 }
 
@@ -458,6 +468,7 @@
                         "response without a sign of this upstream");
   State.HeadReceived = true;
   if (Verdict == ResponseClass::Executed) {
+    recordAnswer(Exchange->Head, State.Suspect);
     auto Refused =
         co_await forwardBody(Exchange, std::move(Call), std::move(Head), State);
     co_return Refused;
@@ -518,7 +529,7 @@
       co_return std::nullopt;
     }
     // A resend cannot use a response that is too large to be stored.
-    if (Attached || State.Suspect || (Keyed && Recorder.fits()))
+    if (Attached || (Keyed && Recorder.fits()))
       continue;
     if (Keyed)
       Claims.finish(Exchange->Head, std::nullopt);
@@ -602,40 +613,6 @@
   return Fields;
 }
 
-Gate::Impl::RefusalTask Gate::Impl::beginSuspect(ExchangePtr Exchange) {
-  const RequestHead &Head = Exchange->Head;
-  control::Command Request =
-      control::BeginSuspectRun{Head.Service, Head.Fingerprint, Head.Attempt};
-  base::Millis Limit =
-      std::min(Options.ClaimTimeout, Exchange->Deadline - Time.now());
-  auto Result = co_await Claims.commit(Request, Limit);
-  if (Result && Result->Code == control::ResultCode::Accepted)
-    co_return std::nullopt;
-  if (!Result)
-    co_await endSuspect(Exchange, false);
-  auto Refused =
-      makeRefusal(ExecutionOutcome::NotRun, RefusalReason::SuspectBusy,
-                  Result ? "another suspect request is running"
-                         : "no majority of the control processes");
-  Refused->RetryAfter = base::Millis::seconds(1);
-  co_return Refused;
-}
-
-asio::awaitable<void> Gate::Impl::endSuspect(ExchangePtr Exchange,
-                                             bool Crashed) {
-  const RequestHead &Head = Exchange->Head;
-  control::Command Request = control::EndSuspectRun{
-      Head.Service, Head.Fingerprint, Head.Attempt, Crashed};
-  if (!Crashed) {
-    Claims.commitInBackground(std::move(Request));
-    co_return;
-  }
-  // The conviction must be committed before the caller can resend the request.
-  auto Result = co_await Claims.commit(Request, Options.CrashReportTimeout);
-  if (!Result)
-    Claims.commitInBackground(std::move(Request));
-}
-
 asio::awaitable<void> Gate::Impl::replayStored(ExchangePtr Exchange,
                                                control::StoredResponse Stored) {
   ResponseHead Head;
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -121,7 +121,7 @@
       Attempt, Key, Head.RequestHash, Head.Fingerprint, Head.BodyLength, Caller,
       Route, CallerAttempt, Head.Objective.count(), Head.Priority,
       Head.MaxQueueWait ? Head.MaxQueueWait->count() : -1, Head.AtMostOnce,
-      Head.Sent.count()));
+      Head.Sent.count(), Head.Suspect));
   return protocol::takeBuffer(Out);
 }
 
@@ -209,6 +209,7 @@
   if (Table.sent_boot_ms() < 0)
     throw base::ProtocolError("negative departure time in a request head");
   Head.Sent = base::BootTime(Table.sent_boot_ms());
+  Head.Suspect = Table.suspect();
   return Head;
 }
 
--- a/dataplane/src/Metrics.cpp
+++ b/dataplane/src/Metrics.cpp
@@ -38,6 +38,9 @@
       Crashes(counters(Registry, "amaranth_upstream_crashes_total",
                        "Crashes of the local upstream")
                   .Add({})),
+      Convictions(counters(Registry, "amaranth_convictions_total",
+                           "Requests that crashed a second upstream")
+                      .Add({})),
       InFlight(gauge(Registry, "amaranth_gate_in_flight",
                      "Requests running at the local upstream")),
       Queued(gauge(Registry, "amaranth_gate_queued",
@@ -77,6 +80,8 @@
   Claims.Add({{"result", Result}}).Increment();
 }
 
+void Metrics::countConviction() { Convictions.Increment(); }
+
 void Metrics::countCrash() { Crashes.Increment(); }
 
 void Metrics::setGateLoad(const UpstreamLoad &Load) {
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -9,23 +9,17 @@
 
 namespace amaranth::dataplane {
 
-bool SlotQueue::canGrant(bool Exclusive) const {
-  if (Exclusive)
-    return Running == 0 && Limit != 0;
-  return !ExclusiveHeld && Running < Limit;
-}
-
 asio::awaitable<SlotQueue::Result>
 SlotQueue::acquire(std::shared_ptr<ExchangeStream> Exchange,
                    SchedulingParams Work, base::TimePoint LatestStart,
-                   bool Exclusive) {
+                   bool Suspect) {
   if (Exchange->ended())
     co_return Result::Ended;
   auto Own = std::make_shared<Waiter>();
   Own->Exchange = Exchange;
   Own->Work = Work;
   Own->Work.Sequence = NextSequence++;
-  Own->Exclusive = Exclusive;
+  Own->Suspect = Suspect;
   Waiters.push_back(Own);
   grantNext();
   base::TimePoint Until =
@@ -45,15 +39,14 @@
   if (Own->Dropped)
     co_return Result::Dropped;
   std::erase(Waiters, Own);
-  // An exclusive waiter at the head of the queue may have blocked the others.
-  grantNext();
   co_return Exchange->ended() ? Result::Ended : Result::Expired;
 }
 
-void SlotQueue::release() {
+void SlotQueue::release(bool Suspect) {
   AMARANTH_INVARIANT(Running > 0, "slot released twice");
   --Running;
-  ExclusiveHeld = false;
+  if (Suspect)
+    SuspectRunning = false;
   grantNext();
 }
 
@@ -98,21 +91,23 @@
 
 SlotQueue::WaiterList::iterator SlotQueue::nextWaiter() {
   base::TimePoint Now = Time.now();
-  return std::min_element(Waiters.begin(), Waiters.end(),
-                          [&](const auto &Left, const auto &Right) {
-                            return precedes(Left->Work, Right->Work, Now);
-                          });
+  auto First = Waiters.end();
+  for (auto It = Waiters.begin(); It != Waiters.end(); ++It)
+    if (!((*It)->Suspect && SuspectRunning) &&
+        (First == Waiters.end() || precedes((*It)->Work, (*First)->Work, Now)))
+      First = It;
+  return First;
 }
 
 void SlotQueue::grantNext() {
-  while (!Waiters.empty()) {
+  while (Running < Limit) {
     auto First = nextWaiter();
-    auto Entry = *First;
-    if (!canGrant(Entry->Exclusive))
+    if (First == Waiters.end())
       return;
+    auto Entry = *First;
     Waiters.erase(First);
     ++Running;
-    ExclusiveHeld = Entry->Exclusive;
+    SuspectRunning = SuspectRunning || Entry->Suspect;
     AMARANTH_INVARIANT(Running <= Limit, "more work than slots");
     Entry->Granted = true;
     Entry->Exchange->changed().notifyAll();
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -99,6 +99,7 @@
   TestDialect Dialect;
   protocol::TcpDialer Dialer;
   protocol::Listener Inner;
+  CrashQuarantine Quarantine;
   Gate UpstreamGate;
   ExchangeServer Exchanges;
   PeerPool Peers;
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -135,12 +135,13 @@
         LoopLag(Registry, Time), Dialer(identityOf(Settings), Keys, Time),
         Counters(Registry), ConfigFollower(followerSettings(Settings), Executor,
                                            Time, Dialer, Registry),
+        Quarantine(Time, ConfigFollower),
         Upstream(Executor, gateSettings(Settings), Time, ConfigFollower,
-                 ConfigFollower, Counters, *Dialect),
+                 ConfigFollower, Quarantine, Counters, *Dialect),
         Exchanges(Executor, Upstream, Time),
         Peers(Executor, peerSettings(Settings), Time, Dialer),
         Entry(Executor, entrySettings(Settings), Time, ConfigFollower,
-              ConfigFollower, Peers, Counters, *Dialect),
+              ConfigFollower, Quarantine, Peers, Counters, *Dialect),
         Local(makeLocalHandler(Settings, Upstream)),
         Announce(Executor, Settings.AnnounceAddress, Time, Local.get(),
                  Registry, [this] { return ready(); }),
@@ -173,6 +174,7 @@
   protocol::TcpDialer Dialer;
   dataplane::Metrics Counters;
   follower::Follower ConfigFollower;
+  dataplane::CrashQuarantine Quarantine;
   dataplane::Gate Upstream;
   dataplane::ExchangeServer Exchanges;
   dataplane::PeerPool Peers;
--- a/tools/e2e/test/Crash_test.cpp
+++ b/tools/e2e/test/Crash_test.cpp
@@ -53,4 +53,52 @@
   CHECK(Lost == 0);
 }
 
+// Guards against the incident BUDGET: an idempotent request that is sent again
+// at once, at every node in turn, while supervisors restart its upstreams.
+TEST_CASE_METHOD(MeshTest, "Idempotent crashing request takes down two "
+                           "upstreams and no innocent request") {
+  start(VmCount, {"--time=fixed:50", "--crash-marker=poison"});
+  constexpr unsigned InnocentSends = 2;
+  std::atomic<unsigned> Lost = 0;
+  Load Innocent(12, [&](unsigned Thread, unsigned Count) {
+    harness::HttpResponse Answer;
+    std::string Target = fmt::format("/bookings/{}/{}", Thread, Count);
+    for (unsigned Sends = 0; Sends < InnocentSends; ++Sends) {
+      Answer = send(*Mesh.Vms[(Thread + Sends) % VmCount], "GET", Target);
+      if (Answer.Status == 200)
+        return Answer;
+    }
+    ++Lost;
+    return Answer;
+  });
+  REQUIRE(Innocent.waitForMore(50));
+  Load Poison(1, [&](unsigned, unsigned Count) {
+    return send(*Mesh.Vms[Count % VmCount], "GET", "/bookings/poison");
+  });
+  unsigned Crashes = 0;
+  constexpr std::size_t PoisonSends = 200;
+  REQUIRE(harness::waitUntil(
+      [&] {
+        for (auto &Vm : Mesh.Vms)
+          if (!Vm->Server->isRunning()) {
+            ++Crashes;
+            Mesh.startUpstream(*Vm);
+          }
+        return Poison.answered() >= PoisonSends;
+      },
+      WaitLimit));
+  REQUIRE(Innocent.waitForMore(50));
+  Innocent.stop();
+  std::string Seen;
+  for (const auto &Answer : Poison.stop()) {
+    CHECK(Answer.Status != 200);
+    if (Seen.size() < 1000)
+      Seen += describe(Answer) + "\n";
+  }
+  INFO(Seen);
+  CHECK(Crashes >= 1);
+  CHECK(Crashes <= 2);
+  CHECK(Lost == 0);
+}
+
 } // namespace amaranth::e2e
