--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -68,9 +68,11 @@
 TestNode::TestNode(asio::io_context &Context, base::Clock &Time,
                    const std::string &Name, const std::string &Zone,
                    FakeSnapshots &Snapshots, FakeControl &Control,
+                   std::unique_ptr<HttpDialect> NodeDialect,
                    std::size_t ResponseBufferBytes,
                    std::uint64_t LinkBytesPerSecond)
-    : Counters(Registry), Dialer(identity(Name, Zone), Keys, Time),
+    : Counters(Registry), OwnDialect(std::move(NodeDialect)),
+      Dialect(*OwnDialect), Dialer(identity(Name, Zone), Keys, Time),
       Inner(Context.get_executor(), {"127.0.0.1", 0}, identity(Name, Zone),
             Keys, Time),
       Quarantine(Time, Snapshots),
@@ -126,9 +128,9 @@
 TestNode &MeshFixture::addNode(const std::string &Name, const std::string &Zone,
                                std::size_t ResponseBufferBytes,
                                std::uint64_t LinkBytesPerSecond) {
-  Nodes.push_back(
-      std::make_unique<TestNode>(Context, Time, Name, Zone, Snapshots, Control,
-                                 ResponseBufferBytes, LinkBytesPerSecond));
+  Nodes.push_back(std::make_unique<TestNode>(
+      Context, Time, Name, Zone, Snapshots, Control, MakeDialect(),
+      ResponseBufferBytes, LinkBytesPerSecond));
   TestNode &Node = *Nodes.back();
   spawn(Node.Inner.serve([&Node](std::shared_ptr<protocol::Channel> Link) {
     return Node.Exchanges.serve(std::move(Link));
@@ -243,6 +245,8 @@
   bool Fails = Upstream.Broken || Request.Target.starts_with("/fail");
   unsigned Status = Fails ? 500 : 200;
   Headers Fields = {{"X-Amaranth-Outcome", "not-run"}, {"X-Kept", "1"}};
+  Fields.insert(Fields.end(), Upstream.ResponseFields.begin(),
+                Upstream.ResponseFields.end());
   std::string Text = Request.Method + " " + Request.Target + " " + Body;
   co_await Link->respond(Status, std::move(Fields), std::move(Text));
 }
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -39,6 +39,8 @@
   std::uint64_t BytesWritten = 0;
   /// Responds to every request with status 500.
   bool Broken = false;
+  /// Header fields added to each response.
+  Headers ResponseFields;
   /// Current and highest number of running requests. Shared with the tasks that
   /// serve them, which may be destroyed after the upstream.
   struct ConcurrencyCount {
@@ -92,11 +94,13 @@
   TestNode(boost::asio::io_context &Context, base::Clock &Time,
            const std::string &Name, const std::string &Zone,
            FakeSnapshots &Snapshots, FakeControl &Control,
+           std::unique_ptr<HttpDialect> NodeDialect,
            std::size_t ResponseBufferBytes, std::uint64_t LinkBytesPerSecond);
 
   prometheus::Registry Registry;
   Metrics Counters;
-  TestDialect Dialect;
+  std::unique_ptr<HttpDialect> OwnDialect;
+  const HttpDialect &Dialect;
   protocol::TcpDialer Dialer;
   protocol::Listener Inner;
   CrashQuarantine Quarantine;
@@ -159,6 +163,10 @@
   void settle();
   void spawn(boost::asio::awaitable<void> Task);
 
+  /// Creates the dialect of nodes that are added later.
+  std::function<std::unique_ptr<HttpDialect>()> MakeDialect = [] {
+    return std::make_unique<TestDialect>();
+  };
   boost::asio::io_context Context;
   base::ManualClock Time;
   FakeSnapshots Snapshots{Context.get_executor()};
