Respect the request limit that an upstream names in its responses

Cause: no process read the header. Gates limit the number of requests at a time, not their rate. Change: the dialect reads the limit from every response that belongs to the upstream's current process, refusals included. The gate, the only sender to its upstream, grants slots at this rate from a token bucket. Loads report the number of requests that the rate lets run at a time in place of the slots, so entry nodes send less there. The limit stays without responses, and ends with a response that does not name it or with the process. A malformed or contradicting limit is logged and changes nothing.

--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -95,6 +95,9 @@
               const RequestTraits &Request) const;
   /// Requests at the endpoint, from this node and from all others.
   double outstandingRequests(const base::EndpointId &Id) const;
+  /// Requests that the endpoint can run at a time: its announced slots, or
+  /// fewer if its upstream limits its requests.
+  double slotsOf(const document::Endpoint &Entry) const;
   double serviceTimeMs(const base::EndpointId &Id) const;
   /// Time that a large response waits for the node's link, estimated from the
   /// last report.
--- a/dataplane/include/amaranth/dataplane/HttpDialect.h
+++ b/dataplane/include/amaranth/dataplane/HttpDialect.h
@@ -2,6 +2,7 @@
 #define AMARANTH_DATAPLANE_HTTPDIALECT_H
 
 #include "amaranth/dataplane/Messages.h"
+#include "amaranth/dataplane/RequestRateLimit.h"
 
 #include <optional>
 #include <string>
@@ -27,6 +28,15 @@
   std::string CallerService;
 };
 
+/// What an upstream says about itself in a response.
+struct UpstreamNotice {
+  /// Requests that it takes from all callers together; empty without a limit.
+  std::optional<RequestRate> Limit;
+  /// The fields about the limit that cannot be read; empty if there are none. A
+  /// limit that was named before stays then.
+  std::string MalformedLimit;
+};
+
 /// Classification of an upstream response by its headers.
 enum class ResponseClass : std::uint8_t {
   /// The upstream executed the request.
@@ -57,6 +67,8 @@
   virtual ResponseClass classifyResponse(const ResponseHead &Head,
                                          const std::string &Attempt) const = 0;
 
+  virtual UpstreamNotice upstreamNotice(const ResponseHead &Head) const = 0;
+
   /// Removes the fields of an upstream's response that only the node uses.
   virtual void removeInternalFields(Headers &Fields) const = 0;
 
@@ -74,6 +86,7 @@
                          const UpstreamMetadata &Metadata) const override;
   ResponseClass classifyResponse(const ResponseHead &Head,
                                  const std::string &Attempt) const override;
+  UpstreamNotice upstreamNotice(const ResponseHead &Head) const override;
   void removeInternalFields(Headers &Fields) const override;
   unsigned statusOf(const Refusal &Refused) const override;
   Headers refusalFields(const Refusal &Refused,
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -78,10 +78,13 @@
 struct UpstreamLoad {
   std::uint32_t InFlight = 0;
   std::uint32_t Queued = 0;
+  /// Requests that the upstream can run at a time; fewer than it has slots if
+  /// it limits its requests.
   std::uint32_t Slots = 0;
   /// Expected execution time of a request that has a slot; 0 if unknown.
   base::Millis ServiceTime;
-  /// Expected time for which a new request waits for a slot.
+  /// Expected time for which a new request waits for a slot and for the
+  /// upstream's limit.
   base::Millis QueueWait;
   /// Time that the node's link needs for the large responses queued for it.
   base::Millis LinkBacklog;
@@ -165,6 +168,9 @@
 /// Returns the value of the first field with this name, or null. Names compare
 /// case-insensitively.
 const std::string *findHeader(const Headers &Fields, std::string_view Name);
+/// Returns the values of all fields with this name, in message order.
+std::vector<std::string> findHeaders(const Headers &Fields,
+                                     std::string_view Name);
 /// Removes all fields with this name, compared case-insensitively.
 void eraseHeader(Headers &Fields, std::string_view Name);
 /// Removes the hop-by-hop fields, including those that `Connection` lists,
--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -4,6 +4,7 @@
 #include "amaranth/base/Millis.h"
 #include "amaranth/base/StrongId.h"
 #include "amaranth/dataplane/Messages.h"
+#include "amaranth/dataplane/RequestRateLimit.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -36,6 +37,8 @@
   /// Counts a request that this node convicted of crashing upstreams.
   void countConviction();
   void setGateLoad(const UpstreamLoad &Load);
+  /// `Limit`: the requests that the local upstream takes; empty if unlimited.
+  void setRequestLimit(std::optional<RequestRate> Limit);
 
 private:
   template <typename Metric> using Cache = std::map<std::string, Metric *>;
@@ -51,6 +54,7 @@
   prometheus::Gauge &InFlight;
   prometheus::Gauge &Queued;
   prometheus::Gauge &Slots;
+  prometheus::Gauge &RequestLimit;
   Cache<prometheus::Counter> RequestCache;
   Cache<prometheus::Histogram> LatencyCache;
 };
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -3,8 +3,10 @@
 
 #include "amaranth/base/Clock.h"
 #include "amaranth/dataplane/ExchangeStream.h"
+#include "amaranth/dataplane/RequestRateLimit.h"
 
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -24,9 +26,9 @@
   std::uint64_t Sequence = 0;
 };
 
-/// Concurrency limiter of an upstream: an adjustable number of slots and a
-/// queue of exchanges that wait for one, ordered by `precedes`.
-/// Single-threaded.
+/// Concurrency limiter of an upstream: an adjustable number of slots, an
+/// optional rate at which they are granted, and a queue of exchanges that wait
+/// for one, ordered by `precedes`. Single-threaded.
 class SlotQueue {
 public:
   enum class Result : std::uint8_t { Granted, Expired, Ended, Dropped };
@@ -42,18 +44,32 @@
           base::TimePoint LatestStart, bool Suspect);
   /// `Suspect` must be the same as in the call of `acquire`.
   void release(bool Suspect);
+  /// Called before `release` if nothing was sent: the grant does not count for
+  /// the rate.
+  void returnUnused() { RateLimit.giveBack(Time.now()); }
   /// Lowering the limit does not affect exchanges that already hold a slot.
   void setLimit(std::uint32_t Slots);
+  /// Grants at most `Rate` slots a second; no limit if empty.
+  void setRate(std::optional<RequestRate> Rate);
+  std::optional<RequestRate> rate() const { return RateLimit.rate(); }
   /// Completes all pending `acquire` calls with `Dropped`.
   void dropWaiters();
 
   std::uint32_t inFlight() const { return Running; }
   std::uint32_t limit() const { return Limit; }
+  /// Requests with this service time that can run at a time: as many as there
+  /// are slots, or fewer if the rate admits no more.
+  std::uint32_t capacity(base::Millis ServiceTime) const;
+  /// Whether a new request would wait for a slot or for the rate.
+  bool isFull() const {
+    return Running >= Limit ||
+           RateLimit.timeUntil(1, Time.now()) > base::Millis(0);
+  }
   std::size_t queued() const { return Waiters.size(); }
   /// Number of waiting requests that precede `Work`.
   std::size_t countAhead(const SchedulingParams &Work) const;
-  /// Expected time until `Work` gets a slot. `MedianServiceTime` is the typical
-  /// service time of the running requests.
+  /// Expected time until `Work` gets a slot at the current rate.
+  /// `MedianServiceTime` is the typical service time of the running requests.
   base::Millis expectedWait(const SchedulingParams &Work,
                             base::Millis MedianServiceTime) const;
 
@@ -71,9 +87,13 @@
   /// none.
   WaiterList::iterator nextWaiter();
   void grantNext();
+  /// When the waiter should try again because the rate may admit it; never if
+  /// it is not the first one or waits for a slot.
+  base::TimePoint nextGrant(const Waiter &Own);
 
   base::Clock &Time;
   std::uint32_t Limit = 0;
+  RequestRateLimit RateLimit;
   std::uint32_t Running = 0;
   bool SuspectRunning = false;
   std::uint64_t NextSequence = 0;
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -51,6 +51,14 @@
              : DefaultServiceTimeMs;
 }
 
+double Balancer::slotsOf(const Endpoint &Entry) const {
+  std::uint32_t Slots = Entry.Slots;
+  auto Found = StatsById.find(Entry.Id);
+  if (Found != StatsById.end() && Found->second.Reported.Slots != 0)
+    Slots = std::min(Slots, Found->second.Reported.Slots);
+  return std::max<std::uint32_t>(1, Slots);
+}
+
 double Balancer::linkBacklogMs(const base::EndpointId &Id) const {
   auto Found = StatsById.find(Id);
   if (Found == StatsById.end())
@@ -63,7 +71,7 @@
 
 double Balancer::expectedWaitMs(const Endpoint &Entry,
                                 const RequestTraits &Request) const {
-  double Slots = std::max<std::uint32_t>(1, Entry.Slots);
+  double Slots = slotsOf(Entry);
   double Wait = std::max(0.0, outstandingRequests(Entry.Id) + 1 - Slots) /
                 Slots * serviceTimeMs(Entry.Id);
   return Request.LargeResponse ? Wait + linkBacklogMs(Entry.Id) : Wait;
@@ -75,7 +83,7 @@
   double SuccessRate = 1;
   if (Found != StatsById.end())
     SuccessRate = std::max(MinSuccessRate, Found->second.SuccessRate);
-  double Slots = std::max<std::uint32_t>(1, Entry.Slots);
+  double Slots = slotsOf(Entry);
   std::int64_t ReadyForMs = Time.wallNow().count() - Entry.ReadySince;
   if (ReadyForMs < Options.SlowStart.count())
     Slots *=
@@ -124,7 +132,7 @@
       continue;
     Local.push_back(Entry);
     Outstanding += outstandingRequests(Entry->Id);
-    Slots += Entry->Slots;
+    Slots += slotsOf(*Entry);
     if (expectedWaitMs(*Entry, Request) <= MaxWaitMs)
       WithinWait.push_back(Entry);
   }
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -3,6 +3,8 @@
 #include "SchedulingOrder.h"
 #include "amaranth/base/Log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -113,6 +115,8 @@
       Crashes.handleRestart(LastAnnouncement->Service, Options.Endpoint);
     Client.closeIdleConnections();
     Lifecycle = UpstreamLifecycle();
+    setRequestLimit(std::nullopt);
+    MalformedLimit.clear();
     ServiceTimes = RouteTimes();
     ResponseSizes = RouteSizes();
   }
@@ -223,11 +227,47 @@
   updateLimit();
 }
 
+void Gate::Impl::applyNotice(const ResponseHead &Head,
+                             std::uint64_t Incarnation) {
+  // A late response of an earlier process says nothing about the current one.
+  if (!LastAnnouncement || LastAnnouncement->Incarnation != Incarnation)
+    return;
+  UpstreamNotice Notice = Dialect.upstreamNotice(Head);
+  if (!Notice.MalformedLimit.empty()) {
+    if (std::exchange(MalformedLimit, Notice.MalformedLimit) !=
+        Notice.MalformedLimit)
+      base::logger("gate")->warn(
+          "malformed request limit of the upstream is ignored instance={} "
+          "fields=\"{}\"",
+          LastAnnouncement->Instance, Notice.MalformedLimit);
+    return;
+  }
+  if (Notice.Limit == NamedLimit)
+    return;
+  // An upstream may name another limit in each response.
+  if (Notice.Limit.has_value() != NamedLimit.has_value())
+    base::logger("gate")->info(
+        "upstream {} instance={} in_flight={} queued={}",
+        Notice.Limit ? fmt::format("limits its requests per_second={}",
+                                   Notice.Limit->PerSecond)
+                     : std::string("no longer limits its requests"),
+        LastAnnouncement->Instance, Slots.inFlight(), Slots.queued());
+  setRequestLimit(Notice.Limit);
+}
+
+void Gate::Impl::setRequestLimit(std::optional<RequestRate> Limit) {
+  NamedLimit = Limit;
+  Slots.setRate(Limit);
+  Counters.setRequestLimit(Limit);
+}
+
 UpstreamLoad Gate::Impl::load() const {
   UpstreamLoad Work{Slots.inFlight(),
                     static_cast<std::uint32_t>(Slots.queued()),
                     LastAnnouncement ? LastAnnouncement->Slots : 0};
   Work.ServiceTime = ServiceTimes.expected().value_or(base::Millis(0));
+  if (Slots.rate())
+    Work.Slots = Slots.capacity(Work.ServiceTime);
   SchedulingParams Newest;
   Newest.Priority = std::numeric_limits<std::uint32_t>::max();
   Newest.Objective = Newest.Deadline = Time.now();
@@ -346,7 +386,7 @@
   // An idle upstream accepts one request regardless of its expected service
   // time; otherwise a median from a slow period would never be updated.
   if (Slots.inFlight() == 0)
-    return Link <= Left;
+    return Wait + Link <= Left;
   return Wait + Work.ServiceTime + Link <= Left;
 }
 
@@ -398,14 +438,15 @@
     return Busy(RefusalReason::WaitTooLong, "no slot is expected in time");
   // A request that would be late is admitted only while the queue is short.
   if (Wait > base::Millis(0) && Exchange.Objective < Exchange.Deadline &&
-      !admitsToQueue(Work, Time.now(), Wait, Slots.queued(), Slots.limit()))
+      !admitsToQueue(Work, Time.now(), Wait, Slots.queued(),
+                     Slots.capacity(Work.ServiceTime)))
     return Busy(RefusalReason::QueueFull,
                 "the queue is too long for a late request");
   // Only requests that would precede this one count, so that less urgent
   // requests cannot fill the queue for more urgent ones.
-  bool Waits = Slots.inFlight() >= Slots.limit();
-  if (Waits && Slots.countAhead(Work) >= std::size_t{Options.MaxQueuedPerSlot} *
-                                             LastAnnouncement->Slots)
+  if (Slots.isFull() &&
+      Slots.countAhead(Work) >=
+          std::size_t{Options.MaxQueuedPerSlot} * LastAnnouncement->Slots)
     return Busy(RefusalReason::QueueFull, "queue is full");
   return std::nullopt;
 }
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -26,6 +26,9 @@
   void publish();
   void updateLimit();
   void tick();
+  /// Applies what the upstream process `Incarnation` says in a response.
+  void applyNotice(const ResponseHead &Head, std::uint64_t Incarnation);
+  void setRequestLimit(std::optional<RequestRate> Limit);
   UpstreamLoad load() const;
   std::optional<Refusal> makeRefusal(ExecutionOutcome What, RefusalReason Why,
                                      std::string Text) const;
@@ -81,6 +84,8 @@
     /// a resend gets its response.
     bool RunsToCompletion = false;
     bool Suspect = false;
+    /// The upstream process that runs the request.
+    std::uint64_t Incarnation = 0;
     bool HeadReceived = false;
     /// Set while the request may be the cause of a crash of the upstream.
     std::optional<CrashDetector::TrackedRequest> Tracked;
@@ -101,7 +106,8 @@
   /// Reads the head of the response to this request. Skips responses that
   /// belong to other requests.
   boost::asio::awaitable<ResponseHead>
-  readOwnHead(ExchangePtr Exchange, std::shared_ptr<UpstreamCall> Call);
+  readOwnHead(ExchangePtr Exchange, std::shared_ptr<UpstreamCall> Call,
+              std::uint64_t Incarnation);
   /// Reads and discards the rest of a response that is not forwarded, so that
   /// its connection can be reused. Closes the connection instead if the rest is
   /// long or slow.
@@ -166,6 +172,10 @@
   RouteSizes ResponseSizes;
   UpstreamLifecycle Lifecycle;
   std::optional<Announcement> LastAnnouncement;
+  /// Limit in the last response of the upstream that could be read.
+  std::optional<RequestRate> NamedLimit;
+  /// The last malformed limit, which is logged once.
+  std::string MalformedLimit;
   base::TimePoint LastAnnouncedAt;
   base::TimePoint ReadyAt;
   base::WallTime ReadyWall;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -271,11 +271,14 @@
   if (!Refused && !Suspect && isSuspect(Exchange->Head))
     Refused = makeRefusal(ExecutionOutcome::NotRun, RefusalReason::SuspectBusy,
                           "request is suspected of crashing upstreams");
+  if (Refused) {
+    Slots.returnUnused();
+    co_return Refused;
+  }
   Execution State{Hold, Response, Exchange->Head.IdempotencyKey.has_value(),
-                  Suspect};
-  if (!Refused)
-    Refused = co_await claimAndExecute(Exchange, State);
-  co_return Refused;
+                  Suspect,
+                  LastAnnouncement ? LastAnnouncement->Incarnation : 0};
+  co_return co_await claimAndExecute(Exchange, State);
 }
 
 Gate::Impl::RefusalTask Gate::Impl::claimAndExecute(ExchangePtr Exchange,
@@ -409,12 +412,16 @@
 
 asio::awaitable<ResponseHead>
 Gate::Impl::readOwnHead(ExchangePtr Exchange,
-                        std::shared_ptr<UpstreamCall> Call) {
+                        std::shared_ptr<UpstreamCall> Call,
+                        std::uint64_t Incarnation) {
   for (;;) {
     ResponseHead Received = co_await Call->readHead();
     if (Dialect.classifyResponse(Received, Exchange->Head.CallerAttempt) !=
         ResponseClass::Mismatched)
       co_return Received;
+    // An old response may name a limit, but its silence does not end one.
+    if (Dialect.upstreamNotice(Received).Limit)
+      applyNotice(Received, Incarnation);
     base::logger("gate")->warn(
         "skipped a response that belongs to another request id={}",
         Exchange->Head.CallerAttempt);
@@ -449,7 +456,7 @@
   ResponseHead Head;
   std::exception_ptr HeadFailure;
   try {
-    Head = co_await readOwnHead(Exchange, Call);
+    Head = co_await readOwnHead(Exchange, Call, State.Incarnation);
   } catch (const UpstreamError &) {
     HeadFailure = std::current_exception();
   }
@@ -467,6 +474,8 @@
     throw UpstreamError(true, RefusalReason::UpstreamBroken,
                         "response without a sign of this upstream");
   State.HeadReceived = true;
+  if (Verdict != ResponseClass::OtherInstance)
+    applyNotice(Head, State.Incarnation);
   if (Verdict == ResponseClass::Executed) {
     recordAnswer(Exchange->Head, State.Suspect);
     auto Refused =
--- a/dataplane/src/Headers.cpp
+++ b/dataplane/src/Headers.cpp
@@ -54,6 +54,15 @@
   return nullptr;
 }
 
+std::vector<std::string> findHeaders(const Headers &Fields,
+                                     std::string_view Name) {
+  std::vector<std::string> Values;
+  for (const auto &[FieldName, Value] : Fields)
+    if (equalIgnoringCase(FieldName, Name))
+      Values.push_back(Value);
+  return Values;
+}
+
 void eraseHeader(Headers &Fields, std::string_view Name) {
   std::erase_if(Fields, [Name](const auto &Field) {
     return equalIgnoringCase(Field.first, Name);
--- a/dataplane/src/Metrics.cpp
+++ b/dataplane/src/Metrics.cpp
@@ -46,7 +46,10 @@
       Queued(gauge(Registry, "amaranth_gate_queued",
                    "Requests waiting for a slot of the local upstream")),
       Slots(gauge(Registry, "amaranth_gate_slots",
-                  "Requests that the local upstream may run at once")) {}
+                  "Requests that the local upstream may run at once")),
+      RequestLimit(gauge(Registry, "amaranth_gate_request_limit",
+                         "Requests a second that the local upstream takes; 0 "
+                         "without a limit")) {}
 
 void Metrics::countRequest(const base::ServiceName &Service,
                            const std::string &Outcome, base::Millis Duration) {
@@ -80,6 +83,12 @@
   Claims.Add({{"result", Result}}).Increment();
 }
 
+void Metrics::setRequestLimit(std::optional<RequestRate> Limit) {
+  RequestLimit.Set(
+      Limit ? std::max(Limit->PerSecond, RequestRateLimit::MinRate.PerSecond)
+            : 0);
+}
+
 void Metrics::countConviction() { Convictions.Increment(); }
 
 void Metrics::countCrash() { Crashes.Increment(); }
--- a/dataplane/src/NativeDialect.cpp
+++ b/dataplane/src/NativeDialect.cpp
@@ -45,6 +45,11 @@
   return ResponseClass::Executed;
 }
 
+UpstreamNotice
+NativeDialect::upstreamNotice(const ResponseHead & /*Head*/) const {
+  return {};
+}
+
 void NativeDialect::removeInternalFields(Headers &Fields) const {
   // An upstream that forwards the refusal of a nested call has executed the
   // request, so the forwarded fields must not reach the caller.
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -4,6 +4,7 @@
 #include "amaranth/base/Invariant.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace asio = boost::asio;
 
@@ -27,18 +28,23 @@
   for (;;) {
     // The objective can no longer be met. A short queue still serves the
     // request until its latest start.
-    if (Time.now() >= Until && acceptsLateRequests(Waiters.size(), Limit))
+    if (Time.now() >= Until &&
+        acceptsLateRequests(Waiters.size(), capacity(Work.ServiceTime)))
       Until = LatestStart;
+    grantNext();
     if (Own->Granted || Own->Dropped || Exchange->ended() ||
         Time.now() >= Until)
       break;
-    co_await Time.waitFor(Exchange->changed(), Until);
+    co_await Time.waitFor(Exchange->changed(),
+                          std::min(Until, nextGrant(*Own)));
   }
   if (Own->Granted)
     co_return Result::Granted;
   if (Own->Dropped)
     co_return Result::Dropped;
   std::erase(Waiters, Own);
+  // The next waiter waits for the rate from now on.
+  grantNext();
   co_return Exchange->ended() ? Result::Ended : Result::Expired;
 }
 
@@ -55,6 +61,21 @@
   grantNext();
 }
 
+void SlotQueue::setRate(std::optional<RequestRate> Rate) {
+  RateLimit.setRate(Rate, Time.now());
+  grantNext();
+}
+
+std::uint32_t SlotQueue::capacity(base::Millis ServiceTime) const {
+  auto Rate = RateLimit.rate();
+  if (!Rate || Limit == 0)
+    return Limit;
+  double Running =
+      Rate->PerSecond * static_cast<double>(ServiceTime.count()) / 1000;
+  return static_cast<std::uint32_t>(
+      std::clamp(std::ceil(Running), 1.0, static_cast<double>(Limit)));
+}
+
 void SlotQueue::dropWaiters() {
   for (auto &Entry : std::exchange(Waiters, {})) {
     Entry->Dropped = true;
@@ -76,8 +97,9 @@
                                      base::Millis MedianServiceTime) const {
   if (Limit == 0)
     return MedianServiceTime;
+  base::Millis RateWait = RateLimit.timeUntil(countAhead(Work) + 1, Time.now());
   if (Running + Waiters.size() < Limit)
-    return base::Millis(0);
+    return RateWait;
   SchedulingParams New = Work;
   New.Sequence = NextSequence;
   base::TimePoint Now = Time.now();
@@ -86,7 +108,7 @@
     if (precedes(Entry->Work, New, Now))
       TotalAhead =
           TotalAhead + std::max(Entry->Work.ServiceTime, base::Millis(1));
-  return TotalAhead / Limit;
+  return std::max(RateWait, TotalAhead / Limit);
 }
 
 SlotQueue::WaiterList::iterator SlotQueue::nextWaiter() {
@@ -99,12 +121,24 @@
   return First;
 }
 
+base::TimePoint SlotQueue::nextGrant(const Waiter &Own) {
+  auto First = nextWaiter();
+  if (Running >= Limit || First == Waiters.end() || First->get() != &Own)
+    return base::TimePoint::max();
+  return Time.now() + RateLimit.timeUntil(1, Time.now());
+}
+
 void SlotQueue::grantNext() {
   while (Running < Limit) {
     auto First = nextWaiter();
     if (First == Waiters.end())
       return;
     auto Entry = *First;
+    if (!RateLimit.tryAcquire(Time.now())) {
+      // It may have become the first one, and then waits for the rate.
+      Entry->Exchange->changed().notifyAll();
+      return;
+    }
     Waiters.erase(First);
     ++Running;
     SuspectRunning = SuspectRunning || Entry->Suspect;
--- a/dataplane/test/Decisions_test.cpp
+++ b/dataplane/test/Decisions_test.cpp
@@ -1,6 +1,7 @@
 #include "IdleLimit.h"
 #include "RetryState.h"
 #include "SchedulingOrder.h"
+#include "amaranth/dataplane/RequestRateLimit.h"
 #include "amaranth/dataplane/RetryBudget.h"
 
 #include <catch2/catch.hpp>
@@ -29,6 +30,39 @@
 
 } // namespace
 
+TEST_CASE("RequestRateLimit spreads requests over time") {
+  RequestRateLimit Limit;
+  base::TimePoint Now(0);
+  CHECK(Limit.tryAcquire(Now));
+  Limit.setRate(RequestRate{10}, Now);
+  // A new limit grants no burst: the upstream is in need.
+  CHECK_FALSE(Limit.tryAcquire(Now));
+  CHECK(Limit.timeUntil(1, Now) == base::Millis(100));
+  CHECK(Limit.timeUntil(3, Now) == base::Millis(300));
+  Now = base::TimePoint(100);
+  CHECK(Limit.tryAcquire(Now));
+  CHECK_FALSE(Limit.tryAcquire(Now));
+  Limit.giveBack(Now);
+  CHECK(Limit.timeUntil(1, Now) == base::Millis(0));
+  Limit.setRate(std::nullopt, Now);
+  CHECK(Limit.timeUntil(1000, Now) == base::Millis(0));
+}
+
+// Guards against a burst after an idle time that exceeds what the upstream
+// takes.
+TEST_CASE("RequestRateLimit keeps unused capacity for a quarter of a second") {
+  auto PerSecond = GENERATE(0.25, 1.0, 43.2, 1000.0);
+  RequestRateLimit Limit;
+  Limit.setRate(RequestRate{PerSecond}, base::TimePoint(0));
+  base::TimePoint Now(60'000);
+  unsigned Burst = 0;
+  while (Limit.tryAcquire(Now))
+    ++Burst;
+  CHECK(Burst >= 1);
+  CHECK(Burst <= std::max(1.0, PerSecond / 4));
+  CHECK(Limit.timeUntil(1, Now) <= base::Millis(2000));
+}
+
 TEST_CASE("precedes compares the priority before the objective") {
   base::TimePoint Now(0);
   CHECK(precedes(waitingWork(0, 500, 900, 50), waitingWork(1, 100, 900, 50),
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -74,6 +74,9 @@
                ? ResponseClass::NotExecuted
                : ResponseClass::Executed;
   }
+  UpstreamNotice upstreamNotice(const ResponseHead &Head) const override {
+    return Native.upstreamNotice(Head);
+  }
   void removeInternalFields(Headers &Fields) const override {
     Native.removeInternalFields(Fields);
   }
--- a/dataplane/test/Parts_test.cpp
+++ b/dataplane/test/Parts_test.cpp
@@ -277,6 +277,21 @@
   CHECK_FALSE(Machine.apply(Event::AnnouncementTimeout));
 }
 
+// Guards against a limited upstream that looks idle and is asked first by every
+// node.
+TEST_CASE_METHOD(
+    BalancerTest,
+    "Balancer sends less to an upstream that limits its requests") {
+  add("limited", "a");
+  add("free", "a");
+  for (const char *Id : {"limited", "free"}) {
+    UpstreamLoad Load{0, 0, Id == std::string("limited") ? 1U : 10U};
+    Load.ServiceTime = base::Millis(100);
+    Balance.recordLoad(base::EndpointId(Id), Load);
+  }
+  CHECK(chooseMany(20) == std::map<std::string, int>{{"free", 20}});
+}
+
 TEST_CASE("Refusal of a request that crashed two upstreams is final") {
   Refusal Why{ExecutionOutcome::Unknown, RefusalReason::Quarantined, ""};
   CHECK(isFinal(Why));
