Stop sending to an upstream that says in a response that it leaves

Callers saw: nothing yet; requests reached an upstream after it had said that it leaves, as long as no announcement said so too. Cause: no process read the header. It counts for the process that was asked, not for one that has taken its address since.

--- a/dataplane/include/amaranth/dataplane/HttpDialect.h
+++ b/dataplane/include/amaranth/dataplane/HttpDialect.h
@@ -35,6 +35,8 @@
   /// The fields about the limit that cannot be read; empty if there are none. A
   /// limit that was named before stays then.
   std::string MalformedLimit;
+  /// The upstream leaves and takes no new requests.
+  bool Leaving = false;
 };
 
 /// Classification of an upstream response by its headers.
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -233,6 +233,8 @@
   if (!LastAnnouncement || LastAnnouncement->Incarnation != Incarnation)
     return;
   UpstreamNotice Notice = Dialect.upstreamNotice(Head);
+  if (Notice.Leaving)
+    applyEvent(UpstreamEvent::AnnouncedDraining);
   if (!Notice.MalformedLimit.empty()) {
     if (std::exchange(MalformedLimit, Notice.MalformedLimit) !=
         Notice.MalformedLimit)
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -419,8 +419,10 @@
     if (Dialect.classifyResponse(Received, Exchange->Head.CallerAttempt) !=
         ResponseClass::Mismatched)
       co_return Received;
-    // An old response may name a limit, but its silence does not end one.
-    if (Dialect.upstreamNotice(Received).Limit)
+    // An old response may tell of a limit or of the end, but its silence does
+    // not end a limit.
+    UpstreamNotice Notice = Dialect.upstreamNotice(Received);
+    if (Notice.Limit || Notice.Leaving)
       applyNotice(Received, Incarnation);
     base::logger("gate")->warn(
         "skipped a response that belongs to another request id={}",
