Let operators lift the quarantine of a request

Callers saw: a request that was convicted by coincidence, or whose upstream was repaired, stayed refused for ten minutes; nothing could end that. Change: amaranthctl lift-quarantine and POST /v1/lift-quarantine end an entry by a log entry with an audit record.

Result: control_test, ctl_test and crash_isolation_test pass with new cases.

--- a/control/include/amaranth/control/Commands.h
+++ b/control/include/amaranth/control/Commands.h
@@ -143,6 +143,13 @@
 /// time.
 inline constexpr base::Millis ConvictionDuration = base::Millis::seconds(600);
 
+/// Ends the quarantine of a request before its time. A request that is not in
+/// quarantine is a `Conflict`.
+struct LiftQuarantine {
+  base::OperatorName Operator;
+  std::uint64_t Fingerprint = 0;
+};
+
 /// Replaces the whole document by one based on `Change.Base`. Refused while the
 /// document consists of sections.
 struct ReplaceDocument {
@@ -195,10 +202,11 @@
 };
 
 /// The alternatives are in the order of the `CommandBody` union in the schema.
-using Command = std::variant<ApplySections, PutEndpoint, ExpireEndpoints, Claim,
-                             FinishClaim, ReleaseClaim, RolloutDecision,
-                             ReportCrash, BeginSuspectRun, EndSuspectRun,
-                             ReplaceDocument, StartRollout, TimedDecision>;
+using Command =
+    std::variant<ApplySections, PutEndpoint, ExpireEndpoints, Claim,
+                 FinishClaim, ReleaseClaim, RolloutDecision, ReportCrash,
+                 BeginSuspectRun, EndSuspectRun, ReplaceDocument, StartRollout,
+                 TimedDecision, LiftQuarantine>;
 
 /// Outcome of a command, in order of severity.
 enum class ResultCode : std::uint8_t {
--- a/control/include/amaranth/control/ControlState.h
+++ b/control/include/amaranth/control/ControlState.h
@@ -35,7 +35,7 @@
   std::uint64_t Digest = 0;
   std::string Operation;
   /// One of `accepted`, `conflict`, `forbidden`, `invalid`, `refused`,
-  /// `started`, `convicted`, or a rollout phase.
+  /// `started`, `convicted`, `lifted`, or a rollout phase.
   std::string Result;
   std::string Reason;
 };
--- a/control/include/amaranth/control/OperatorApi.h
+++ b/control/include/amaranth/control/OperatorApi.h
@@ -34,6 +34,7 @@
 ///                         "expected": REVISION, "body": TEXT}]}, where
 ///                         `"delete": true` instead of `body` deletes
 ///     POST /v1/replace-voter {"lost": "ID", "replacement": "ID"}
+///     POST /v1/lift-quarantine {"fingerprint": "16 hexadecimal digits"}
 ///     GET  /v1/document, /v1/status, /v1/versions, /v1/audit?limit=N
 ///     GET  /metrics, /health, /ready (without a key)
 ///
@@ -56,6 +57,8 @@
                                             const Operator &Requester);
   boost::asio::awaitable<ApiResponse> replaceVoter(const ApiRequest &Request,
                                                    const Operator &Requester);
+  boost::asio::awaitable<ApiResponse> liftQuarantine(const ApiRequest &Request,
+                                                     const Operator &Requester);
   boost::asio::awaitable<ApiResponse> read(const ApiRequest &Request);
   ApiResponse servePublic(const std::string &Path) const;
   ApiResponse ready() const;
--- a/control/src/Commands.cpp
+++ b/control/src/Commands.cpp
@@ -109,6 +109,11 @@
       .Union();
 }
 
+Offset<void> write(Builder &Out, const LiftQuarantine &Value) {
+  auto Operator = writeString(Out, Value.Operator);
+  return wire::CreateLiftQuarantine(Out, Operator, Value.Fingerprint).Union();
+}
+
 Offset<void> write(Builder &Out, const ReplaceDocument &Value) {
   const document::WholeDocumentChange &Change = Value.Change;
   auto Operator = writeString(Out, Value.Operator);
@@ -225,6 +230,10 @@
           Value.attempt()->str(), Value.crashed()};
 }
 
+LiftQuarantine read(const wire::LiftQuarantine &Value) {
+  return {idOf<base::OperatorName>(Value.operator_name()), Value.fingerprint()};
+}
+
 ReplaceDocument read(const wire::ReplaceDocument &Value) {
   ReplaceDocument Result;
   Result.Operator = idOf<base::OperatorName>(Value.operator_name());
@@ -302,6 +311,8 @@
     return read(*Root.body_as_StartRollout());
   case wire::CommandBody::TimedDecision:
     return read(*Root.body_as_TimedDecision());
+  case wire::CommandBody::LiftQuarantine:
+    return read(*Root.body_as_LiftQuarantine());
   case wire::CommandBody::NONE:
     break;
   }
--- a/control/src/ControlState.cpp
+++ b/control/src/ControlState.cpp
@@ -220,6 +220,19 @@
     return Result;
   }
 
+  CommandResult handle(const LiftQuarantine &Request,
+                       detail::EntryContext Context) {
+    detail::QuarantineTable::Effect Effect;
+    CommandResult Result = Quarantine.lift(Request, Effect);
+    AuditEntry Entry = makeSystemEntry(Context);
+    Entry.Actor = Request.Operator.value();
+    Entry.Result = Effect.Changed ? "lifted" : "conflict";
+    Entry.Reason = "quarantine of request " + base::hex64(Request.Fingerprint);
+    Audit.add(std::move(Entry));
+    recordQuarantine({}, Effect, Context);
+    return Result;
+  }
+
   void recordQuarantine(const base::ServiceName &Service,
                         const detail::QuarantineTable::Effect &Effect,
                         detail::EntryContext Context) {
--- a/control/src/OperatorApi.cpp
+++ b/control/src/OperatorApi.cpp
@@ -1,6 +1,7 @@
 #include "amaranth/control/OperatorApi.h"
 
 #include "OperatorJson.h"
+#include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
 #include "amaranth/base/Log.h"
 
@@ -94,7 +95,8 @@
 }
 
 bool isWritePath(std::string_view Path) {
-  return Path == "/v1/apply" || Path == "/v1/replace-voter";
+  return Path == "/v1/apply" || Path == "/v1/replace-voter" ||
+         Path == "/v1/lift-quarantine";
 }
 
 bool isReadPath(std::string_view Path) {
@@ -149,6 +151,8 @@
                             "of an operator");
   if (Parsed.Path == "/v1/replace-voter")
     co_return co_await replaceVoter(Request, *Requester);
+  if (Parsed.Path == "/v1/lift-quarantine")
+    co_return co_await liftQuarantine(Request, *Requester);
   if (IsWrite)
     co_return co_await apply(Request, *Requester);
   co_return co_await read(Request);
@@ -248,6 +252,44 @@
   co_return Answer;
 }
 
+asio::awaitable<ApiResponse>
+OperatorApi::liftQuarantine(const ApiRequest &Request,
+                            const Operator &Requester) {
+  LiftQuarantine Change;
+  try {
+    Change = {Requester.Name, detail::parseFingerprint(Request.Body)};
+  } catch (const detail::BadRequest &Fault) {
+    co_return errorResponse(400, Fault.what());
+  }
+  ApiResponse Answer;
+  try {
+    base::Bytes Applied =
+        co_await Log.propose(encodeCommand(Change), Timeouts.Propose);
+    CommandResult Result = decodeResult(Applied);
+    Answer =
+        Result.Code == ResultCode::Accepted
+            ? ApiResponse{200, "application/json",
+                          detail::resultJson(Result, "")}
+            : errorResponse(httpStatus(Result.Code),
+                            Result.Messages.empty() ? "the command was refused"
+                                                    : Result.Messages.front());
+  } catch (const replication::NotLeader &Failure) {
+    Answer = errorResponse(503, fmt::format("the quarantine was not lifted: "
+                                            "{}; send it again or to another "
+                                            "process",
+                                            Failure.what()));
+  } catch (const base::Error &Failure) {
+    Answer = errorResponse(504, fmt::format("the outcome is unknown: {}; check "
+                                            "the quarantine with status",
+                                            Failure.what()));
+  }
+  base::logger("operator")
+      ->info("lift quarantine operator={} fingerprint={} status={}",
+             Requester.Name.value(), base::hex64(Change.Fingerprint),
+             Answer.Status);
+  co_return Answer;
+}
+
 asio::awaitable<ApiResponse> OperatorApi::read(const ApiRequest &Request) {
   Query Parsed = parseTarget(Request.Target);
   if (!Parsed.Fault.empty())
--- a/control/src/OperatorJson.cpp
+++ b/control/src/OperatorJson.cpp
@@ -226,6 +226,21 @@
   return {replicaMember(Root, "lost"), replicaMember(Root, "replacement")};
 }
 
+std::uint64_t parseFingerprint(std::string_view Text) {
+  json::object Root = parseObject(Text);
+  checkMembers(Root, {"fingerprint"}, "body");
+  std::string Digits = stringMember(Root, "fingerprint", "body");
+  constexpr std::size_t FingerprintDigits = 16;
+  std::uint64_t Result = 0;
+  const char *Last = Digits.data() + Digits.size();
+  auto [End, Code] = std::from_chars(Digits.data(), Last, Result, 16);
+  if (Code != std::errc() || End != Last || Digits.size() != FingerprintDigits)
+    throw BadRequest(
+        "body: the member \"fingerprint\" must have 16 hexadecimal "
+        "digits");
+  return Result;
+}
+
 std::string replacementJson(const VoterReplacement &Replaced) {
   json::object Result;
   Result["result"] = "accepted";
--- a/control/src/OperatorJson.h
+++ b/control/src/OperatorJson.h
@@ -29,6 +29,9 @@
 VoterReplacement parseReplacement(std::string_view Text);
 std::string replacementJson(const VoterReplacement &Replaced);
 
+/// Parses the body of `POST /v1/lift-quarantine`. Throws `BadRequest`.
+std::uint64_t parseFingerprint(std::string_view Text);
+
 /// Returns `{"error": TEXT}`, with the member `operation` if it is not empty.
 std::string errorJson(std::string_view Text, std::string_view Operation = {});
 std::string resultJson(const CommandResult &Result,
--- a/control/src/QuarantineTable.cpp
+++ b/control/src/QuarantineTable.cpp
@@ -1,6 +1,7 @@
 #include "QuarantineTable.h"
 
 #include "CommandResults.h"
+#include "amaranth/base/Digest.h"
 
 #include <set>
 
@@ -70,6 +71,16 @@
   return makeResult(ResultCode::Accepted);
 }
 
+CommandResult QuarantineTable::lift(const LiftQuarantine &Request,
+                                    Effect &Result) {
+  if (Records.erase(Request.Fingerprint) == 0)
+    return makeResult(ResultCode::Conflict,
+                      "request " + base::hex64(Request.Fingerprint) +
+                          " is not in quarantine");
+  Result.Changed = true;
+  return makeResult(ResultCode::Accepted);
+}
+
 void QuarantineTable::convict(Record &Culprit, base::WallTime Now,
                               Effect &Result) {
   Culprit.Entry.Convicted = true;
--- a/control/src/QuarantineTable.h
+++ b/control/src/QuarantineTable.h
@@ -39,6 +39,7 @@
                             Effect &Result);
   CommandResult endRun(const EndSuspectRun &Request, base::WallTime Now,
                        Effect &Result);
+  CommandResult lift(const LiftQuarantine &Request, Effect &Result);
   /// Removes expired entries. Returns whether an entry was removed.
   bool expire(base::WallTime Now);
 
--- a/control/test/Commands_test.cpp
+++ b/control/test/Commands_test.cpp
@@ -32,7 +32,8 @@
                            RolloutPhase::Stepping, 10, 1, "why"},
            ReportCrash{Service, base::EndpointId("e1"), {1, 2}, 3},
            BeginSuspectRun{Service, 1, "a"},
-           EndSuspectRun{Service, 1, "a", true}};
+           EndSuspectRun{Service, 1, "a", true},
+           LiftQuarantine{base::OperatorName("o"), 5}};
   }
 
   std::vector<Command> All;
--- a/control/test/OperatorServer_test.cpp
+++ b/control/test/OperatorServer_test.cpp
@@ -296,6 +296,28 @@
   CHECK(contains(request(Line, Body), " 504 "));
 }
 
+TEST_CASE_METHOD(OperatorServerTest,
+                 "lift-quarantine ends the quarantine of a request") {
+  const std::string Line = "POST /v1/lift-quarantine";
+  CHECK(contains(request("GET /v1/lift-quarantine"), " 405 "));
+  for (const char *Body :
+       {"", "{}", R"({"fingerprint":171})", R"({"fingerprint":"ab"})",
+        R"({"fingerprint":"00000000000000zz"})"})
+    CHECK(contains(request(Line, Body), " 400 "));
+  const std::string Body = R"({"fingerprint":"00000000000000ab"})";
+  CHECK(contains(request(Line, Body), "00000000000000ab is not in quarantine"));
+  asio::co_spawn(Io,
+                 Log.propose(encodeCommand(EndSuspectRun{base::ServiceName("s"),
+                                                         171, "", true}),
+                             base::Millis(1000)),
+                 asio::detached);
+  poll();
+  CHECK(contains(request(Line, Body), " 200 "));
+  CHECK(contains(request("GET /v1/status"), R"("quarantine":[])"));
+  CHECK(contains(request("GET /v1/audit"), R"("result":"lifted")"));
+  CHECK(contains(request(Line, Body), " 409 "));
+}
+
 TEST_CASE_METHOD(OperatorServerTest,
                  "status lists running rollouts and the quarantine") {
   CHECK(
--- a/dataplane/include/amaranth/dataplane/CrashQuarantine.h
+++ b/dataplane/include/amaranth/dataplane/CrashQuarantine.h
@@ -42,10 +42,12 @@
       : Time(Time), Snapshots(Snapshots) {}
 
   /// Time for which the request is still refused; empty if it is not convicted.
-  std::optional<base::Millis> convictedFor(std::uint64_t Fingerprint) const;
+  /// From the first snapshot with the conviction on, the snapshot decides, so
+  /// that an operator can lift it.
+  std::optional<base::Millis> convictedFor(std::uint64_t Fingerprint);
   /// True if the request was running during a crash and has not been answered
   /// since. A convicted request is no suspect.
-  bool isSuspect(std::uint64_t Fingerprint) const;
+  bool isSuspect(std::uint64_t Fingerprint);
 
   void addSuspect(std::uint64_t Fingerprint);
   void convict(std::uint64_t Fingerprint);
--- a/dataplane/src/CrashQuarantine.cpp
+++ b/dataplane/src/CrashQuarantine.cpp
@@ -27,20 +27,19 @@
 }
 
 std::optional<base::Millis>
-CrashQuarantine::convictedFor(std::uint64_t Fingerprint) const {
-  if (auto Own = Convicted.remaining(Fingerprint, Time.now()))
-    return Own;
-  auto Snapshot = Snapshots.current();
-  if (!Snapshot)
-    return std::nullopt;
-  auto Found = Snapshot->Quarantine.find(Fingerprint);
-  if (Found == Snapshot->Quarantine.end() || !Found->second.Convicted ||
-      Found->second.Until <= Time.wallNow())
-    return std::nullopt;
-  return Found->second.Until - Time.wallNow();
+CrashQuarantine::convictedFor(std::uint64_t Fingerprint) {
+  if (auto Snapshot = Snapshots.current()) {
+    auto Found = Snapshot->Quarantine.find(Fingerprint);
+    if (Found != Snapshot->Quarantine.end() && Found->second.Convicted &&
+        Found->second.Until > Time.wallNow()) {
+      Convicted.erase(Fingerprint);
+      return Found->second.Until - Time.wallNow();
+    }
+  }
+  return Convicted.remaining(Fingerprint, Time.now());
 }
 
-bool CrashQuarantine::isSuspect(std::uint64_t Fingerprint) const {
+bool CrashQuarantine::isSuspect(std::uint64_t Fingerprint) {
   if (wasAnswered(Fingerprint) || convictedFor(Fingerprint))
     return false;
   if (Suspects.remaining(Fingerprint, Time.now()))
--- a/dataplane/test/CrashIsolation_test.cpp
+++ b/dataplane/test/CrashIsolation_test.cpp
@@ -196,6 +196,23 @@
   CHECK_FALSE(Quarantine.isSuspect(1));
 }
 
+TEST_CASE_METHOD(CrashQuarantineTest,
+                 "Conviction ends when an operator lifts it") {
+  Quarantine.convict(7);
+  CHECK(Quarantine.convictedFor(7));
+  document::MeshSnapshot Mesh;
+  Snapshots.set(Mesh);
+  // The conviction is not committed yet.
+  CHECK(Quarantine.convictedFor(7));
+  Mesh.Quarantine[7] = {7, base::ServiceName("s"), true,
+                        Time.wallNow() + base::Millis(600'000)};
+  Snapshots.set(Mesh);
+  CHECK(Quarantine.convictedFor(7) == base::Millis(600'000));
+  Mesh.Quarantine.clear();
+  Snapshots.set(Mesh);
+  CHECK_FALSE(Quarantine.convictedFor(7));
+}
+
 TEST_CASE_METHOD(CrashQuarantineTest,
                  "Answered request is no suspect, whatever the snapshot says") {
   document::MeshSnapshot Mesh;
--- a/tools/ctl/src/Ctl.cpp
+++ b/tools/ctl/src/Ctl.cpp
@@ -61,6 +61,8 @@
       return status();
     if (Opts.Command == "replace-voter")
       return replaceVoter();
+    if (Opts.Command == "lift-quarantine")
+      return liftQuarantine();
     return query();
   }
 
@@ -190,6 +192,19 @@
     return Exit::Ok;
   }
 
+  Exit liftQuarantine() {
+    Client Server = client();
+    HttpReply Reply = Server.postOnce("/v1/lift-quarantine",
+                                      fingerprintBody(Opts.Fingerprint));
+    if (Reply.Status != 200)
+      return refused(Reply);
+    if (Opts.Json)
+      Out << Reply.Body << '\n';
+    else
+      Out << fmt::format("request {} is served again\n", Opts.Fingerprint);
+    return Exit::Ok;
+  }
+
   /// Queries all servers, because each knows only the nodes that follow it.
   Exit status() {
     Client Server = client();
--- a/tools/ctl/src/Options.cpp
+++ b/tools/ctl/src/Options.cpp
@@ -22,6 +22,7 @@
   amaranthctl versions [options]
   amaranthctl audit [options] [--limit=N]
   amaranthctl replace-voter [options] LOST REPLACEMENT
+  amaranthctl lift-quarantine [options] FINGERPRINT
   amaranthctl check [options] FILE
   amaranthctl --help
 
@@ -46,6 +47,9 @@
 `replace-voter` takes the ids that `status` shows: of the lost voter and of
 the learner that takes its place.
 
+`lift-quarantine` takes a fingerprint that `status` shows. The request is served
+again; it is refused again after the next crash during which it runs.
+
 Exit codes: 0 done, 1 refused, 2 usage, 3 no server reachable, 4 outcome
 unknown, 5 conflict with another change.
 )";
@@ -67,6 +71,15 @@
       parseNumber(Text, 1, std::numeric_limits<std::uint64_t>::max(), What));
 }
 
+std::string parseFingerprint(const std::string &Text) {
+  constexpr std::size_t FingerprintDigits = 16;
+  if (Text.size() != FingerprintDigits ||
+      Text.find_first_not_of("0123456789abcdef") != std::string::npos)
+    throw UsageError(fmt::format(
+        "FINGERPRINT: '{}' does not have 16 hexadecimal digits", Text));
+  return Text;
+}
+
 Deletion parseDeletion(const std::string &Text) {
   auto At = Text.rfind('@');
   if (At == std::string::npos || At == 0)
@@ -107,8 +120,9 @@
 
 Options toOptions(const Values &Parsed) {
   Options Result;
-  for (const char *Command : {"apply", "get", "diff", "status", "versions",
-                              "audit", "check", "replace-voter"})
+  for (const char *Command :
+       {"apply", "get", "diff", "status", "versions", "audit", "check",
+        "replace-voter", "lift-quarantine"})
     if (flagOf(Parsed, Command))
       Result.Command = Command;
   Result.Servers = parseServers(textOf(Parsed, "--server"));
@@ -120,6 +134,8 @@
     Result.Replacement =
         parseReplica(textOf(Parsed, "REPLACEMENT"), "REPLACEMENT");
   }
+  if (Result.Command == "lift-quarantine")
+    Result.Fingerprint = parseFingerprint(textOf(Parsed, "FINGERPRINT"));
   Result.Operation = textOf(Parsed, "--operation");
   Result.Json = flagOf(Parsed, "--json");
   Result.Stale = flagOf(Parsed, "--stale");
--- a/tools/ctl/src/Options.h
+++ b/tools/ctl/src/Options.h
@@ -31,7 +31,7 @@
 
 struct Options {
   /// `apply`, `get`, `diff`, `status`, `versions`, `audit`,
-  /// `check` or `replace-voter`.
+  /// `check`, `replace-voter` or `lift-quarantine`.
   std::string Command;
   std::vector<base::Address> Servers;
   std::string KeyFile;
@@ -40,6 +40,8 @@
   /// Arguments of `replace-voter`.
   base::ReplicaId Lost;
   base::ReplicaId Replacement;
+  /// Argument of `lift-quarantine`: 16 hexadecimal digits.
+  std::string Fingerprint;
   std::vector<Deletion> Deletions;
   std::string Operation;
   std::uint64_t Limit = 0;
--- a/tools/ctl/src/Views.cpp
+++ b/tools/ctl/src/Views.cpp
@@ -94,6 +94,12 @@
   return json::serialize(Root);
 }
 
+std::string fingerprintBody(const std::string &Fingerprint) {
+  json::object Root;
+  Root["fingerprint"] = Fingerprint;
+  return json::serialize(Root);
+}
+
 std::string replacementBody(base::ReplicaId Lost, base::ReplicaId Replacement) {
   json::object Root;
   // Ids are sent as strings: they have 64 bits, and many JSON parsers keep only
--- a/tools/ctl/src/Views.h
+++ b/tools/ctl/src/Views.h
@@ -56,6 +56,8 @@
 std::string applyBody(const std::string &Operation,
                       const std::vector<Change> &Changes);
 
+/// Returns the body of `POST /v1/lift-quarantine`.
+std::string fingerprintBody(const std::string &Fingerprint);
 /// Returns the body of `POST /v1/replace-voter`.
 std::string replacementBody(base::ReplicaId Lost, base::ReplicaId Replacement);
 
--- a/tools/ctl/test/Ctl_test.cpp
+++ b/tools/ctl/test/Ctl_test.cpp
@@ -217,6 +217,19 @@
   CHECK(call(Call) == Exit::Unreachable);
 }
 
+TEST_CASE_METHOD(CtlTest, "lift-quarantine sends the fingerprint") {
+  CHECK(call({"lift-quarantine", "ab"}) == Exit::Usage);
+  CHECK(call({"lift-quarantine", "00000000000000xy"}) == Exit::Usage);
+  CHECK(Net.Sent.empty());
+  queueResponse(200, "{}");
+  CHECK(call({"lift-quarantine", "00000000000000ab"}) == Exit::Ok);
+  REQUIRE(Net.Sent.size() == 1);
+  CHECK(Net.Sent[0].second.Target == "/v1/lift-quarantine");
+  CHECK(Net.Sent[0].second.Body == R"({"fingerprint":"00000000000000ab"})");
+  queueResponse(409, R"({"messages":["request ab is not in quarantine"]})");
+  CHECK(call({"lift-quarantine", "00000000000000ab"}) == Exit::Refused);
+}
+
 /// Returns a status response with one node.
 std::string statusOf(const std::string &Self, bool Leader,
                      const std::string &Node, int Heard) {
