--- a/tools/harness/include/amaranth/harness/HttpClient.h
+++ b/tools/harness/include/amaranth/harness/HttpClient.h
@@ -5,6 +5,7 @@
 #include "amaranth/base/Settings.h"
 
 #include <map>
+#include <memory>
 #include <string>
 
 namespace amaranth::harness {
@@ -35,6 +36,23 @@
 HttpResponse sendRequest(const base::Address &Server,
                          const HttpRequest &Request, base::Millis Limit);
 
+/// Sends requests one after the other on one connection, which it keeps until
+/// the server closes it or a request fails.
+class KeepAliveClient {
+public:
+  explicit KeepAliveClient(base::Address Server);
+  ~KeepAliveClient();
+  KeepAliveClient(const KeepAliveClient &) = delete;
+  KeepAliveClient &operator=(const KeepAliveClient &) = delete;
+
+  /// Like `sendRequest`, on the open connection if there is one.
+  HttpResponse send(const HttpRequest &Request, base::Millis Limit);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Self;
+};
+
 /// A port on 127.0.0.1 that was free a moment ago.
 base::Address freeLoopbackAddress();
 
--- a/tools/harness/src/HttpClient.cpp
+++ b/tools/harness/src/HttpClient.cpp
@@ -35,13 +35,14 @@
 }
 
 http::request<http::string_body> buildRequest(const base::Address &Server,
-                                              const HttpRequest &Request) {
+                                              const HttpRequest &Request,
+                                              bool KeepAlive) {
   http::request<http::string_body> Message;
   Message.version(11);
   Message.method_string(Request.Method);
   Message.target(Request.Target);
   Message.set(http::field::host, Server.text());
-  Message.set(http::field::connection, "close");
+  Message.keep_alive(KeepAlive);
   for (const auto &[Name, Value] : Request.Headers)
     Message.set(Name, Value);
   Message.body() = Request.Body;
@@ -49,39 +50,50 @@
   return Message;
 }
 
-class Exchange {
+/// Sends requests to one server on one connection at a time.
+class Connection {
 public:
-  Exchange(const base::Address &Server, const HttpRequest &Request,
-           base::Millis Limit)
-      : Server(Server), Request(Request), Limit(Limit), Stream(Context) {}
-
-  HttpResponse run() {
-    asio::co_spawn(Context, exchange(), [this](std::exception_ptr Failure) {
-      try {
-        if (Failure)
-          std::rethrow_exception(Failure);
-      } catch (const std::exception &Error) {
-        Response.Status = 0;
-        Response.Failure = Error.what();
-      }
-    });
+  Connection(base::Address Server, bool KeepAlive)
+      : Server(std::move(Server)), KeepAlive(KeepAlive), Stream(Context) {}
+
+  HttpResponse send(const HttpRequest &Request, base::Millis Limit) {
+    HttpResponse Response;
+    asio::co_spawn(Context, exchange(Request, Limit, Response),
+                   [&](std::exception_ptr Failure) {
+                     try {
+                       if (Failure)
+                         std::rethrow_exception(Failure);
+                     } catch (const std::exception &Error) {
+                       Response.Status = 0;
+                       Response.Failure = Error.what();
+                       Open = false;
+                     }
+                   });
+    Context.restart();
     Context.run();
-    return std::move(Response);
+    if (!Open)
+      Stream.close();
+    return Response;
   }
 
 private:
-  asio::awaitable<void> exchange() {
+  asio::awaitable<void> exchange(const HttpRequest &Request, base::Millis Limit,
+                                 HttpResponse &Response) {
     Stream.expires_after(std::chrono::milliseconds(Limit.count()));
-    asio::ip::tcp::endpoint Remote(asio::ip::make_address(Server.Ip),
-                                   Server.Port);
-    co_await Stream.async_connect(Remote, asio::use_awaitable);
-    auto Message = buildRequest(Server, Request);
+    if (!Open) {
+      asio::ip::tcp::endpoint Remote(asio::ip::make_address(Server.Ip),
+                                     Server.Port);
+      co_await Stream.async_connect(Remote, asio::use_awaitable);
+      Buffer.clear();
+    }
+    Open = KeepAlive;
+    auto Message = buildRequest(Server, Request, KeepAlive);
     co_await http::async_write(Stream, Message, asio::use_awaitable);
-    co_await readResponse();
+    co_await readResponse(Request, Response);
   }
 
-  asio::awaitable<void> readResponse() {
-    beast::flat_buffer Buffer(ReadPieceBytes);
+  asio::awaitable<void> readResponse(const HttpRequest &Request,
+                                     HttpResponse &Response) {
     http::response_parser<http::string_body> Parser;
     Parser.body_limit(MaxBodyBytes);
     if (Request.Method == "HEAD")
@@ -99,6 +111,7 @@
           Context, std::chrono::milliseconds(Request.ReadPause.count()));
       co_await Timer.async_wait(asio::use_awaitable);
     }
+    Open = Open && Parser.get().keep_alive();
     Response.Status = Parser.get().result_int();
     for (const auto &Field : Parser.get())
       Response.Headers[lowerCase(
@@ -107,12 +120,12 @@
     Response.Body = std::move(Parser.get().body());
   }
 
-  const base::Address &Server;
-  const HttpRequest &Request;
-  base::Millis Limit;
+  base::Address Server;
+  bool KeepAlive;
+  bool Open = false;
   asio::io_context Context{1};
   beast::tcp_stream Stream;
-  HttpResponse Response;
+  beast::flat_buffer Buffer{ReadPieceBytes};
 };
 
 } // namespace
@@ -124,7 +137,21 @@
 
 HttpResponse sendRequest(const base::Address &Server,
                          const HttpRequest &Request, base::Millis Limit) {
-  return Exchange(Server, Request, Limit).run();
+  return Connection(Server, false).send(Request, Limit);
+}
+
+struct KeepAliveClient::Impl {
+  Connection Link;
+};
+
+KeepAliveClient::KeepAliveClient(base::Address Server)
+    : Self(new Impl{Connection(std::move(Server), true)}) {}
+
+KeepAliveClient::~KeepAliveClient() = default;
+
+HttpResponse KeepAliveClient::send(const HttpRequest &Request,
+                                   base::Millis Limit) {
+  return Self->Link.send(Request, Limit);
 }
 
 base::Address freeLoopbackAddress() {
