Suspect a request whose connection broke without a response

Cause: the gate asks its upstream right after the connection broke; the answer may come before the listening socket is closed, or from a process that a supervisor has started again. The entry node then repeated the request unmarked. Change: the refusal says whether the request may have crashed the upstream; it does so too when a connection broke without a response head and the check found an upstream. The entry node marks the next attempt.

--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -96,6 +96,8 @@
   std::string Text;
   base::Millis RetryAfter;
   UpstreamLoad Load;
+  /// The request may have crashed the upstream.
+  bool Suspect = false;
   /// Endpoint that refused; set by the entry node.
   base::EndpointId Endpoint;
 };
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -585,7 +585,7 @@
     return;
   if (Refused.Reason == RefusalReason::Quarantined)
     Context->Quarantine.convict(Fingerprint);
-  if (Refused.Reason == RefusalReason::UpstreamCrashed)
+  if (Refused.Suspect)
     Context->Quarantine.addSuspect(Fingerprint);
 }
 
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -396,9 +396,12 @@
   case CrashRole::Culprit:
     co_return makeRefusal(ExecutionOutcome::Unknown, RefusalReason::Quarantined,
                           quarantineText(Head.Fingerprint));
-  case CrashRole::Suspect:
-    co_return makeRefusal(ExecutionOutcome::Unknown,
-                          RefusalReason::UpstreamCrashed, Failure.what());
+  case CrashRole::Suspect: {
+    auto Refused = makeRefusal(ExecutionOutcome::Unknown,
+                               RefusalReason::UpstreamCrashed, Failure.what());
+    Refused->Suspect = true;
+    co_return Refused;
+  }
   case CrashRole::Bystander:
     co_return makeRefusal(ExecutionOutcome::Unknown,
                           RefusalReason::UpstreamBroken,
@@ -406,8 +409,12 @@
   case CrashRole::NoCrash:
     break;
   }
-  co_return makeRefusal(ExecutionOutcome::Unknown, Failure.reason(),
-                        Failure.what());
+  auto Refused =
+      makeRefusal(ExecutionOutcome::Unknown, Failure.reason(), Failure.what());
+  // A supervisor may have restarted the upstream before it was checked.
+  Refused->Suspect = Failure.reason() == RefusalReason::UpstreamBroken &&
+                     !Cancelled && !State.HeadReceived;
+  co_return Refused;
 }
 
 asio::awaitable<ResponseHead>
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -139,10 +139,11 @@
   FlatBufferBuilder Out;
   auto Text = Out.CreateString(Value.Text);
   auto Load = encodeLoad(Out, Value.Load);
-  Out.Finish(wire::CreateRefusal(
-      Out, static_cast<wire::Outcome>(Value.Outcome),
-      static_cast<wire::RefusalReason>(Value.Reason), Text,
-      static_cast<std::uint32_t>(Value.RetryAfter.count()), Load));
+  Out.Finish(
+      wire::CreateRefusal(Out, static_cast<wire::Outcome>(Value.Outcome),
+                          static_cast<wire::RefusalReason>(Value.Reason), Text,
+                          static_cast<std::uint32_t>(Value.RetryAfter.count()),
+                          Load, Value.Suspect));
   return protocol::takeBuffer(Out);
 }
 
@@ -236,6 +237,7 @@
     Result.Text = Table.text()->str();
   Result.RetryAfter = base::Millis(Table.retry_after_ms());
   Result.Load = decodeLoad(Table.load());
+  Result.Suspect = Table.suspect();
   return Result;
 }
 
--- a/dataplane/test/CrashIsolation_test.cpp
+++ b/dataplane/test/CrashIsolation_test.cpp
@@ -146,6 +146,18 @@
   CHECK(crashedUpstreams() == 2);
 }
 
+// Guards against a third lost upstream when a supervisor restarts the first one
+// before the gate notices more than a broken connection.
+TEST_CASE_METHOD(CrashIsolationTest,
+                 "Request whose connection broke is convicted by the next "
+                 "crash") {
+  auto Result = get(*Nodes[0], "/restart-then-crash");
+  finishInTime(Result);
+  CHECK(Result->status() == 502);
+  CHECK(Result->has("X-Amaranth-Reason: quarantined"));
+  CHECK(crashedUpstreams() == 1);
+}
+
 // Guards against a convicted request that reaches upstreams because control
 // cannot commit the conviction.
 TEST_CASE_METHOD(CrashIsolationTest,
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace asio = boost::asio;
@@ -216,6 +217,16 @@
     Upstream.crash();
     co_return;
   }
+  if (Request.Target.starts_with("/restart-then-crash")) {
+    std::size_t Runs = 0;
+    for (const auto &Each : Upstreams)
+      Runs += static_cast<std::size_t>(std::count(
+          Each->Seen.begin(), Each->Seen.end(), "GET " + Request.Target));
+    if (Runs > 1)
+      Upstream.crash();
+    Link->abort();
+    co_return;
+  }
   if (Request.Target.starts_with("/break")) {
     Link->abort();
     co_return;
