Take test ports that outgoing connections cannot have

One way to it was shown by a trial: amaranth-node ends with "bind: Address already in use" when an outgoing connection has the port that it had before it was stopped, and test ports came from the range of outgoing connections. Change: test ports lie below that range.

--- a/tools/harness/include/amaranth/harness/HttpClient.h
+++ b/tools/harness/include/amaranth/harness/HttpClient.h
@@ -53,7 +53,8 @@
   std::unique_ptr<Impl> Self;
 };
 
-/// A port on 127.0.0.1 that was free a moment ago.
+/// A port on 127.0.0.1 that was free a moment ago, and that the kernel gives to
+/// no outgoing connection by default.
 base::Address freeLoopbackAddress();
 
 } // namespace amaranth::harness
--- a/tools/harness/src/HttpClient.cpp
+++ b/tools/harness/src/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "amaranth/harness/HttpClient.h"
 
+#include "amaranth/base/Digest.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -155,17 +157,23 @@
 }
 
 base::Address freeLoopbackAddress() {
-  // The kernel may hand out a port again right after it was closed, so the
-  // ports of this process are remembered.
+  // Below the ports that the kernel gives to outgoing connections: such a
+  // connection could take the port of a process that is down for a moment.
+  constexpr std::uint16_t FirstPort = 10'000;
+  constexpr std::uint16_t PortCount = 22'000;
   static std::mutex Mutex;
   static std::set<std::uint16_t> Used;
   std::lock_guard<std::mutex> Lock(Mutex);
+  asio::io_context Context;
   for (;;) {
-    asio::io_context Context;
-    asio::ip::tcp::acceptor Acceptor(Context,
-                                     {asio::ip::address_v4::loopback(), 0});
-    std::uint16_t Port = Acceptor.local_endpoint().port();
-    if (Used.insert(Port).second)
+    auto Port =
+        static_cast<std::uint16_t>(FirstPort + base::randomU64() % PortCount);
+    if (!Used.insert(Port).second)
+      continue;
+    asio::ip::tcp::acceptor Acceptor(Context, asio::ip::tcp::v4());
+    boost::system::error_code Taken;
+    Acceptor.bind({asio::ip::address_v4::loopback(), Port}, Taken);
+    if (!Taken)
       return {"127.0.0.1", Port};
   }
 }
