--- a/follower/include/amaranth/follower/ControlCalls.h
+++ b/follower/include/amaranth/follower/ControlCalls.h
@@ -16,10 +16,11 @@
   virtual ~ControlCalls() = default;
 
   /// Commits a command and returns its result. Nodes may send `Claim`,
-  /// `FinishClaim`, `ReleaseClaim`, `ReportCrash` and `EndSuspectRun`. Throws `replication::NotLeader` if the command was
-  /// definitely not applied, and `base::TimeoutError` if it may or may not have
-  /// been applied. Commands are idempotent by their attempt id, so a caller can
-  /// safely retry the same command.
+  /// `FinishClaim`, `ReleaseClaim`, `ReportCrash` and `EndSuspectRun`. Throws
+  /// `replication::NotLeader` if the command was definitely not applied, and
+  /// `base::TimeoutError` if it may or may not have been applied. Commands are
+  /// idempotent by their attempt id, so a caller can safely retry the same
+  /// command.
   virtual boost::asio::awaitable<control::CommandResult>
   call(control::Command Request, base::Millis Timeout) = 0;
 
