Serve requests that have arrived when a node shuts down

Cause: at the end of the lame duck time the entry server closed its listening socket and every connection on which no request was being read. A request that the process had received but not read yet, on a kept connection or in the accept queue, was reset without an answer. Ruled out: a longer lame duck time, which only moves the moment.

Change: the server accepts what waits, serves what has arrived, and gives a connection without any request so far 500 ms for its first one. A kept connection whose next request has arrived is served once more.

--- a/dataplane/include/amaranth/dataplane/HttpConnection.h
+++ b/dataplane/include/amaranth/dataplane/HttpConnection.h
@@ -81,6 +81,12 @@
   /// whereas `watchForClose` reports only after the events already queued.
   bool closed() const;
 
+  /// True if bytes have been received that belong to no request read so far.
+  bool hasPendingData() const;
+  /// Ends a pending `readRequest` at the next check of `abortIfStalled` after
+  /// `Timeout`, unless it ends earlier.
+  void limitRequestWait(base::Millis Timeout);
+
   /// True if the response is complete and another request may follow.
   bool reusable() const;
   bool headWritten() const;
@@ -107,6 +113,9 @@
     base::Millis HeadTimeout = base::Millis::seconds(30);
     /// Timeout without progress on a read from or a write to the client.
     base::Millis StallTimeout = base::Millis::seconds(30);
+    /// Time that a new connection has for its first request after
+    /// `stopGracefully`.
+    base::Millis FirstRequestTime = base::Millis(500);
   };
   /// Serves one request by writing a response. The connection is aborted if
   /// the handler throws after writing the head.
@@ -129,6 +138,10 @@
   /// Stops accepting. Closes idle connections immediately and active ones
   /// after their response.
   void stop();
+  /// Like `stop`, but serves every request that has already arrived, also on
+  /// connections in the accept queue. A connection that has not carried a
+  /// request yet is closed after `FirstRequestTime` without one.
+  void stopGracefully();
   std::size_t connections() const;
 
 private:
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -83,7 +83,7 @@
         Keep->Context->Options.LameDuckPeriod);
     Limit = Limit - Keep->Context->Options.LameDuckPeriod;
   }
-  Keep->Server.stop();
+  Keep->Server.stopGracefully();
   base::TimePoint End = Keep->Context->Time.now() + Limit;
   while (Keep->Server.connections() != 0 && Keep->Context->Time.now() < End)
     co_await Keep->Context->Time.sleepFor(DrainPollInterval);
--- a/dataplane/src/HttpConnection.cpp
+++ b/dataplane/src/HttpConnection.cpp
@@ -305,6 +305,15 @@
   Self->Socket.cancel(Ignored);
 }
 
+bool HttpConnection::hasPendingData() const {
+  boost::system::error_code Ignored;
+  return Self->Buffer.size() != 0 || Self->Socket.available(Ignored) != 0;
+}
+
+void HttpConnection::limitRequestWait(base::Millis Timeout) {
+  Self->ReadDeadline = std::min(Self->ReadDeadline, Self->Time.now() + Timeout);
+}
+
 bool HttpConnection::reusable() const {
   return Self->KeepAlive && Self->EndWritten && bodyComplete() &&
          Self->Socket.is_open();
--- a/dataplane/src/HttpServer.cpp
+++ b/dataplane/src/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <map>
 #include <set>
 
 namespace asio = boost::asio;
@@ -37,18 +38,23 @@
   serveConnection(std::shared_ptr<HttpConnection> Connection, Handler Handle);
   asio::awaitable<bool> serveRequest(std::shared_ptr<HttpConnection> Connection,
                                      Handler Handle);
+  void stopGracefully();
 
   tcp::acceptor Acceptor;
   Limits Bounds;
   base::Clock &Time;
   std::set<std::shared_ptr<HttpConnection>> Connections;
-  std::set<HttpConnection *> IdleConnections;
+  /// Connections that wait for a request, and whether it is their first one.
+  std::map<HttpConnection *, bool> IdleConnections;
+  /// Serves the connections that are accepted; set by `accept`.
+  Handler Serve;
   bool CloseAfterResponses = false;
   bool Stopping = false;
 };
 
 asio::awaitable<void> HttpServer::Impl::accept(Handler Handle) {
   auto Keep = shared_from_this();
+  Serve = Handle;
   while (!Stopping) {
     tcp::socket Socket(Acceptor.get_executor());
     boost::system::error_code Failure;
@@ -97,11 +103,14 @@
 asio::awaitable<bool>
 HttpServer::Impl::serveRequest(std::shared_ptr<HttpConnection> Connection,
                                Handler Handle) {
-  IdleConnections.insert(Connection.get());
+  IdleConnections.emplace(Connection.get(), !Connection->headWritten());
   std::optional<HttpRequest> Request;
   std::optional<HttpError> HeadError;
   try {
-    Request = co_await Connection->readRequest(Bounds.HeadTimeout);
+    base::Millis Timeout = Bounds.HeadTimeout;
+    if (Stopping)
+      Timeout = std::min(Timeout, Bounds.FirstRequestTime);
+    Request = co_await Connection->readRequest(Timeout);
   } catch (const HttpError &Failure) {
     HeadError = Failure;
   } catch (...) {
@@ -122,7 +131,10 @@
   if (Stopping || CloseAfterResponses)
     Connection->closeAfterResponse();
   co_await Handle(Connection, std::move(*Request));
-  co_return Connection->reusable() && !Stopping;
+  // A client that was not told about the shutdown may have sent its next
+  // request already.
+  co_return Connection->reusable() &&
+      (!Stopping || Connection->hasPendingData());
 }
 
 asio::awaitable<void>
@@ -173,10 +185,35 @@
   Shared->Stopping = true;
   boost::system::error_code Ignored;
   Shared->Acceptor.close(Ignored);
-  for (HttpConnection *Connection : std::exchange(Shared->IdleConnections, {}))
+  for (auto &[Connection, First] : std::exchange(Shared->IdleConnections, {}))
     Connection->abort();
+  // Releases what the handler refers to.
+  Shared->Serve = nullptr;
 }
 
+void HttpServer::Impl::stopGracefully() {
+  if (std::exchange(Stopping, true))
+    return;
+  // Clients in the accept queue count themselves as connected and may have sent
+  // a request, which closing the listening socket would reset.
+  if (Serve)
+    base::acceptWaiting(Acceptor, [this](tcp::socket Waiting) {
+      startConnection(std::move(Waiting), Serve);
+    });
+  boost::system::error_code Ignored;
+  Acceptor.close(Ignored);
+  for (auto &[Connection, First] : IdleConnections) {
+    if (Connection->hasPendingData())
+      continue;
+    if (First)
+      Connection->limitRequestWait(Bounds.FirstRequestTime);
+    else
+      Connection->abort();
+  }
+}
+
+void HttpServer::stopGracefully() { Shared->stopGracefully(); }
+
 std::size_t HttpServer::connections() const {
   return Shared->Connections.size();
 }
