Bound requests of a node that shuts down by its end

Change: the deadline of a request that a node takes while it shuts down ends with the node, so that a gate which cannot respond by then refuses it as not run, and its caller goes elsewhere. A download counts as in time until then. A request that was taken before the SIGTERM is not covered.

Test: Entry_test, request during a shutdown.

--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -71,6 +71,8 @@
   std::map<base::ServiceName, RetryBudget> Budgets;
   rollout::EvidenceReport Evidence;
   std::shared_ptr<const document::RouteIndex> Routes;
+  /// Time by which the responses must be complete because the node shuts down.
+  base::TimePoint ShutdownEnd = base::TimePoint::max();
 
 private:
   /// The endpoints whose nodes `NodeCount` counts.
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -192,6 +192,14 @@
   Objective = MatchedRoute.Objective > base::Millis(0)
                   ? std::min(Deadline, Arrived + MatchedRoute.Objective)
                   : Deadline;
+  if (Deadline <= Context->ShutdownEnd)
+    return;
+  // A gate that cannot respond before this node ends refuses the request, and
+  // its caller can repeat it elsewhere.
+  Deadline = Context->ShutdownEnd;
+  // A late download waits at its gate behind all that are not late, and would
+  // be cut off here.
+  Objective = isDownload() ? Deadline : std::min(Objective, Deadline);
 }
 
 void EntryRequest::chooseSplitService() {
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -77,6 +77,10 @@
 
 asio::awaitable<bool> EntryServer::drain(base::Millis Limit) {
   auto Keep = Self;
+  // Leaves time to pass the last responses on.
+  constexpr base::Millis ResponseMargin = base::Millis(100);
+  Keep->Context->ShutdownEnd =
+      Keep->Context->Time.now() + Limit - ResponseMargin;
   if (Keep->Context->Options.LameDuckPeriod > base::Millis(0)) {
     Keep->Server.closeAfterResponses();
     co_await Keep->Context->Time.sleepFor(
--- a/dataplane/test/Entry_test.cpp
+++ b/dataplane/test/Entry_test.cpp
@@ -153,4 +153,36 @@
   CHECK(Upstream.Seen == std::vector<std::string>{"GET /first"});
 }
 
+// Guards against a late download that waits for the link of its gate behind all
+// that are not late, until the entry node has shut down and cuts it off.
+TEST_CASE_METHOD(EntryTest, "Request during a shutdown must end with it") {
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  Mesh.Routes.edit().begin()->second.Kind = document::RequestKind::Download;
+  Mesh.Routes.edit().begin()->second.Objective = base::Millis(100);
+  Snapshots.set(Mesh);
+  settle();
+  tcp::socket Socket(Context);
+  Socket.connect(
+      {asio::ip::make_address(Node.Entry.local().Ip), Node.Entry.local().Port});
+  std::string Text = "GET /late HTTP/1.1\r\nHost: h\r\n"
+                     "X-Request-Deadline-Ms: 9000\r\n\r\n";
+  asio::write(Socket, asio::buffer(Text));
+  bool Drained = false;
+  auto Drain = [](TestNode &Leaving, bool &Done) -> asio::awaitable<void> {
+    Done = co_await Leaving.Entry.drain(base::Millis(3000));
+  };
+  spawn(Drain(Node, Drained));
+  runUntil([&] { return !Upstream.SeenFields.empty(); });
+  const std::string *Remaining =
+      findHeader(Upstream.SeenFields[0], "X-Request-Deadline-Ms");
+  REQUIRE(Remaining);
+  CHECK(std::stoi(*Remaining) < 3000);
+  for (int I = 0; I < 100 && !Drained; ++I) {
+    settle();
+    Time.advance(base::Millis(20));
+  }
+  CHECK(Drained);
+}
+
 } // namespace amaranth::dataplane::testing
