Answer operators' calls that have arrived when control shuts down

Cause: on SIGTERM a control process ended at once. Calls in progress, calls on kept connections and calls in the accept queue ended without an answer.

Change: the operator server serves what has arrived, and the process waits for it for up to 2 s, longer than a commit takes while there is a majority.

Test: OperatorServer_test, requests that have already arrived.

--- a/control/include/amaranth/control/OperatorServer.h
+++ b/control/include/amaranth/control/OperatorServer.h
@@ -60,9 +60,12 @@
   /// have ended. Must be called at most once; the object must outlive the call.
   boost::asio::awaitable<void> run();
 
-  /// Stops accepting connections and closes idle ones. Requests in progress
-  /// complete.
+  /// Stops accepting connections and closes idle ones. Requests that have
+  /// arrived complete, also on connections in the accept queue.
   void stop();
+  /// Calls `stop` and waits until all connections have ended, for `Limit` at
+  /// most. Returns whether they have. The object must outlive the call.
+  boost::asio::awaitable<bool> drain(base::Millis Limit);
 
 private:
   struct Impl;
--- a/control/src/OperatorServer.cpp
+++ b/control/src/OperatorServer.cpp
@@ -1,6 +1,7 @@
 #include "amaranth/control/OperatorServer.h"
 
 #include "OperatorJson.h"
+#include "amaranth/base/Accept.h"
 #include "amaranth/base/Log.h"
 #include "amaranth/base/Signal.h"
 #include "amaranth/base/Timeout.h"
@@ -33,6 +34,12 @@
 struct Connection {
   explicit Connection(tcp::socket Peer) : Socket(std::move(Peer)) {}
 
+  /// A request, or a part of one, has arrived.
+  bool hasPendingData() const {
+    boost::system::error_code Ignored;
+    return Buffer.size() != 0 || Socket.available(Ignored) != 0;
+  }
+
   void close() {
     boost::system::error_code Ignored;
     Socket.shutdown(tcp::socket::shutdown_both, Ignored);
@@ -123,17 +130,22 @@
         co_await Time.sleepFor(base::Millis(100));
         continue;
       }
-      if (Connections.size() >= Settings.MaxConnections)
-        continue;
-      auto Client = std::make_shared<Connection>(std::move(Peer));
-      Connections.insert(Client);
-      OpenConnections.Set(static_cast<double>(Connections.size()));
-      asio::co_spawn(Executor, serveConnection(Client), asio::detached);
+      startConnection(std::move(Peer));
     }
     while (!Connections.empty())
       co_await ConnectionEnded.wait();
   }
 
+  /// Serves the connection in a task of its own, unless there are too many.
+  void startConnection(tcp::socket Peer) {
+    if (Connections.size() >= Settings.MaxConnections)
+      return;
+    auto Client = std::make_shared<Connection>(std::move(Peer));
+    Connections.insert(Client);
+    OpenConnections.Set(static_cast<double>(Connections.size()));
+    asio::co_spawn(Executor, serveConnection(Client), asio::detached);
+  }
+
   asio::awaitable<void> serveConnection(std::shared_ptr<Connection> Client) {
     try {
       while (co_await serveRequest(Client))
@@ -153,7 +165,9 @@
     Parser Input;
     Input.header_limit(MaxOperatorHeaderBytes);
     Input.body_limit(Settings.MaxBodyBytes);
-    if (!co_await waitForRequest(Client) || Stopping)
+    if (Stopping && !Client->hasPendingData())
+      co_return false;
+    if (!co_await waitForRequest(Client))
       co_return false;
     Client->Idle = false;
     auto Code = co_await base::withTimeout(Time, Settings.TransferTimeout,
@@ -227,14 +241,30 @@
   }
 
   void stop() {
-    Stopping = true;
+    if (std::exchange(Stopping, true))
+      return;
     boost::system::error_code Ignored;
+    // Closing the listening socket would reset the requests in the accept
+    // queue.
+    Acceptor.non_blocking(true, Ignored);
+    base::acceptWaiting(Acceptor, [this](tcp::socket Waiting) {
+      startConnection(std::move(Waiting));
+    });
     Acceptor.close(Ignored);
     for (const auto &Client : Connections)
-      if (Client->Idle)
+      if (Client->Idle && !Client->hasPendingData())
         Client->close();
   }
 
+  asio::awaitable<bool> drain(base::Millis Limit) {
+    constexpr base::Millis PollInterval = base::Millis(20);
+    stop();
+    base::TimePoint End = Time.now() + Limit;
+    while (!Connections.empty() && Time.now() < End)
+      co_await Time.sleepFor(PollInterval);
+    co_return Connections.empty();
+  }
+
   asio::any_io_executor Executor;
   base::Clock &Time;
   std::unique_ptr<ApiHandler> OwnedApi;
@@ -277,4 +307,8 @@
 
 void OperatorServer::stop() { Self->stop(); }
 
+asio::awaitable<bool> OperatorServer::drain(base::Millis Limit) {
+  return Self->drain(Limit);
+}
+
 } // namespace amaranth::control
--- a/control/test/OperatorServer_test.cpp
+++ b/control/test/OperatorServer_test.cpp
@@ -234,6 +234,32 @@
   CHECK(Closed);
 }
 
+// Guards against a planned shutdown that cuts off calls which the process has
+// received but not read yet.
+TEST_CASE_METHOD(OperatorServerTest,
+                 "stop answers requests that have already arrived") {
+  const std::string Call = "GET /v1/status HTTP/1.1\r\nHost: x\r\n"
+                           "Authorization: Bearer 0123456789abcdef\r\n\r\n";
+  tcp::socket Kept = open();
+  CHECK(contains(exchange(Kept, Call), "200 OK"));
+  tcp::socket Idle = open();
+  tcp::socket Queued(Io);
+  Queued.connect({asio::ip::make_address("127.0.0.1"), Server.address().Port});
+  Queued.non_blocking(true);
+  for (tcp::socket *Peer : {&Kept, &Queued})
+    Peer->write_some(asio::buffer(Call));
+  Server.stop();
+  for (tcp::socket *Peer : {&Kept, &Queued}) {
+    std::string Answer = exchange(*Peer, "");
+    INFO(Answer);
+    CHECK(contains(Answer, "200 OK"));
+    CHECK(contains(Answer, "Connection: close"));
+    CHECK(Closed);
+  }
+  CHECK(exchange(Idle, "").empty());
+  CHECK(Closed);
+}
+
 TEST_CASE_METHOD(OperatorServerTest, "connections above the limit are closed") {
   tcp::socket A = open();
   tcp::socket B = open();
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -53,6 +53,10 @@
 constexpr base::Millis RegionElectionMin = base::Millis(400);
 constexpr base::Millis RegionElectionMax = base::Millis(800);
 
+/// Time that operators' calls in progress have at a shutdown. Longer than a
+/// commit takes while there is a majority.
+constexpr base::Millis OperatorDrainTime = base::Millis(2000);
+
 replication::ReplicaSettings replicaSettings(const ControlSettings &Settings) {
   replication::ReplicaSettings Result;
   Result.Address = Settings.InnerAddress.text();
@@ -240,12 +244,12 @@
 
 asio::awaitable<void> ControlDaemon::stop() {
   Parts &P = *Self;
-  P.Operators.stop();
+  bool Answered = co_await P.Operators.drain(OperatorDrainTime);
   P.Inner.stop();
   P.Nodes.stop();
   P.Log.stop();
-  base::logger("control")->info("graceful stop finished");
-  co_return;
+  base::logger("control")->info("graceful stop finished operators_done={}",
+                                Answered);
 }
 
 } // namespace amaranth::daemon
