Believe a response without an attempt id on new connections only

Cause: reported by operators of similar systems: a faulty upstream wrote an earlier refusal once more on a kept connection. A copy that names its attempt was skipped, but one without an id counted as the response to the request that was due: a refusal said "not run" of a request that was running, so that it was repeated, and a body could reach another caller.

Change: without an id a response is believed only if it is the first one on its connection. Otherwise the outcome is unknown and the connection is closed.

--- a/dataplane/include/amaranth/dataplane/HttpDialect.h
+++ b/dataplane/include/amaranth/dataplane/HttpDialect.h
@@ -66,8 +66,11 @@
   virtual void setUpstreamFields(Headers &Fields,
                                  const UpstreamMetadata &Metadata) const = 0;
 
+  /// `FirstOnConnection`: no other response can precede this one, so that it
+  /// belongs to the request even if it does not name it.
   virtual ResponseClass classifyResponse(const ResponseHead &Head,
-                                         const std::string &Attempt) const = 0;
+                                         const std::string &Attempt,
+                                         bool FirstOnConnection) const = 0;
 
   virtual UpstreamNotice upstreamNotice(const ResponseHead &Head) const = 0;
 
@@ -87,7 +90,8 @@
   void setUpstreamFields(Headers &Fields,
                          const UpstreamMetadata &Metadata) const override;
   ResponseClass classifyResponse(const ResponseHead &Head,
-                                 const std::string &Attempt) const override;
+                                 const std::string &Attempt,
+                                 bool FirstOnConnection) const override;
   UpstreamNotice upstreamNotice(const ResponseHead &Head) const override;
   void removeInternalFields(Headers &Fields) const override;
   unsigned statusOf(const Refusal &Refused) const override;
--- a/dataplane/include/amaranth/dataplane/UpstreamClient.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamClient.h
@@ -48,6 +48,8 @@
   /// head may be the matching one. The connection is not reused. Throws if the
   /// responses that were skipped exceed a limit in number or size.
   virtual boost::asio::awaitable<void> skipResponse() = 0;
+  /// True if no response precedes the current one on its connection.
+  virtual bool isFirstResponse() const = 0;
   /// After `Deadline` the call fails with `RefusalReason::DeadlineExceeded`.
   /// The precision is that of the calls to `UpstreamClient::abortExpiredCalls`.
   virtual void setDeadline(base::TimePoint Deadline) = 0;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -423,7 +423,8 @@
                         std::uint64_t Incarnation) {
   for (;;) {
     ResponseHead Received = co_await Call->readHead();
-    if (Dialect.classifyResponse(Received, Exchange->Head.CallerAttempt) !=
+    if (Dialect.classifyResponse(Received, Exchange->Head.CallerAttempt,
+                                 Call->isFirstResponse()) !=
         ResponseClass::Mismatched)
       co_return Received;
     // An old response may tell of a limit or of the end, but its silence does
@@ -470,9 +471,9 @@
     HeadFailure = std::current_exception();
   }
   auto Verdict =
-      HeadFailure
-          ? ResponseClass::Executed
-          : Dialect.classifyResponse(Head, Exchange->Head.CallerAttempt);
+      HeadFailure ? ResponseClass::Executed
+                  : Dialect.classifyResponse(Head, Exchange->Head.CallerAttempt,
+                                             Call->isFirstResponse());
   // Timed-out requests count as well; otherwise an upstream that became slow
   // would keep its low median. Requests that were not run are not measured.
   if (Verdict == ResponseClass::Executed)
--- a/dataplane/src/NativeDialect.cpp
+++ b/dataplane/src/NativeDialect.cpp
@@ -41,7 +41,8 @@
 
 ResponseClass
 NativeDialect::classifyResponse(const ResponseHead & /*Head*/,
-                                const std::string & /*Attempt*/) const {
+                                const std::string & /*Attempt*/,
+                                bool /*FirstOnConnection*/) const {
   return ResponseClass::Executed;
 }
 
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -133,6 +133,9 @@
   asio::awaitable<ResponseHead> readHead() override;
   asio::awaitable<std::size_t> readBody(std::span<std::uint8_t> Into) override;
   asio::awaitable<void> skipResponse() override;
+  bool isFirstResponse() const override {
+    return !IdleFor && SkippedResponses == 0;
+  }
 
   void abort() override {
     if (!Connection)
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -258,6 +258,9 @@
   Headers Fields = {{"X-Amaranth-Outcome", "not-run"}, {"X-Kept", "1"}};
   Fields.insert(Fields.end(), Upstream.ResponseFields.begin(),
                 Upstream.ResponseFields.end());
+  for (const std::string &Name : Upstream.EchoedFields)
+    if (const std::string *Value = findHeader(Request.Fields, Name))
+      Fields.emplace_back(Name, *Value);
   std::string Text = Request.Method + " " + Request.Target + " " + Body;
   co_await Link->respond(Status, std::move(Fields), std::move(Text));
 }
