Keep upstreams that have left out of use after a restart

Cause: a gate knows only in memory that its upstream leaves. After a restart of the node a delayed heartbeat of that upstream, or one that was sent before its deregistration, was taken for a new upstream, and the endpoint was published as ready again. The same happened without a restart when an upstream that had left was silent for the announcement timeout. Ruled out: persisting it on the node, which has no disk.

Change: a published endpoint carries the start time of its upstream's process and whether that process has left. Control refuses an update that brings back a process that has left, and shows such an endpoint as draining when its lease expires, because unreachable endpoints are tried when no other is left. The gate remembers a departure for the incarnation, also one that arrives before any announcement.

Tests: ControlState_test (endpoints of an upstream that has left), Gate_test (three cases), SnapshotCodec_test (both fields of an update).

--- a/control/src/ControlState.cpp
+++ b/control/src/ControlState.cpp
@@ -291,7 +291,7 @@
     // Endpoints are kept when their service is removed from the document.
     for (const auto &[Id, Record] : Endpoints.records())
       if (Result->Services.contains(Record.Entry.Service))
-        Result->Endpoints.emplace(Id, Record.Entry);
+        Result->Endpoints.emplace(Id, detail::EndpointTable::visible(Record));
     for (const auto &[Fingerprint, Record] : Quarantine.records())
       Result->Quarantine.emplace(Fingerprint, Record.Entry);
     return Result;
--- a/control/src/EndpointTable.cpp
+++ b/control/src/EndpointTable.cpp
@@ -54,6 +54,13 @@
     return makeResult(ResultCode::Forbidden, "the endpoint belongs to node '" +
                                                  It->second.Entry.Node.value() +
                                                  "'");
+  // A late announcement of a process that has left can reach a node that has
+  // restarted and does not remember the departure.
+  if (It != Records.end() && It->second.Entry.UpstreamLeft &&
+      !Entry.UpstreamLeft &&
+      Entry.UpstreamIncarnation <= It->second.Entry.UpstreamIncarnation)
+    return makeResult(ResultCode::Conflict,
+                      "the upstream process has already left");
   if (It == Records.end()) {
     if (Records.size() >= MaxEndpoints && !evictOldestUnreachable())
       return makeResult(ResultCode::Busy, "the endpoint table is full");
@@ -81,6 +88,16 @@
   return makeResult(ResultCode::Accepted);
 }
 
+document::Endpoint EndpointTable::visible(const Record &Value) {
+  document::Endpoint Entry = Value.Entry;
+  // Nodes try unreachable endpoints when no other one is left.
+  if (Entry.UpstreamLeft && isUnreachable(Value))
+    Entry.State = document::EndpointState::Draining;
+  Entry.UpstreamIncarnation = 0;
+  Entry.UpstreamLeft = false;
+  return Entry;
+}
+
 bool EndpointTable::removeExpired(base::WallTime Now) {
   return std::erase_if(Records, [Now](const auto &Item) {
            return isUnreachable(Item.second) &&
--- a/control/src/EndpointTable.h
+++ b/control/src/EndpointTable.h
@@ -32,6 +32,9 @@
 
   const std::map<base::EndpointId, Record> &records() const { return Records; }
 
+  /// The entry as nodes see it.
+  static document::Endpoint visible(const Record &Value);
+
   Offset<flatbuffers::Vector<Offset<wire::EndpointRecord>>>
   write(Builder &Out) const;
   void read(const wire::ControlSnapshot &From);
--- a/control/src/WireConversion.cpp
+++ b/control/src/WireConversion.cpp
@@ -35,7 +35,8 @@
   return wire::CreateEndpoint(
       Out, Id, Node, Ip, Value.NodeAddress.Port, Service, Version, Zone,
       Value.Slots, static_cast<std::uint8_t>(Value.State), Value.Incarnation,
-      Value.Sequence, Value.ReadySince);
+      Value.Sequence, Value.ReadySince, Value.UpstreamIncarnation,
+      Value.UpstreamLeft);
 }
 
 document::Endpoint readEndpoint(const wire::Endpoint &Value) {
@@ -52,6 +53,8 @@
   Result.Incarnation = Value.incarnation();
   Result.Sequence = Value.sequence();
   Result.ReadySince = Value.ready_since();
+  Result.UpstreamIncarnation = Value.upstream_incarnation();
+  Result.UpstreamLeft = Value.upstream_left();
   return Result;
 }
 
--- a/control/test/ControlState_test.cpp
+++ b/control/test/ControlState_test.cpp
@@ -161,6 +161,28 @@
   CHECK(run(PutEndpoint{InvalidEndpoint}).Code == ResultCode::Invalid);
 }
 
+// Guards against a restarted node that takes a late announcement of an upstream
+// for a new one.
+TEST_CASE_METHOD(ControlStateTest,
+                 "endpoints of an upstream that has left stay out of use") {
+  document::Endpoint Leaving = endpoint(1);
+  Leaving.State = document::EndpointState::Draining;
+  Leaving.UpstreamIncarnation = 100;
+  Leaving.UpstreamLeft = true;
+  CHECK(run(PutEndpoint{Leaving}).Code == ResultCode::Accepted);
+  document::Endpoint Late = endpoint(1);
+  Late.Incarnation = 6;
+  Late.UpstreamIncarnation = 100;
+  CHECK(run(PutEndpoint{Late}).Code == ResultCode::Conflict);
+  run(ExpireEndpoints{{{Leaving.Id, 5, 1}}});
+  CHECK(run(PutEndpoint{Late}).Code == ResultCode::Conflict);
+  // Unreachable endpoints are tried when no other one is left.
+  CHECK(endpointState() == document::EndpointState::Draining);
+  Late.UpstreamIncarnation = 101;
+  CHECK(run(PutEndpoint{Late}).Code == ResultCode::Accepted);
+  CHECK(endpointState() == document::EndpointState::Ready);
+}
+
 // Guards against a node that takes over the traffic of another node's upstream.
 TEST_CASE_METHOD(ControlStateTest,
                  "endpoints are not taken over by another node") {
--- a/dataplane/include/amaranth/dataplane/Gate.h
+++ b/dataplane/include/amaranth/dataplane/Gate.h
@@ -92,7 +92,7 @@
   /// Deregisters the upstream process `Instance`, which sends no further
   /// announcements. It gets no new requests; running ones continue. Ignored
   /// unless `Instance`, and `Incarnation` if given, match the last
-  /// announcement.
+  /// announcement, or the next one if there was none yet.
   void unregister(const std::string &Instance,
                   std::optional<std::uint64_t> Incarnation);
 
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -61,6 +61,11 @@
   return UpstreamEvent::AnnouncementTimeout;
 }
 
+bool isLeaving(Announcement::State What) {
+  return What == Announcement::State::Draining ||
+         What == Announcement::State::Stopped;
+}
+
 EndpointState endpointState(UpstreamState State, bool NodeDraining) {
   switch (State) {
   case UpstreamState::Starting:
@@ -108,10 +113,8 @@
       (Update.Incarnation < LastAnnouncement->Incarnation ||
        Update.Sequence <= LastAnnouncement->Sequence))
     return false;
-  bool Left = Lifecycle.state() == UpstreamState::Draining ||
-              Lifecycle.state() == UpstreamState::Stopped;
   if (Restarted) {
-    if (!Left)
+    if (!std::exchange(HasLeft, false))
       Crashes.handleRestart(LastAnnouncement->Service, Options.Endpoint);
     Client.closeIdleConnections();
     Lifecycle = UpstreamLifecycle();
@@ -134,7 +137,11 @@
   LastAnnouncedAt = Time.now();
   Client.setAddress(Update.Upstream);
   UpstreamState Before = Lifecycle.state();
-  applyEvent(eventOf(Update.ReportedState));
+  applyEarlyDeparture();
+  // A process that has left stays out of use when its later announcements were
+  // sent before its departure, also after a timeout.
+  if (!HasLeft || isLeaving(Update.ReportedState))
+    applyEvent(eventOf(Update.ReportedState));
   if (Changed && Lifecycle.state() == Before)
     publish();
   updateLimit();
@@ -149,14 +156,37 @@
   base::logger("gate")->info(
       "received upstream deregistration instance={} current={}", Instance,
       Current);
-  if (Current)
+  if (Current) {
     applyEvent(UpstreamEvent::AnnouncedStopped);
+    return;
+  }
+  // A node that has just started may hear of the departure first.
+  if (!LastAnnouncement)
+    EarlyDeparture = Departure{Instance, Incarnation};
+}
+
+void Gate::Impl::applyEarlyDeparture() {
+  bool Early =
+      EarlyDeparture &&
+      EarlyDeparture->Instance == LastAnnouncement->Instance &&
+      EarlyDeparture->Incarnation.value_or(LastAnnouncement->Incarnation) >=
+          LastAnnouncement->Incarnation;
+  EarlyDeparture.reset();
+  if (!Early)
+    return;
+  base::logger("gate")->warn(
+      "upstream has already left; its announcement is out of date instance={} "
+      "incarnation={}",
+      LastAnnouncement->Instance, LastAnnouncement->Incarnation);
+  applyEvent(UpstreamEvent::AnnouncedStopped);
 }
 
 void Gate::Impl::applyEvent(UpstreamEvent Event) {
   if (!Lifecycle.apply(Event))
     return;
   UpstreamState State = Lifecycle.state();
+  if (State == UpstreamState::Draining || State == UpstreamState::Stopped)
+    HasLeft = true;
   base::logger("gate")->info(
       "upstream state={} endpoint={} instance={} in_flight={} queued={}",
       stateName(State), Options.Endpoint.value(),
@@ -202,6 +232,8 @@
   Entry.Incarnation = Incarnation;
   Entry.Sequence = ++Sequence;
   Entry.ReadySince = ReadyWall.count();
+  Entry.UpstreamIncarnation = LastAnnouncement->Incarnation;
+  Entry.UpstreamLeft = HasLeft;
   Control.publish(std::move(Entry));
 }
 
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -23,6 +23,9 @@
   void unregister(const std::string &Instance,
                   std::optional<std::uint64_t> Incarnation);
   void applyEvent(UpstreamEvent Event);
+  /// Marks the announced process as stopped if it deregistered before its first
+  /// announcement.
+  void applyEarlyDeparture();
   void publish();
   void updateLimit();
   void tick();
@@ -172,6 +175,14 @@
   RouteSizes ResponseSizes;
   UpstreamLifecycle Lifecycle;
   std::optional<Announcement> LastAnnouncement;
+  /// The announced process has said that it leaves. Final for its incarnation.
+  bool HasLeft = false;
+  /// A departure that was received before any announcement.
+  struct Departure {
+    std::string Instance;
+    std::optional<std::uint64_t> Incarnation;
+  };
+  std::optional<Departure> EarlyDeparture;
   /// Limit in the last response of the upstream that could be read.
   std::optional<RequestRate> NamedLimit;
   /// The last malformed limit, which is logged once.
--- a/dataplane/test/Gate_test.cpp
+++ b/dataplane/test/Gate_test.cpp
@@ -264,6 +264,53 @@
   CHECK(Node.UpstreamGate.state() == UpstreamState::Ready);
 }
 
+// Control keeps the published departure, so that a restarted node cannot bring
+// the upstream back because of a delayed announcement.
+TEST_CASE_METHOD(GateTest, "Departure is published with the incarnation of the "
+                           "upstream") {
+  TestUpstream &Upstream = addUpstream(Node, "v1", 4);
+  CHECK_FALSE(Control.Published.back().UpstreamLeft);
+  CHECK(Control.Published.back().UpstreamIncarnation == 1);
+  SECTION("by announcement") {
+    announce(Node, Upstream, Announcement::State::Draining);
+  }
+  SECTION("by deregistration") {
+    Node.UpstreamGate.unregister("", std::nullopt);
+  }
+  CHECK(Control.Published.back().UpstreamLeft);
+  CHECK(Control.Published.back().UpstreamIncarnation == 1);
+  announce(Node, Upstream, Announcement::State::Ready, "v1", 4, 2);
+  CHECK_FALSE(Control.Published.back().UpstreamLeft);
+  CHECK(Control.Published.back().UpstreamIncarnation == 2);
+}
+
+// Guards against a deregistration that reaches a restarted node before any
+// announcement: a delayed announcement would bring the upstream back.
+TEST_CASE_METHOD(GateTest, "Departure before the first announcement counts") {
+  TestUpstream &Upstream = addUpstream(Node);
+  TestNode &Restarted = addNode("m");
+  auto Incarnation =
+      GENERATE(as<std::optional<std::uint64_t>>(), std::nullopt, 1);
+  Restarted.UpstreamGate.unregister("", Incarnation);
+  announce(Restarted, Upstream, Announcement::State::Ready);
+  CHECK(Restarted.UpstreamGate.state() == UpstreamState::Stopped);
+  announce(Restarted, Upstream, Announcement::State::Ready, "v1", 4, 2);
+  CHECK(Restarted.UpstreamGate.state() == UpstreamState::Ready);
+}
+
+// Guards against an upstream that left, was silent and then seems to be back
+// because of a delayed announcement.
+TEST_CASE_METHOD(GateTest, "Upstream that has left stays out of use after a "
+                           "timeout") {
+  TestUpstream &Upstream = addUpstream(Node);
+  announce(Node, Upstream, Announcement::State::Draining);
+  settle();
+  Time.advance(base::Millis(5250));
+  runUntil([&] { return Node.UpstreamGate.state() == UpstreamState::Absent; });
+  announce(Node, Upstream, Announcement::State::Ready);
+  CHECK(Node.UpstreamGate.state() == UpstreamState::Absent);
+}
+
 TEST_CASE_METHOD(GateTest, "Announcements over HTTP need the key") {
   auto Post = [&](const std::string &Key, const std::string &Body) {
     auto Result =
--- a/document/include/amaranth/document/MeshSnapshot.h
+++ b/document/include/amaranth/document/MeshSnapshot.h
@@ -142,6 +142,12 @@
   std::uint64_t Sequence = 0;
   /// Wall time in ms at which the upstream became ready, for slow start.
   std::int64_t ReadySince = 0;
+  /// Start of the upstream's process, as it announced it. Orders the processes
+  /// that run behind one endpoint. Set in updates only, not in a snapshot.
+  std::uint64_t UpstreamIncarnation = 0;
+  /// The process has announced that it leaves, which is final. Set in updates
+  /// only, not in a snapshot.
+  bool UpstreamLeft = false;
 
   bool operator==(const Endpoint &) const = default;
 };
@@ -175,19 +181,14 @@
   /// up, rolled-back versions with a share, and endpoints with another id than
   /// their key or without slots. Empty if the snapshot is consistent.
   std::vector<std::string> faults() const;
+  /// The same for a snapshot derived from `Valid`, which has no faults. Does
+  /// not check what both share.
+  std::vector<std::string> faultsSince(const MeshSnapshot &Valid) const;
 
   /// Hash of the whole content except `State`; equal content gives an equal
   /// digest in every process. The part for the routes is kept, also in copies,
   /// until they change.
   std::uint64_t digest() const;
-};
-
-  /// The same for a snapshot derived from `Valid`, which has no faults. Does
-  /// not check what both share.
-  std::vector<std::string> faultsSince(const MeshSnapshot &Valid) const;
-} // namespace amaranth::document
-
-#endif
 
 private:
   /// The state of the hash after the document version and the routes.
@@ -198,3 +199,8 @@
     bool operator==(const RoutesDigestCache & /*Other*/) const { return true; }
   };
   mutable RoutesDigestCache Cache;
+};
+
+} // namespace amaranth::document
+
+#endif
--- a/document/src/SnapshotCodec.cpp
+++ b/document/src/SnapshotCodec.cpp
@@ -72,7 +72,8 @@
   return wire::CreateEndpoint(
       Out, Id, Node, Ip, Value.NodeAddress.Port, Target, Version, Zone,
       Value.Slots, static_cast<std::uint8_t>(Value.State), Value.Incarnation,
-      Value.Sequence, Value.ReadySince);
+      Value.Sequence, Value.ReadySince, Value.UpstreamIncarnation,
+      Value.UpstreamLeft);
 }
 
 flatbuffers::Offset<wire::QuarantineEntry> write(Builder &Out,
@@ -218,8 +219,8 @@
 template <typename Wire, typename Key, typename Value, typename KeyOf>
 void readMap(const Wire *In, SharedMap<Key, Value> &Into, KeyOf EntryKey) {
   checkCount(In);
-  for (const auto *Entry : *In) {
   auto &Entries = Into.edit();
+  for (const auto *Entry : *In) {
     Value Decoded = read(*Entry);
     Key Id = EntryKey(Decoded);
     if (!Entries.emplace(std::move(Id), std::move(Decoded)).second)
@@ -345,7 +346,11 @@
 }
 
 Endpoint decodeEndpoint(base::ByteView Data) {
-  return read(*protocol::readTable<wire::EndpointUpdate>(Data).endpoint());
+  const auto &In = *protocol::readTable<wire::EndpointUpdate>(Data).endpoint();
+  Endpoint Value = read(In);
+  Value.UpstreamIncarnation = In.upstream_incarnation();
+  Value.UpstreamLeft = In.upstream_left();
+  return Value;
 }
 
 std::vector<base::Bytes> encodePieces(const MeshSnapshot &Value,
--- a/document/test/SnapshotCodec_test.cpp
+++ b/document/test/SnapshotCodec_test.cpp
@@ -258,6 +258,8 @@
 
 TEST_CASE_METHOD(SnapshotCodecTest, "endpoint with unknown state is rejected") {
   Endpoint Entry = Mesh.Endpoints.begin()->second;
+  Entry.UpstreamIncarnation = 77;
+  Entry.UpstreamLeft = true;
   CHECK(decodeEndpoint(encodeEndpoint(Entry)) == Entry);
   Entry.State = static_cast<EndpointState>(9);
   CHECK_THROWS_AS(decodeEndpoint(encodeEndpoint(Entry)), base::ProtocolError);
