Ignore heartbeats that name no upstream of the configuration

Cause: another writer may leave a heartbeat of a service that does not exist, with a port of 0 or with a start time or counter that is far too large. It was taken for the local upstream; with a late start time all heartbeats of the real upstream then counted as outdated, and it stayed out of use. No process ended by itself.

Change: the gate ignores a service that the configuration does not name, and one that it accepted before it had a configuration does not outrank others.

--- a/dataplane/include/amaranth/dataplane/Gate.h
+++ b/dataplane/include/amaranth/dataplane/Gate.h
@@ -85,8 +85,8 @@
   /// connections. Runs until cancelled.
   boost::asio::awaitable<void> run();
 
-  /// Applies an announcement. Returns false if it is out of date or its number
-  /// of slots is invalid.
+  /// Applies an announcement. Returns false if it is out of date, its number
+  /// of slots is invalid, or the configuration does not name its service.
   bool announce(const Announcement &Update);
 
   /// Deregisters the upstream process `Instance`, which sends no further
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -107,8 +107,21 @@
 bool Gate::Impl::announce(const Announcement &Update) {
   if (Update.Slots == 0 || Update.Slots > MaxSlots)
     return false;
-  bool Restarted =
-      LastAnnouncement && Update.Incarnation > LastAnnouncement->Incarnation;
+  // Another writer may announce something that does not exist.
+  bool SameService =
+      LastAnnouncement && LastAnnouncement->Service == Update.Service;
+  if (!SameService && !isConfigured(Update.Service)) {
+    base::logger("gate")->warn(
+        "announcement ignored: service is not configured service={} "
+        "instance={}",
+        Update.Service.value(), Update.Instance);
+    return false;
+  }
+  // An announcement from before the configuration was known may turn out to
+  // name no service. It does not outrank others.
+  bool Restarted = LastAnnouncement &&
+                   (Update.Incarnation > LastAnnouncement->Incarnation ||
+                    (!SameService && !isConfigured(LastAnnouncement->Service)));
   if (LastAnnouncement && !Restarted &&
       (Update.Incarnation < LastAnnouncement->Incarnation ||
        Update.Sequence <= LastAnnouncement->Sequence))
@@ -148,6 +161,11 @@
   return true;
 }
 
+bool Gate::Impl::isConfigured(const base::ServiceName &Service) const {
+  auto Snapshot = Snapshots.current();
+  return !Snapshot || Snapshot->Services.contains(Service);
+}
+
 void Gate::Impl::unregister(const std::string &Instance,
                             std::optional<std::uint64_t> Incarnation) {
   bool Current = LastAnnouncement && LastAnnouncement->Instance == Instance &&
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -22,6 +22,8 @@
   bool announce(const Announcement &Update);
   void unregister(const std::string &Instance,
                   std::optional<std::uint64_t> Incarnation);
+  /// True also while the configuration is unknown.
+  bool isConfigured(const base::ServiceName &Service) const;
   void applyEvent(UpstreamEvent Event);
   /// Marks the announced process as stopped if it deregistered before its first
   /// announcement.
--- a/dataplane/test/Fakes.h
+++ b/dataplane/test/Fakes.h
@@ -30,6 +30,9 @@
     Signal.notifyAll();
   }
 
+  /// As before the first configuration.
+  void clear() { Value.reset(); }
+
 private:
   std::shared_ptr<const document::MeshSnapshot> Value;
   base::Signal Signal;
--- a/dataplane/test/Gate_test.cpp
+++ b/dataplane/test/Gate_test.cpp
@@ -311,6 +311,46 @@
   CHECK(Node.UpstreamGate.state() == UpstreamState::Absent);
 }
 
+// Guards against another writer that announces something that does not exist:
+// it would take the place of the upstream, or keep it from being announced.
+TEST_CASE_METHOD(GateTest, "Announcement of a service that is not configured "
+                           "is ignored") {
+  TestUpstream &Upstream = addUpstream(Node);
+  Announcement Odd;
+  Odd.Service = base::ServiceName("unknown");
+  Odd.Version = base::VersionName("v1");
+  Odd.Upstream = {"127.0.0.1", 1};
+  Odd.Slots = 4;
+  Odd.ReportedState = Announcement::State::Ready;
+  Odd.Incarnation = 1'000'000;
+  Odd.Sequence = 1;
+  CHECK_FALSE(Node.UpstreamGate.announce(Odd));
+  announce(Node, Upstream, Announcement::State::Ready);
+  auto Result = get(Node, "/echo");
+  runUntil([&] { return Result->Done; });
+  CHECK(Result->status() == 200);
+}
+
+TEST_CASE_METHOD(GateTest, "Announcement of an unknown service does not "
+                           "outrank the upstream's") {
+  // Before the node has a configuration, no service is known.
+  Snapshots.clear();
+  Announcement Odd;
+  Odd.Service = base::ServiceName("unknown");
+  Odd.Version = base::VersionName("v1");
+  Odd.Upstream = {"127.0.0.1", 1};
+  Odd.Slots = 4;
+  Odd.ReportedState = Announcement::State::Ready;
+  Odd.Incarnation = 1'000'000;
+  Odd.Sequence = 1;
+  CHECK(Node.UpstreamGate.announce(Odd));
+  Snapshots.set(Mesh);
+  addUpstream(Node);
+  auto Result = get(Node, "/echo");
+  runUntil([&] { return Result->Done; });
+  CHECK(Result->status() == 200);
+}
+
 TEST_CASE_METHOD(GateTest, "Announcements over HTTP need the key") {
   auto Post = [&](const std::string &Key, const std::string &Body) {
     auto Result =
