Serve the heartbeats of all connections with one timer

Cause: each inner connection had a task with its own timer that was created and cancelled twice a second or once in two seconds. A node of a large mesh has connections to hundreds of others, in both directions, most of them idle.

Intervals and limits are unchanged.

Test: Connection_test, heartbeats after the last connection closed.

--- a/protocol/include/amaranth/protocol/Connection.h
+++ b/protocol/include/amaranth/protocol/Connection.h
@@ -31,6 +31,10 @@
   dial(base::Address Peer, base::Millis Timeout) = 0;
 };
 
+namespace detail {
+class HeartbeatTimer;
+} // namespace detail
+
 /// Dials over TCP.
 class TcpDialer final : public Dialer {
 public:
@@ -45,6 +49,7 @@
   Identity Self;
   SharedKeys Keys;
   base::Clock &Time;
+  std::shared_ptr<detail::HeartbeatTimer> Heartbeats;
 };
 
 /// Accepts connections of other processes over TCP.
--- a/protocol/src/Connection.cpp
+++ b/protocol/src/Connection.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 TcpDialer::TcpDialer(Identity Self, SharedKeys Keys, base::Clock &Time)
-    : Self(std::move(Self)), Keys(std::move(Keys)), Time(Time) {}
+    : Self(std::move(Self)), Keys(std::move(Keys)), Time(Time),
+      Heartbeats(std::make_shared<detail::HeartbeatTimer>(Time)) {}
 
 asio::awaitable<std::shared_ptr<Channel>>
 TcpDialer::dial(base::Address Peer, base::Millis Timeout) {
@@ -36,7 +37,8 @@
   auto Connect = [&]() -> asio::awaitable<void> {
     tcp::socket Socket(co_await asio::this_coro::executor);
     co_await Socket.async_connect(endpointOf(Peer), asio::use_awaitable);
-    Link = std::make_shared<detail::SocketChannel>(std::move(Socket), Time);
+    Link = std::make_shared<detail::SocketChannel>(std::move(Socket), Time,
+                                                   Heartbeats);
     co_await detail::openAsDialer(Link, Self, Keys);
   };
   std::string Reason;
@@ -60,7 +62,8 @@
   Impl(const asio::any_io_executor &Executor, const base::Address &Local,
        Identity Self, SharedKeys Keys, base::Clock &Time)
       : Acceptor(Executor, endpointOf(Local)), Self(std::move(Self)),
-        Keys(std::move(Keys)), Time(Time) {
+        Keys(std::move(Keys)), Time(Time),
+        Heartbeats(std::make_shared<detail::HeartbeatTimer>(Time)) {
     Acceptor.non_blocking(true);
   }
 
@@ -73,6 +76,7 @@
   Identity Self;
   SharedKeys Keys;
   base::Clock &Time;
+  std::shared_ptr<detail::HeartbeatTimer> Heartbeats;
   std::size_t Connections = 0;
 };
 
@@ -139,7 +143,8 @@
                                      const Handler &Handle) {
   if (Connections >= MaxConnections)
     return;
-  auto Link = std::make_shared<detail::SocketChannel>(std::move(Socket), Time);
+  auto Link = std::make_shared<detail::SocketChannel>(std::move(Socket), Time,
+                                                      Heartbeats);
   asio::co_spawn(
       Acceptor.get_executor(),
       [Keep = shared_from_this(), Link, Handle]() -> asio::awaitable<void> {
--- a/protocol/src/SocketChannel.cpp
+++ b/protocol/src/SocketChannel.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -48,15 +47,19 @@
 
 } // namespace
 
-SocketChannel::SocketChannel(asio::ip::tcp::socket Connected, base::Clock &Time)
-    : Socket(std::move(Connected)), Time(Time), Queued(Socket.get_executor()),
-      Drained(Socket.get_executor()), Closed(Socket.get_executor()),
-      LastReceived(Time.now()), LastQueued(Time.now()) {
+SocketChannel::SocketChannel(asio::ip::tcp::socket Connected, base::Clock &Time,
+                             std::shared_ptr<HeartbeatTimer> Heartbeats)
+    : Socket(std::move(Connected)), Time(Time),
+      Heartbeats(std::move(Heartbeats)), Queued(Socket.get_executor()),
+      Drained(Socket.get_executor()), LastReceived(Time.now()),
+      LastQueued(Time.now()) {
   boost::system::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
   limitSilence(Socket);
 }
 
+SocketChannel::~SocketChannel() { close("abandoned"); }
+
 void SocketChannel::start(Identity Peer, Role Own) {
   PeerIdentity = std::move(Peer);
   if (Own == Role::Node && PeerIdentity.ProcessRole == Role::Node) {
@@ -69,10 +72,8 @@
       Socket.get_executor(),
       [Self]() -> asio::awaitable<void> { co_await Self->writeLoop(); },
       asio::detached);
-  asio::co_spawn(
-      Socket.get_executor(),
-      [Self]() -> asio::awaitable<void> { co_await Self->heartbeatLoop(); },
-      asio::detached);
+  Started = true;
+  Heartbeats->add(Self);
 }
 
 asio::awaitable<void> SocketChannel::writeNow(MessageType Type,
@@ -180,7 +181,8 @@
   Socket.close(Ignored);
   Queued.notifyAll();
   Drained.notifyAll();
-  Closed.notifyAll();
+  if (Started)
+    Heartbeats->channelClosed();
 }
 
 void SocketChannel::throwClosed() const {
@@ -223,19 +225,12 @@
   }
 }
 
-asio::awaitable<void> SocketChannel::heartbeatLoop() {
-  using namespace asio::experimental::awaitable_operators;
-  while (Open) {
-    co_await (Time.sleepFor(Interval) || Closed.wait());
-    if (!Open)
-      co_return;
-    if (Time.now() - LastReceived >= Silence) {
-      close(fmt::format("no data for {} ms", Silence.count()));
-      co_return;
-    }
-    if (Time.now() - LastQueued >= Interval)
-      post(MessageType::Heartbeat, 0, {});
-  }
+void SocketChannel::checkHeartbeat() {
+  base::TimePoint Now = Time.now();
+  if (Now - LastReceived >= Silence)
+    close(fmt::format("no data for {} ms", Silence.count()));
+  else if (Now - LastQueued >= Interval)
+    post(MessageType::Heartbeat, 0, {});
 }
 
 } // namespace amaranth::protocol::detail
--- a/protocol/src/SocketChannel.h
+++ b/protocol/src/SocketChannel.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTH_PROTOCOL_SOCKETCHANNEL_H
 #define AMARANTH_PROTOCOL_SOCKETCHANNEL_H
 
+#include "HeartbeatTimer.h"
 #include "amaranth/base/Clock.h"
 #include "amaranth/base/Signal.h"
 #include "amaranth/protocol/Channel.h"
@@ -13,11 +14,13 @@
 namespace amaranth::protocol::detail {
 
 /// A `Channel` over one TCP socket. `start` must be called once after the
-/// handshake; it spawns the writer and the heartbeat task.
+/// handshake; it spawns the writer and begins the heartbeats.
 class SocketChannel final : public Channel,
                             public std::enable_shared_from_this<SocketChannel> {
 public:
-  SocketChannel(boost::asio::ip::tcp::socket Socket, base::Clock &Time);
+  SocketChannel(boost::asio::ip::tcp::socket Socket, base::Clock &Time,
+                std::shared_ptr<HeartbeatTimer> Heartbeats);
+  ~SocketChannel() override;
 
   /// `Own` is the role of this process.
   void start(Identity PeerIdentity, Role Own);
@@ -26,6 +29,10 @@
   boost::asio::awaitable<void> writeNow(MessageType Type, base::Bytes Payload);
   boost::asio::awaitable<Frame> readFrame();
 
+  /// Closes the channel if it is silent, or sends a heartbeat if one is due.
+  void checkHeartbeat();
+  boost::asio::any_io_executor executor() { return Socket.get_executor(); }
+
   const Identity &peer() const override { return PeerIdentity; }
   boost::asio::awaitable<void> send(MessageType Type, std::uint64_t Stream,
                                     base::Bytes Payload) override;
@@ -50,15 +57,14 @@
   /// Moves the complete frames of `Input` to `ReceivedFrames`.
   void takeFrames();
   boost::asio::awaitable<void> writeLoop();
-  boost::asio::awaitable<void> heartbeatLoop();
   [[noreturn]] void throwClosed() const;
 
   boost::asio::ip::tcp::socket Socket;
   base::Clock &Time;
+  std::shared_ptr<HeartbeatTimer> Heartbeats;
   Identity PeerIdentity;
   base::Signal Queued;
   base::Signal Drained;
-  base::Signal Closed;
   /// Received bytes of incomplete frames.
   base::Bytes Input;
   /// Complete frames except heartbeats.
@@ -73,6 +79,7 @@
   base::Millis Interval = HeartbeatInterval;
   base::Millis Silence = SilenceTimeout;
   bool Open = true;
+  bool Started = false;
 };
 
 } // namespace amaranth::protocol::detail
--- a/protocol/test/Connection_test.cpp
+++ b/protocol/test/Connection_test.cpp
@@ -199,6 +199,29 @@
   CHECK(Client->isOpen());
 }
 
+// Guards against a heartbeat timer that ends with the last channel and does not
+// start again.
+TEST_CASE_METHOD(ConnectionTest,
+                 "Channel opened after the last one closed has heartbeats") {
+  dial("secret");
+  REQUIRE(Client);
+  auto First = std::exchange(Client, nullptr);
+  First->close("test");
+  runUntil([&] { return Server.connections() == 0; });
+  dial("secret");
+  REQUIRE(Client);
+  asio::co_spawn(
+      Context,
+      [this]() -> asio::awaitable<void> { co_await Client->receive(); },
+      asio::detached);
+  for (int Beat = 0; Beat < 5; ++Beat) {
+    auto Before = Client->bytesReceived();
+    Time.advance(HeartbeatInterval);
+    runUntil([&] { return Client->bytesReceived() > Before; });
+  }
+  CHECK(Client->isOpen());
+}
+
 // Guards against nodes that wait in the accept queue of a busy process: each
 // turn of the event loop used to accept one connection.
 TEST_CASE_METHOD(ConnectionTest,
