--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 
 namespace amaranth::dataplane {
 
@@ -56,6 +57,9 @@
   prometheus::Gauge &Slots;
   prometheus::Gauge &RequestLimit;
   Cache<prometheus::Counter> RequestCache;
+  std::map<std::tuple<std::string, ExecutionOutcome, RefusalReason>,
+           prometheus::Counter *>
+      RefusalCache;
   Cache<prometheus::Histogram> LatencyCache;
 };
 
--- a/dataplane/src/Metrics.cpp
+++ b/dataplane/src/Metrics.cpp
@@ -64,11 +64,13 @@
 }
 
 void Metrics::countRefusal(const std::string &Place, const Refusal &Refused) {
-  Refusals
-      .Add({{"place", Place},
-            {"outcome", std::string(outcomeText(Refused.Outcome))},
-            {"reason", reasonText(Refused.Reason)}})
-      .Increment();
+  auto &Count = RefusalCache[{Place, Refused.Outcome, Refused.Reason}];
+  if (!Count)
+    Count =
+        &Refusals.Add({{"place", Place},
+                       {"outcome", std::string(outcomeText(Refused.Outcome))},
+                       {"reason", reasonText(Refused.Reason)}});
+  Count->Increment();
 }
 
 void Metrics::countRetry(const base::ServiceName &Service) {
