Count retries in a sliding window instead of a token bucket

Cause: the shared retry budget is split over the nodes. With more nodes than retries each node still had one token, more than the budget.

Change: in ten seconds a node repeats at most its ratio of the requests that it saw in them, plus its part of the fixed number. The sum over all nodes stays within the budget; a tenth stays unused as before.

--- a/dataplane/include/amaranth/dataplane/RetryBudget.h
+++ b/dataplane/include/amaranth/dataplane/RetryBudget.h
@@ -4,60 +4,81 @@
 #include "amaranth/base/Clock.h"
 
 #include <algorithm>
+#include <array>
 
 namespace amaranth::dataplane {
 
-/// Token bucket that limits the retries of one service at this node. It fills
-/// by a fraction of a token for each request and at a constant rate.
+/// Limits the retries of one service at this node in a sliding window, to a
+/// fraction of the requests in the window and a fixed number.
 ///
-/// In any time span, at most `MaxTokens + TokensPerSecond * span +
-/// TokensPerRequest * requests` retries are made.
+/// A node that knows hundreds of others has a small part of the shared retries
+/// a second. A token bucket of that part is empty after one retry, and the
+/// requests that fail together when a VM is lost are not repeated. The window
+/// lets a node use at once what it saved before.
 class RetryBudget {
 public:
   struct Rates {
-    double TokensPerRequest = 0.1;
-    double TokensPerSecond = 3;
-    /// Ten seconds of the constant rate.
-    double MaxTokens = 30;
+    double RetriesPerRequest = 0.1;
+    double RetriesPerWindow = 30;
+    base::Millis Window = base::Millis(10'000);
   };
 
   explicit RetryBudget(base::TimePoint Now) : RetryBudget(Now, Rates()) {}
   RetryBudget(base::TimePoint Now, Rates Limits)
-      : LastRefill(Now), Limits(Limits),
-        Tokens(std::min(Limits.TokensPerSecond, Limits.MaxTokens)) {}
+      : Limits(Limits), Newest(Now.count() / bucketMillis()) {}
 
+  /// `Value` must have the same window.
   void setRates(Rates Value) { Limits = Value; }
 
-  void recordRequest(base::TimePoint Now) {
-    refill(Now);
-    Tokens = std::min(Limits.MaxTokens, Tokens + Limits.TokensPerRequest);
-  }
+  void recordRequest(base::TimePoint Now) { ++bucketAt(Now).Requests; }
 
   bool hasToken(base::TimePoint Now) {
-    refill(Now);
-    return Tokens >= 1;
+    bucketAt(Now);
+    double Requests = 0;
+    double Retries = 0;
+    for (const Bucket &Each : Buckets) {
+      Requests += Each.Requests;
+      Retries += Each.Retries;
+    }
+    // The oldest bucket lies partly outside the window: its retries count and
+    // its requests do not.
+    Requests -= oldest().Requests;
+    return Retries + 1 <=
+           Limits.RetriesPerRequest * Requests + Limits.RetriesPerWindow;
   }
 
   /// Takes the token of one retry; false when none is left.
   bool tryAcquire(base::TimePoint Now) {
-    refill(Now);
-    if (Tokens < 1)
+    if (!hasToken(Now))
       return false;
-    Tokens -= 1;
+    ++bucketAt(Now).Retries;
     return true;
   }
 
 private:
-  void refill(base::TimePoint Now) {
-    double Seconds = static_cast<double>((Now - LastRefill).count()) / 1000;
-    Tokens =
-        std::min(Limits.MaxTokens, Tokens + Seconds * Limits.TokensPerSecond);
-    LastRefill = Now;
+  struct Bucket {
+    std::uint32_t Requests = 0;
+    std::uint32_t Retries = 0;
+  };
+  static constexpr std::int64_t BucketsPerWindow = 10;
+
+  std::int64_t bucketMillis() const {
+    return std::max<std::int64_t>(1, Limits.Window.count() / BucketsPerWindow);
+  }
+  Bucket &oldest() { return Buckets[(Newest + 1) % Buckets.size()]; }
+  /// Drops what is older than the window.
+  Bucket &bucketAt(base::TimePoint Now) {
+    std::int64_t Index = std::max(Newest, Now.count() / bucketMillis());
+    auto Size = static_cast<std::int64_t>(Buckets.size());
+    for (Newest = std::max(Newest, Index - Size); Newest < Index;)
+      Buckets[++Newest % Buckets.size()] = {};
+    return Buckets[Newest % Buckets.size()];
   }
 
-  base::TimePoint LastRefill;
   Rates Limits;
-  double Tokens;
+  std::array<Bucket, BucketsPerWindow + 1> Buckets{};
+  /// Number of the current bucket since the start of the clock.
+  std::int64_t Newest;
 };
 
 /// A retry budget for all nodes together. Each node enforces its own share, so
@@ -69,18 +90,12 @@
   double Floor = 0;
   base::Millis Window;
 
-  /// The rates of one of `Nodes` nodes. Half of the floor refills at a constant
-  /// rate and half is burst capacity, so that no window exceeds the floor. A
-  /// tenth stays unused, because the nested calls of a retried request count
-  /// against the budget too.
+  /// The rates of one of `Nodes` nodes. A tenth stays unused, because the
+  /// nested calls of a retried request count against the budget too.
   RetryBudget::Rates ratesPerNode(std::size_t Nodes) const {
     constexpr double UsableFraction = 0.9;
-    double NodeRetries = UsableFraction * Floor /
-                         static_cast<double>(std::max<std::size_t>(1, Nodes));
-    double Seconds =
-        std::max(0.001, static_cast<double>(Window.count()) / 1000);
-    return {UsableFraction * Ratio, NodeRetries / 2 / Seconds,
-            std::max(1.0, NodeRetries / 2)};
+    double Count = static_cast<double>(std::max<std::size_t>(1, Nodes));
+    return {UsableFraction * Ratio, UsableFraction * Floor / Count, Window};
   }
 };
 
--- a/dataplane/test/Decisions_test.cpp
+++ b/dataplane/test/Decisions_test.cpp
@@ -315,6 +315,35 @@
   }
 }
 
+// Load pattern: a VM is lost, and all requests that ran there fail at once. One
+// of 294 nodes has a part of the shared retries that is less than one a second.
+TEST_CASE("SharedRetryBudget covers requests that fail together") {
+  SharedRetryBudget Shared{0.2, 630, base::Millis(10'000)};
+  RetryBudget Node(base::TimePoint(0), Shared.ratesPerNode(294));
+  std::int64_t Now = 0;
+  for (; Now < 10'000; Now += 50)
+    Node.recordRequest(base::TimePoint(Now));
+  int Granted = 0;
+  while (Node.tryAcquire(base::TimePoint(Now)))
+    ++Granted;
+  // 180 or more requests in the window.
+  CHECK(Granted >= 30);
+  CHECK(Granted <= 0.2 * 200 + 630.0 / 294);
+}
+
+// Guards against nodes that outnumber the shared retries and take one each.
+TEST_CASE("SharedRetryBudget holds with more nodes than retries") {
+  SharedRetryBudget Shared{0.2, 60, base::Millis(10'000)};
+  constexpr std::size_t Nodes = 200;
+  int Granted = 0;
+  for (std::size_t I = 0; I < Nodes; ++I) {
+    RetryBudget Node(base::TimePoint(0), Shared.ratesPerNode(Nodes));
+    for (std::int64_t Now = 0; Now < 10'000; Now += 100)
+      Granted += Node.tryAcquire(base::TimePoint(Now)) ? 1 : 0;
+  }
+  CHECK(Granted <= 60);
+}
+
 // Guards against repeated request failures on connections that the upstream has
 // already dropped.
 TEST_CASE(
