Ask gates of other zones after two of the local zone are full

The zone looks free although it is full, all three gates that a request asks lie in it, and the request joins a local queue or is refused while another zone has free slots. Small zones were not affected: after one or two refusals no local gate was left.

Change: after two refusals for lack of capacity the zone is no longer preferred. Downloads, whose bytes are most of the traffic, stay.

--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -48,6 +48,8 @@
     base::Millis MaxLocalWait;
     /// The response is large and therefore queues for the link of its node.
     bool LargeResponse = false;
+    /// No zone is preferred, because the local one has turned out to be full.
+    bool AnyZone = false;
   };
 
   /// Returns an endpoint of the version that is not in `Excluded`, or null.
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -119,6 +119,8 @@
 Balancer::CandidateList Balancer::preferLocalZone(CandidateList Candidates,
                                                   const Selection &Pick) const {
   const RequestTraits &Request = Pick.Request;
+  if (Request.AnyZone)
+    return Candidates;
   CandidateList Local;
   CandidateList WithinWait;
   double Outstanding = 0;
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -256,7 +256,9 @@
   if (Entry == Snapshot.Services.end())
     return nullptr;
   std::set<base::VersionName> WithoutEndpoint;
-  Balancer::RequestTraits Traits{maxLocalWait(), isDownload()};
+  // Downloads stay in their zone; see `DownloadLocalWaitPercent`.
+  Balancer::RequestTraits Traits{maxLocalWait(), isDownload(),
+                                 !isDownload() && Retries.asksAllZones()};
   // Repeats the selection without the versions that have no usable endpoint.
   while (const document::VersionShare *Version = chooseVersion(
              Entry->second, Context->Guard, WithoutEndpoint, Context->Random)) {
--- a/dataplane/src/RetryState.h
+++ b/dataplane/src/RetryState.h
@@ -19,6 +19,10 @@
 /// shortest queue and may miss its objective. It ends when that gate refuses it
 /// too: under overload a caller learns immediately when to retry instead of
 /// waiting for nothing.
+///
+/// An entry node of a large zone knows the load of few of its gates, so it
+/// cannot see that the whole zone is full. After `MaxLocalRefusals` gates have
+/// refused, gates of all zones are asked.
 class RetryState {
 public:
   enum class Step : std::uint8_t {
@@ -32,6 +36,8 @@
 
   /// Gates that are asked for a slot within the objective.
   static constexpr unsigned MaxBoundedWaitAttempts = 3;
+  /// Refusals for lack of capacity after which other zones are asked too.
+  static constexpr unsigned MaxLocalRefusals = 2;
   /// All gates that are asked. Bounds the time that a request spends on
   /// redirects while every endpoint fails.
   static constexpr unsigned MaxTotalAttempts = 8;
@@ -54,6 +60,8 @@
   /// Whether a gate should refuse the request when it cannot meet the
   /// objective.
   bool limitsQueueWait() const { return !AcceptsAnyWait; }
+  /// Whether gates of all zones should be asked.
+  bool asksAllZones() const { return BusyEndpoints.size() >= MaxLocalRefusals; }
   const std::set<base::EndpointId> &excluded() const { return Excluded; }
   unsigned attempts() const { return Attempts; }
   /// Attempts that reached an upstream.
