--- a/dataplane/include/amaranth/dataplane/RetryBudget.h
+++ b/dataplane/include/amaranth/dataplane/RetryBudget.h
@@ -14,7 +14,8 @@
 /// A node that knows hundreds of others has a small part of the shared retries
 /// a second. A token bucket of that part is empty after one retry, and the
 /// requests that fail together when a VM is lost are not repeated. The window
-/// lets a node use at once what it saved before.
+/// lets a node use up to a third of it at once; the rest is spread over the
+/// window, so that a fault that lasts does not use up all retries at its start.
 class RetryBudget {
 public:
   struct Rates {
@@ -43,8 +44,10 @@
     // The oldest bucket lies partly outside the window: its retries count and
     // its requests do not.
     Requests -= oldest().Requests;
-    return Retries + 1 <=
-           Limits.RetriesPerRequest * Requests + Limits.RetriesPerWindow;
+    double Allowed =
+        Limits.RetriesPerRequest * Requests + Limits.RetriesPerWindow;
+    double AtOnce = std::max(1.0, Allowed * BurstBuckets / BucketsPerWindow);
+    return Retries + 1 <= Allowed && recentRetries() + 1 <= AtOnce;
   }
 
   /// Takes the token of one retry; false when none is left.
@@ -61,10 +64,19 @@
     std::uint32_t Retries = 0;
   };
   static constexpr std::int64_t BucketsPerWindow = 10;
+  /// The newest buckets, in which only their part of the retries is allowed.
+  static constexpr std::int64_t BurstBuckets = 3;
 
   std::int64_t bucketMillis() const {
     return std::max<std::int64_t>(1, Limits.Window.count() / BucketsPerWindow);
   }
+  double recentRetries() const {
+    double Retries = 0;
+    for (std::int64_t I = std::max<std::int64_t>(0, Newest - BurstBuckets + 1);
+         I <= Newest; ++I)
+      Retries += Buckets[I % Buckets.size()].Retries;
+    return Retries;
+  }
   Bucket &oldest() { return Buckets[(Newest + 1) % Buckets.size()]; }
   /// Drops what is older than the window.
   Bucket &bucketAt(base::TimePoint Now) {
--- a/dataplane/test/Decisions_test.cpp
+++ b/dataplane/test/Decisions_test.cpp
@@ -326,11 +326,34 @@
   int Granted = 0;
   while (Node.tryAcquire(base::TimePoint(Now)))
     ++Granted;
-  // 180 or more requests in the window.
+  // A third of what 180 or more requests in the window allow.
+  CHECK(Granted >= 10);
+  // The rest is granted over the window.
+  for (std::int64_t Passed = 0; Passed < 9'000; Passed += 50) {
+    Node.recordRequest(base::TimePoint(Now + Passed));
+    while (Node.tryAcquire(base::TimePoint(Now + Passed)))
+      ++Granted;
+  }
   CHECK(Granted >= 30);
   CHECK(Granted <= 0.2 * 200 + 630.0 / 294);
 }
 
+// Load pattern: all upstreams refuse half of their requests for seconds.
+TEST_CASE("RetryBudget lasts as long as a fault") {
+  RetryBudget Node(base::TimePoint(0), {0.18, 2, base::Millis(10'000)});
+  std::int64_t Now = 0;
+  for (; Now < 10'000; Now += 50)
+    Node.recordRequest(base::TimePoint(Now));
+  std::vector<int> PerThreeSeconds(3);
+  for (std::int64_t Passed = 0; Passed < 9'000; Passed += 50) {
+    Node.recordRequest(base::TimePoint(Now + Passed));
+    while (Node.tryAcquire(base::TimePoint(Now + Passed)))
+      ++PerThreeSeconds[static_cast<std::size_t>(Passed / 3'000)];
+  }
+  for (int Granted : PerThreeSeconds)
+    CHECK(Granted >= 8);
+}
+
 // Guards against nodes that outnumber the shared retries and take one each.
 TEST_CASE("SharedRetryBudget holds with more nodes than retries") {
   SharedRetryBudget Shared{0.2, 60, base::Millis(10'000)};
