Serve requests of a node that shuts down before others

Change: a request whose deadline is the end of its entry node has the highest priority at its gate, for a slot and for the link. There are few: those that one node takes in the 2.2 s between the signal and the end of its listening socket, and only if they could last longer than the node.

--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -29,6 +29,7 @@
 constexpr std::int64_t DownloadLocalWaitPercent = 100;
 /// Applies when neither the route nor the caller sets a limit.
 constexpr base::Millis DefaultTimeout = base::Millis::seconds(60);
+constexpr std::uint32_t HighestPriority = 0;
 
 std::string_view pathOf(const std::string &Target) {
   return std::string_view(Target).substr(0, Target.find_first_of("?#"));
@@ -197,9 +198,8 @@
   // A gate that cannot respond before this node ends refuses the request, and
   // its caller can repeat it elsewhere.
   Deadline = Context->ShutdownEnd;
-  // A late download waits at its gate behind all that are not late, and would
-  // be cut off here.
-  Objective = isDownload() ? Deadline : std::min(Objective, Deadline);
+  Objective = std::min(Objective, Deadline);
+  EndsWithNode = true;
 }
 
 void EntryRequest::chooseSplitService() {
@@ -327,7 +327,9 @@
   Head.Route = MatchedRoute.Name;
   Head.CallerAttempt = RequestId;
   Head.Objective = Objective - Context->Time.now();
-  Head.Priority = MatchedRoute.Priority;
+  // At its gate, a response that is late waits for the link behind all that are
+  // not, and would be cut off by the end of this node.
+  Head.Priority = EndsWithNode ? HighestPriority : MatchedRoute.Priority;
   Head.AtMostOnce = !isRepeatable();
   Head.Suspect = Context->Quarantine.isSuspect(Fingerprint);
   if (Retries.limitsQueueWait() && Objective < Deadline) {
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -99,6 +99,8 @@
   bool BodyPrefixComplete = false;
   bool ReadBeyondPrefix = false;
   bool CallerGone = false;
+  /// The deadline is the end of this node, which is shutting down.
+  bool EndsWithNode = false;
   /// Exchange of the running attempt.
   std::weak_ptr<ClientExchange> CurrentExchange;
   std::uint64_t RequestHash = 0;
