--- a/dataplane/test/Entry_test.cpp
+++ b/dataplane/test/Entry_test.cpp
@@ -185,4 +185,42 @@
   CHECK(Drained);
 }
 
+// Guards against a request that waits at its gate behind others until its entry
+// node has shut down.
+TEST_CASE_METHOD(MeshFixture, "Request during a shutdown precedes others") {
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  document::Route Urgent = Mesh.Routes.begin()->second;
+  Urgent.Name = base::RouteName("urgent");
+  Urgent.PathPrefix = "/echo/urgent";
+  Urgent.Priority = 1;
+  Mesh.Routes.edit().begin()->second.Priority = 2;
+  Mesh.Routes[Urgent.Name] = Urgent;
+  Snapshots.set(Mesh);
+  TestNode &Leaving = addNode("leaving");
+  TestNode &Other = addNode("other");
+  TestUpstream &Upstream = addUpstream(Other, "v1", 1);
+  settle();
+  auto Running = get(Other, "/hold");
+  runUntil([&] { return Upstream.Seen.size() == 1; });
+  auto Queued = get(Other, "/echo/urgent");
+  runUntil([&] { return Other.UpstreamGate.load().Queued == 1; });
+  tcp::socket Socket(Context);
+  Socket.connect({asio::ip::make_address(Leaving.Entry.local().Ip),
+                  Leaving.Entry.local().Port});
+  std::string Text = "GET /echo/leaving HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::write(Socket, asio::buffer(Text));
+  auto Drain = [](TestNode &Node) -> asio::awaitable<void> {
+    co_await Node.Entry.drain(base::Millis(3000));
+  };
+  spawn(Drain(Leaving));
+  runUntil([&] { return Other.UpstreamGate.load().Queued == 2; });
+  Held = false;
+  Release.notifyAll();
+  runUntil([&] { return Upstream.Seen.size() == 3; });
+  CHECK(Upstream.Seen == std::vector<std::string>{"GET /hold",
+                                                  "GET /echo/leaving",
+                                                  "GET /echo/urgent"});
+}
+
 } // namespace amaranth::dataplane::testing
