--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -151,8 +151,7 @@
   Client.setAddress(Update.Upstream);
   UpstreamState Before = Lifecycle.state();
   applyEarlyDeparture();
-  // A process that has left stays out of use when its later announcements were
-  // sent before its departure, also after a timeout.
+  // An announcement that was sent before the departure may arrive after it.
   if (!HasLeft || isLeaving(Update.ReportedState))
     applyEvent(eventOf(Update.ReportedState));
   if (Changed && Lifecycle.state() == Before)
--- a/dataplane/test/Gate_test.cpp
+++ b/dataplane/test/Gate_test.cpp
@@ -27,6 +27,19 @@
     Snapshots.set(Mesh);
   }
 
+  /// An announcement of a service that is not configured, with a late start.
+  static Announcement oddAnnouncement() {
+    Announcement Odd;
+    Odd.Service = base::ServiceName("unknown");
+    Odd.Version = base::VersionName("v1");
+    Odd.Upstream = {"127.0.0.1", 1};
+    Odd.Slots = 4;
+    Odd.ReportedState = Announcement::State::Ready;
+    Odd.Incarnation = 1'000'000;
+    Odd.Sequence = 1;
+    return Odd;
+  }
+
   /// Waits until the crash report is committed, advances the clock by the
   /// propagation delay of 400 ms and waits for `Done`.
   void runUntilCrashAnswered(const std::function<bool()> &Done) {
@@ -316,15 +329,7 @@
 TEST_CASE_METHOD(GateTest, "Announcement of a service that is not configured "
                            "is ignored") {
   TestUpstream &Upstream = addUpstream(Node);
-  Announcement Odd;
-  Odd.Service = base::ServiceName("unknown");
-  Odd.Version = base::VersionName("v1");
-  Odd.Upstream = {"127.0.0.1", 1};
-  Odd.Slots = 4;
-  Odd.ReportedState = Announcement::State::Ready;
-  Odd.Incarnation = 1'000'000;
-  Odd.Sequence = 1;
-  CHECK_FALSE(Node.UpstreamGate.announce(Odd));
+  CHECK_FALSE(Node.UpstreamGate.announce(oddAnnouncement()));
   announce(Node, Upstream, Announcement::State::Ready);
   auto Result = get(Node, "/echo");
   runUntil([&] { return Result->Done; });
@@ -335,15 +340,7 @@
                            "outrank the upstream's") {
   // Before the node has a configuration, no service is known.
   Snapshots.clear();
-  Announcement Odd;
-  Odd.Service = base::ServiceName("unknown");
-  Odd.Version = base::VersionName("v1");
-  Odd.Upstream = {"127.0.0.1", 1};
-  Odd.Slots = 4;
-  Odd.ReportedState = Announcement::State::Ready;
-  Odd.Incarnation = 1'000'000;
-  Odd.Sequence = 1;
-  CHECK(Node.UpstreamGate.announce(Odd));
+  CHECK(Node.UpstreamGate.announce(oddAnnouncement()));
   Snapshots.set(Mesh);
   addUpstream(Node);
   auto Result = get(Node, "/echo");
--- a/protocol/test/Connection_test.cpp
+++ b/protocol/test/Connection_test.cpp
@@ -62,6 +62,20 @@
     runUntil([this] { return Client || !Refusal.empty(); });
   }
 
+  /// Checks that the client stays open for `Count` heartbeats.
+  void checkHeartbeats(int Count) {
+    asio::co_spawn(
+        Context,
+        [this]() -> asio::awaitable<void> { co_await Client->receive(); },
+        asio::detached);
+    for (int Beat = 0; Beat < Count; ++Beat) {
+      auto Before = Client->bytesReceived();
+      Time.advance(HeartbeatInterval);
+      runUntil([&] { return Client->bytesReceived() > Before; });
+    }
+    CHECK(Client->isOpen());
+  }
+
   asio::io_context Context;
   base::ManualClock Time;
   Listener Server;
@@ -187,16 +201,7 @@
 TEST_CASE_METHOD(ConnectionTest, "Channel idle with heartbeats stays open") {
   dial("secret");
   REQUIRE(Client);
-  asio::co_spawn(
-      Context,
-      [this]() -> asio::awaitable<void> { co_await Client->receive(); },
-      asio::detached);
-  for (int Beat = 0; Beat < 20; ++Beat) {
-    auto Before = Client->bytesReceived();
-    Time.advance(HeartbeatInterval);
-    runUntil([&] { return Client->bytesReceived() > Before; });
-  }
-  CHECK(Client->isOpen());
+  checkHeartbeats(20);
 }
 
 // Guards against a heartbeat timer that ends with the last channel and does not
@@ -210,16 +215,7 @@
   runUntil([&] { return Server.connections() == 0; });
   dial("secret");
   REQUIRE(Client);
-  asio::co_spawn(
-      Context,
-      [this]() -> asio::awaitable<void> { co_await Client->receive(); },
-      asio::detached);
-  for (int Beat = 0; Beat < 5; ++Beat) {
-    auto Before = Client->bytesReceived();
-    Time.advance(HeartbeatInterval);
-    runUntil([&] { return Client->bytesReceived() > Before; });
-  }
-  CHECK(Client->isOpen());
+  checkHeartbeats(5);
 }
 
 // Guards against nodes that wait in the accept queue of a busy process: each
