--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -25,7 +25,7 @@
   /// True also while the configuration is unknown.
   bool isConfigured(const base::ServiceName &Service) const;
   void applyEvent(UpstreamEvent Event);
-  /// Marks the announced process as stopped if it deregistered before its first
+  /// Marks the announced process as stopped if it left before its first
   /// announcement.
   void applyEarlyDeparture();
   void publish();
