--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 Out=target/review
 mkdir -p "$Out"
 Flags=(-std=c++20 -O1 -Wall -Wextra -pthread)
-Parts=(Stage)
+Parts=(Stage Target)
 Objects=()
 for Name in "${Parts[@]}"; do
   g++ "${Flags[@]}" -c "review/standin/$Name.cpp" -o "$Out/$Name.o"
