--- a/review/standin/Stage.cpp
+++ b/review/standin/Stage.cpp
@@ -536,7 +536,7 @@
       {"bounds.retry_budget_ratio", "0.2"},
       {"bounds.budget_min_retries", "60"},
       {"bounds.budget_window_s", "10"},
-      {"limits.link_mbps", "1000.0"},
+      {"limits.link_mbps", Size.LinkMegabits},
       {"listen.outbound", outbound(Of).text()},
       {"listen.readiness_addr", ready(Of).text()},
       {"listen.control", control(Of).text()}};
--- a/review/standin/Stage.h
+++ b/review/standin/Stage.h
@@ -175,6 +175,8 @@
 struct DeploymentSize {
   int CoreMachines = 3;
   int ToleratedLosses = 1;
+  /// Link of each machine with a target.
+  std::string LinkMegabits = "1000.0";
 };
 
 /// The processes of a small deployment, started with the commands of
--- a/review/standin/Target.cpp
+++ b/review/standin/Target.cpp
@@ -14,6 +14,13 @@
   Runs.push_back(std::move(Entry));
 }
 
+void RunLog::markAnswered(const std::string &Attempt) {
+  std::lock_guard<std::mutex> Guard(Mutex);
+  for (Run &Each : Runs)
+    if (Each.Attempt == Attempt)
+      Each.Answered = Clock::now();
+}
+
 std::vector<Run> RunLog::all() const {
   std::lock_guard<std::mutex> Guard(Mutex);
   return Runs;
@@ -94,8 +101,10 @@
     return Result;
   }
   auto Caller = Asked.Headers.find(field::CallerService);
-  Run Entry{Attempt->second, Asked.Target, Options.Service,
-            Caller == Asked.Headers.end() ? "" : Caller->second, Clock::now()};
+  Run Entry{
+      Attempt->second, Asked.Target,
+      Options.Service, Caller == Asked.Headers.end() ? "" : Caller->second,
+      Clock::now(),    std::nullopt};
   Runs.add(Entry);
   Log.line("target: " + Id + " of " + Options.Service + " runs " +
            Entry.Attempt + " " + Asked.Method + " " + Entry.Path +
@@ -108,6 +117,8 @@
   Result.Headers[field::ServerLoad] =
       std::to_string(Busy) + ",0," + std::to_string(Options.Slots);
   Result.Body = "done by " + Options.Service + "\n";
+  if (Options.AnswerBytes != 0)
+    Result.Body = std::string(Options.AnswerBytes, 'x');
   return Result;
 }
 
@@ -121,6 +132,9 @@
       continue;
     if (!Peer->writeResponse(Answer.Status, Answer.Headers, Answer.Body))
       return;
+    auto Attempt = Answer.Headers.find(field::AttemptId);
+    if (Attempt != Answer.Headers.end())
+      Runs.markAnswered(Attempt->second);
   }
 }
 
--- a/review/standin/Target.h
+++ b/review/standin/Target.h
@@ -32,12 +32,15 @@
   std::string Service;
   std::string CallerService;
   Clock::time_point At;
+  /// When the whole answer had been written; nothing while it has not.
+  std::optional<Clock::time_point> Answered;
 };
 
 /// All runs of the deployment, as the targets saw them.
 class RunLog {
 public:
   void add(Run Entry);
+  void markAnswered(const std::string &Attempt);
   std::vector<Run> all() const;
 
 private:
@@ -50,6 +53,8 @@
   std::string Version = "v1";
   int Slots = 9;
   Millis Work = Millis(210);
+  /// Size of an answer; 0 for a short text.
+  std::size_t AnswerBytes = 0;
 };
 
 /// A target of a service beside a node: answers requests and sends heartbeats
