--- a/review/standin/Stage.cpp
+++ b/review/standin/Stage.cpp
@@ -124,6 +124,17 @@
   }
 }
 
+/// Whether no process listens on the ports that a deployment uses.
+bool portsAreFree(int BasePort) {
+  for (int Offset : {1, 2, 4, 6, 10}) {
+    int Fd = boundSocket({"0.0.0.0", BasePort + Offset});
+    if (Fd < 0)
+      return false;
+    ::close(Fd);
+  }
+  return true;
+}
+
 /// Reads a response until it is complete, broken or late.
 class ResponseReader {
 public:
@@ -457,9 +468,11 @@
   if (!::mkdtemp(Folder.data()))
     throw std::runtime_error("no temporary folder");
   std::mt19937 Random(std::random_device{}());
-  // Below the range of ports that outgoing connections take.
-  BasePort = 12000 + static_cast<int>(Random() % 1000) * 20;
-  Network = 16 + static_cast<int>(Random() % 200);
+  do {
+    // Below the range of ports that outgoing connections take.
+    BasePort = 12000 + static_cast<int>(Random() % 1000) * 20;
+    Network = 16 + static_cast<int>(Random() % 200);
+  } while (!portsAreFree(BasePort));
   for (int I = 0; I < Size.CoreMachines; ++I) {
     auto Added = std::make_unique<Machine>();
     Added->Name = "core-" + std::to_string(I + 1);
