Recover log entries of every size that is accepted

Ruled out: compaction, elections and the network. The record is whole on disk; its checksum holds, and only the comparison of its length fails.

One constant, MaxEntryPayloadBytes, now bounds commands and records. Segments refuses to write an entry that it would not read back, and Replica refuses settings that allow such commands.

--- a/replication/include/amaranth/replication/Replica.h
+++ b/replication/include/amaranth/replication/Replica.h
@@ -59,9 +59,9 @@
   /// A learner may become a voter when it lags by at most this many entries.
   std::uint64_t MaxPromotionLagEntries = 64;
 
-  /// Largest command. Together with `MaxAppendBytes` it keeps each message
-  /// below the frame size limit.
-  std::size_t MaxCommandBytes = 2U << 20U;
+  /// Largest command, at most `MaxEntryPayloadBytes`. Together with
+  /// `MaxAppendBytes` it keeps each message below the frame size limit.
+  std::size_t MaxCommandBytes = MaxEntryPayloadBytes;
   /// An append request takes no further entry once it holds this many bytes.
   std::size_t MaxAppendBytes = 192U << 10U;
   std::size_t SnapshotChunkBytes = 192U << 10U;
@@ -98,7 +98,8 @@
       std::function<void(base::ReplicaId From, base::ByteView Message)>;
 
   /// Recovers the log from `Disk` and restores `State` from the snapshot.
-  /// Throws `StorageError`.
+  /// Throws `StorageError`, or `base::Error` if `Settings` allow commands that
+  /// `Disk` cannot store.
   Replica(Storage &Disk, StateMachine &State, Transport &Net,
           ReplicaSettings Settings, base::Clock &Time,
           const boost::asio::any_io_executor &Executor);
--- a/replication/include/amaranth/replication/Storage.h
+++ b/replication/include/amaranth/replication/Storage.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <memory>
@@ -24,6 +25,10 @@
   using base::Error::Error;
 };
 
+/// Largest payload of a log entry. A storage accepts and recovers every payload
+/// up to this size.
+inline constexpr std::size_t MaxEntryPayloadBytes = 2U << 20U;
+
 enum class EntryKind : std::uint8_t { Command = 1, Noop = 2, Membership = 3 };
 
 /// One entry of the replicated log.
@@ -104,7 +109,7 @@
   virtual RecoveredState recover() = 0;
 
   /// Queues a write and returns its number. Numbers are consecutive and start
-  /// at 1.
+  /// at 1. An entry above `MaxEntryPayloadBytes` is a `failure`.
   virtual std::uint64_t write(StorageWrite Write) = 0;
   /// Number of the last queued write; 0 if there is none.
   virtual std::uint64_t lastQueuedWrite() const = 0;
--- a/replication/src/Replica.cpp
+++ b/replication/src/Replica.cpp
@@ -27,6 +27,10 @@
       Random(Settings.Seed != 0 ? Settings.Seed : base::randomU64()),
       ElectionTimerStart(Time.now()), ReplicationNeeded(Executor),
       PeerProgress(Executor), Changed(Executor), StopRequested(Executor) {
+  if (Settings.MaxCommandBytes > MaxEntryPayloadBytes)
+    throw base::Error(fmt::format(
+        "commands of {} bytes exceed the largest log entry, {} bytes",
+        Settings.MaxCommandBytes, MaxEntryPayloadBytes));
   RecoveredState Found = Disk.recover();
   Identity = Found.Identity;
   Vote = Found.Vote;
--- a/replication/src/Segments.cpp
+++ b/replication/src/Segments.cpp
@@ -16,9 +16,6 @@
 
 /// A segment that has reached this size is followed by a new one.
 constexpr std::uint64_t SegmentSizeThresholdBytes = 16U << 20U;
-/// A larger length is treated as corruption, so every proposal must have a far
-/// smaller payload.
-constexpr std::uint32_t MaxRecordPayloadBytes = 1U << 20U;
 /// "ALOG" in little-endian byte order.
 constexpr std::uint32_t RecordMagic = 0x474f4c41;
 
@@ -43,7 +40,7 @@
   if (Offset + sizeof Header > Data.size())
     return std::nullopt;
   std::memcpy(&Header, Data.data() + Offset, sizeof Header);
-  if (Header.Magic != RecordMagic || Header.Length > MaxRecordPayloadBytes ||
+  if (Header.Magic != RecordMagic || Header.Length > MaxEntryPayloadBytes ||
       Offset + sizeof Header + Header.Length > Data.size())
     return std::nullopt;
   base::ByteView ChecksumData = base::ByteView(Data).subspan(
@@ -195,6 +192,12 @@
     Buffer.clear();
   };
   for (const EntryRef &Entry : Entries) {
+    // Recovery would take the record for corrupt.
+    if (Entry->Payload.size() > MaxEntryPayloadBytes)
+      throw StorageError(
+          fmt::format("{}: entry {} has {} bytes, the limit is {}",
+                      Folder.string(), Entry->Index.value(),
+                      Entry->Payload.size(), MaxEntryPayloadBytes));
     if (SegmentFiles.empty() ||
         SegmentFiles.back().End >= SegmentSizeThresholdBytes) {
       Flush();
--- a/replication/test/LogStorage_test.cpp
+++ b/replication/test/LogStorage_test.cpp
@@ -47,8 +47,9 @@
     waitForSync();
   }
 
-  /// The time limit only prevents a hang.
-  void waitForSync() {
+  /// Runs until all writes are synced or one has failed. The time limit only
+  /// prevents a hang.
+  void runUntilSyncedOrFailed() {
     auto End = std::chrono::steady_clock::now() + std::chrono::seconds(20);
     while (Disk->lastSyncedWrite() < Disk->lastQueuedWrite() &&
            !Disk->failure() && std::chrono::steady_clock::now() < End) {
@@ -56,6 +57,10 @@
       Context.run_for(std::chrono::milliseconds(1));
       Context.poll();
     }
+  }
+
+  void waitForSync() {
+    runUntilSyncedOrFailed();
     REQUIRE(Disk->lastSyncedWrite() == Disk->lastQueuedWrite());
   }
 
@@ -207,6 +212,36 @@
   CHECK(Recovered.Entries.size() == 1);
 }
 
+// Guards against the loss of an acknowledged entry: recovery took records above
+// 1 MiB for a torn tail, although `append` had written and synced them.
+TEST_CASE_METHOD(LogStorageTest,
+                 "LogStorage restores entries of every accepted size") {
+  constexpr std::size_t Largest = MaxEntryPayloadBytes;
+  for (std::size_t Size : {(std::size_t{1} << 20U) + 1, Largest}) {
+    std::uint64_t Index = Recovered.Entries.size() + 1;
+    Disk->write(AppendEntries{{entry(Index, 1, Size)}});
+    waitForSync();
+    open();
+    REQUIRE(Recovered.Entries.size() == Index);
+    CHECK(Recovered.Entries.back()->Payload.size() == Size);
+  }
+  append(3, 3);
+  open();
+  CHECK(Recovered.Entries.size() == 3);
+}
+
+// Guards against an acknowledgement of an entry that recovery would not accept.
+TEST_CASE_METHOD(LogStorageTest,
+                 "LogStorage reports an entry above the limit as a failure") {
+  append(1, 1);
+  Disk->write(AppendEntries{{entry(2, 1, MaxEntryPayloadBytes + 1)}});
+  runUntilSyncedOrFailed();
+  REQUIRE(Disk->failure());
+  CHECK_THROWS_AS(std::rethrow_exception(Disk->failure()), StorageError);
+  open();
+  CHECK(Recovered.Entries.size() == 1);
+}
+
 TEST_CASE_METHOD(LogStorageTest,
                  "LogStorage starts new segments and removes covered ones") {
   std::uint64_t Last = 40;
