Reject a configuration that the log cannot take

Callers of /config/replace saw 504 for a configuration whose command is above the limit of the log. 504 says that the change may be in force, so their client sends it again, without end and without success.

DocumentService turned RequestRejected into an unknown outcome with all other errors. It is now an invalid change (400), which ends the call. The exception moves to the interface that throws it.

--- a/control/src/DocumentService.cpp
+++ b/control/src/DocumentService.cpp
@@ -67,6 +67,8 @@
     Result = toChangeResult(decodeResult(Answer));
   } catch (const replication::NotLeader &Failure) {
     Result = {ChangeOutcome::Unavailable, Failure.what()};
+  } catch (const replication::RequestRejected &Failure) {
+    Result = {ChangeOutcome::Invalid, Failure.what()};
   } catch (const base::Error &Failure) {
     Result = {ChangeOutcome::Unknown, Failure.what()};
   }
--- a/control/test/FakeLog.h
+++ b/control/test/FakeLog.h
@@ -14,7 +14,7 @@
 /// A single-process log that applies each proposal immediately.
 class FakeLog final : public replication::ReplicatedLog {
 public:
-  enum class Mode { Normal, NotLeader, Timeout, AppliedThenTimeout };
+  enum class Mode { Normal, NotLeader, Timeout, AppliedThenTimeout, Rejected };
 
   FakeLog(const boost::asio::any_io_executor &Executor, ControlState &State)
       : State(State), Changed(Executor) {}
@@ -22,6 +22,8 @@
   boost::asio::awaitable<base::Bytes>
   propose(base::Bytes Command, base::Millis /*Timeout*/) override {
     throwIfFailing();
+    if (Behaviour == Mode::Rejected)
+      throw replication::RequestRejected("the command is too large");
     base::Bytes Result =
         State.apply({base::LogIndex(++Index), base::Term(1),
                      base::WallTime(1'800'000'000'000), Command});
--- a/replication/include/amaranth/replication/Replica.h
+++ b/replication/include/amaranth/replication/Replica.h
@@ -15,13 +15,6 @@
 
 namespace amaranth::replication {
 
-/// Thrown when a command exceeds `ReplicaSettings::MaxCommandBytes` or when a
-/// membership change is not allowed in the current state. The log is unchanged.
-class RequestRejected : public base::Error {
-public:
-  using base::Error::Error;
-};
-
 struct ReplicaSettings {
   /// Address at which the other replicas reach this one, as `ip:port`.
   std::string Address;
--- a/replication/include/amaranth/replication/ReplicatedLog.h
+++ b/replication/include/amaranth/replication/ReplicatedLog.h
@@ -49,6 +49,14 @@
   using base::Error::Error;
 };
 
+/// Thrown when a command is larger than the log accepts or when a membership
+/// change is not allowed in the current state. The log is unchanged, and the
+/// same command will be rejected again.
+class RequestRejected : public base::Error {
+public:
+  using base::Error::Error;
+};
+
 /// Replication state of one member, as reported to operators.
 struct MemberStatus {
   base::ReplicaId Id;
@@ -69,8 +77,8 @@
 
   /// Appends a command and returns the result of the state machine once the
   /// entry is committed and applied. A follower forwards the command to the
-  /// leader. Throws `NotLeader` (not applied) or `base::TimeoutError` (may have
-  /// been applied, or may be applied later).
+  /// leader. Throws `NotLeader` or `RequestRejected` (not applied) or
+  /// `base::TimeoutError` (may have been applied, or may be applied later).
   virtual boost::asio::awaitable<base::Bytes> propose(base::Bytes Command,
                                                       base::Millis Timeout) = 0;
 
