Tell gates when an entry node ends

Their gate did not know that the entry node ends: it kept the deadline and sent equal bodies piece by piece in turn, so that all were late.

Ruled out: an early end of the node (it uses 92 % of its grace time) and, for seven of nine downloads of the case, the capacity of the link.

The entry node sends the time it has left on each running exchange, in a field of the window message that older gates ignore. Gates bring deadline and priority forward for waiting requests and bodies, give up at once what their link cannot carry in time, and send equal bodies one after another. What is left at the end is answered with 504.

--- a/dataplane/include/amaranth/dataplane/EgressShaper.h
+++ b/dataplane/include/amaranth/dataplane/EgressShaper.h
@@ -39,6 +39,10 @@
   bool isEnabled() const;
   /// Charges bytes that are sent without waiting to the link.
   void recordSent(std::size_t Bytes);
+  /// Position of a new body in the order of arrival, for
+  /// `SchedulingParams::Sequence`: bodies that are equal otherwise are sent one
+  /// after another.
+  std::uint64_t nextSequence();
   /// Waits until the next piece may be sent of a body that has `Remaining`
   /// unsent bytes. Returns early when `Sender` ends. Ignores the service time
   /// in `Work` and computes it from `Remaining`.
@@ -46,6 +50,11 @@
                                        SchedulingParams Work,
                                        std::size_t PieceSize,
                                        std::size_t Remaining);
+  /// Replaces the order of a body that waits; has no effect on others.
+  void reschedule(const ExchangeStream &Sender, SchedulingParams Work);
+  /// Time until a waiting body has been sent, with all that precede it; 0 if it
+  /// does not wait.
+  base::Millis expectedCompletion(const ExchangeStream &Sender) const;
   /// Transmission time of the waiting bodies that can still meet their
   /// objective; with `IncludeLate`, of all waiting bodies.
   base::Millis backlog(bool IncludeLate) const;
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -24,6 +24,7 @@
 inline constexpr std::size_t MaxPieceBytes = 64U << 10U;
 /// Flow control window: body bytes in flight in one direction of an exchange.
 inline constexpr std::size_t WindowBytes = 256U << 10U;
+inline constexpr std::uint32_t HighestPriority = 0;
 /// Length of a body that is not known in advance.
 inline constexpr std::int64_t UnknownLength = -1;
 
@@ -67,6 +68,8 @@
   UpstreamShed = 30,
   /// Another process has the upstream's address.
   UpstreamReplaced = 31,
+  /// The gate's link cannot carry the response before the entry node ends.
+  LinkBusy = 32,
 };
 
 /// Returns the reason in kebab case, such as `queue-full`, for headers, logs
@@ -143,6 +146,15 @@
   UpstreamLoad Load;
 };
 
+/// Flow control and, at the shutdown of the entry node, the end of the
+/// exchange.
+struct WindowUpdate {
+  /// Further body bytes that may be sent.
+  std::uint32_t Bytes = 0;
+  /// Time left until the entry node ends; empty if it does not shut down.
+  std::optional<base::Millis> EndsIn;
+};
+
 struct BodyPiece {
   base::Bytes Data;
   bool End = false;
@@ -155,14 +167,14 @@
 base::Bytes encode(const Refusal &Value);
 base::Bytes encodeRequestData(base::ByteView Data, bool End);
 base::Bytes encodeResponseData(base::ByteView Data, bool End);
-base::Bytes encodeWindow(std::uint32_t Bytes);
+base::Bytes encode(const WindowUpdate &Value);
 base::Bytes encodeCancel();
 RequestHead decodeRequestHead(base::ByteView Payload);
 ResponseHead decodeResponseHead(base::ByteView Payload);
 Refusal decodeRefusal(base::ByteView Payload);
 BodyPiece decodeRequestData(base::ByteView Payload);
 BodyPiece decodeResponseData(base::ByteView Payload);
-std::uint32_t decodeWindow(base::ByteView Payload);
+WindowUpdate decodeWindow(base::ByteView Payload);
 
 /// True if `Fields` is within the limits of a message head.
 bool withinLimits(const Headers &Fields);
--- a/dataplane/include/amaranth/dataplane/PeerPool.h
+++ b/dataplane/include/amaranth/dataplane/PeerPool.h
@@ -32,7 +32,11 @@
   boost::asio::awaitable<std::optional<ResponseHead>>
   readHead(base::TimePoint Deadline);
   /// Tells the peer that the response is no longer needed.
-  void cancel(const std::string &Cause);
+  void cancel(const std::string &Cause,
+              RefusalReason Reason = RefusalReason::Cancelled);
+  /// Tells the peer that this node shuts down and needs the whole response by
+  /// `End`.
+  void endBy(base::TimePoint End);
 
   ExchangeStream Body;
 
--- a/dataplane/include/amaranth/dataplane/ServerExchange.h
+++ b/dataplane/include/amaranth/dataplane/ServerExchange.h
@@ -3,6 +3,7 @@
 
 #include "amaranth/dataplane/ExchangeStream.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace amaranth::dataplane {
@@ -17,8 +18,8 @@
       : Head(std::move(Request)), Arrived(Arrived), TransitDelay(TransitDelay),
         Deadline(Arrived - TransitDelay + Head.Remaining),
         Objective(Arrived - TransitDelay + Head.Objective),
-        Body(Executor, std::move(Channel), StreamId,
-             ExchangeStream::Role::Gate) {}
+        Priority(Head.Priority), Body(Executor, std::move(Channel), StreamId,
+                                      ExchangeStream::Role::Gate) {}
 
   /// Ends the exchange because the entry node cancelled it or its connection
   /// closed.
@@ -28,13 +29,28 @@
       std::exchange(OnEnd, nullptr)();
   }
 
+  /// The entry node shuts down and ends at `End`: the response must be complete
+  /// by then, and precedes the responses to other nodes.
+  void endBy(base::TimePoint End) {
+    Deadline = std::min(Deadline, End);
+    Objective = std::min(Objective, Deadline);
+    Priority = HighestPriority;
+    EndsWithEntry = true;
+    if (OnReschedule)
+      OnReschedule();
+    Body.changed().notifyAll();
+  }
+
   const RequestHead Head;
   const base::TimePoint Arrived;
   /// How long the request was on its way from the entry node, at least.
   const base::Millis TransitDelay;
-  const base::TimePoint Deadline;
+  base::TimePoint Deadline;
   /// Time by which a response meets the latency objective.
-  const base::TimePoint Objective;
+  base::TimePoint Objective;
+  std::uint32_t Priority;
+  /// The entry node shuts down before the response would be due otherwise.
+  bool EndsWithEntry = false;
   /// Time at which the request got a slot.
   std::optional<base::TimePoint> Started;
   /// Time at which the whole response had been read from the upstream.
@@ -44,6 +60,8 @@
   ExchangeStream Body;
   /// Called by the first `end`.
   std::function<void()> OnEnd;
+  /// Called by `endBy`.
+  std::function<void()> OnReschedule;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -42,6 +42,10 @@
   boost::asio::awaitable<Result>
   acquire(std::shared_ptr<ExchangeStream> Exchange, SchedulingParams Work,
           base::TimePoint LatestStart, bool Suspect);
+  /// Replaces the order and the latest start of an exchange that waits; has no
+  /// effect on others.
+  void reschedule(const ExchangeStream &Exchange, SchedulingParams Work,
+                  base::TimePoint LatestStart);
   /// `Suspect` must be the same as in the call of `acquire`.
   void release(bool Suspect);
   /// Called before `release` if nothing was sent: the grant does not count for
@@ -75,8 +79,15 @@
 
 private:
   struct Waiter {
+    void schedule(SchedulingParams Params, base::TimePoint Latest,
+                  std::uint64_t Sequence);
+
     std::shared_ptr<ExchangeStream> Exchange;
     SchedulingParams Work;
+    base::TimePoint LatestStart;
+    /// End of the wait. Before `LatestStart` if the objective is missed earlier
+    /// and the queue is too long for late requests.
+    base::TimePoint Until;
     bool Suspect = false;
     bool Granted = false;
     bool Dropped = false;
--- a/dataplane/src/EgressShaper.cpp
+++ b/dataplane/src/EgressShaper.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -78,8 +80,10 @@
 asio::awaitable<void> EgressShaper::Impl::grantWaiters() {
   auto KeepAlive = shared_from_this();
   while (!Waiters.empty()) {
+    // The body that was granted comes back for its next piece before another
+    // one is chosen.
     while (grantOne())
-      ;
+      co_await asio::post(Executor, asio::use_awaitable);
     auto BusyMillis =
         static_cast<std::int64_t>(-AvailableBytes / BytesPerMilli) + 1;
     if (!Waiters.empty())
@@ -110,6 +114,34 @@
                                                 Self->BytesPerMilli));
 }
 
+std::uint64_t EgressShaper::nextSequence() { return Self->NextSequence++; }
+
+void EgressShaper::reschedule(const ExchangeStream &Sender,
+                              SchedulingParams Work) {
+  for (const auto &Entry : Self->Waiters) {
+    if (Entry->Sender.get() != &Sender)
+      continue;
+    Work.ServiceTime = Entry->Work.ServiceTime;
+    Work.Sequence = Entry->Work.Sequence;
+    Entry->Work = Work;
+  }
+}
+
+base::Millis
+EgressShaper::expectedCompletion(const ExchangeStream &Sender) const {
+  auto Own = std::ranges::find_if(Self->Waiters, [&Sender](const auto &Entry) {
+    return Entry->Sender.get() == &Sender;
+  });
+  if (Own == Self->Waiters.end())
+    return base::Millis(0);
+  base::TimePoint Now = Self->Time.now();
+  std::size_t Bytes = (*Own)->Remaining;
+  for (const auto &Entry : Self->Waiters)
+    if (Entry != *Own && precedes(Entry->Work, (*Own)->Work, Now))
+      Bytes += Entry->Remaining;
+  return transmissionTime(Bytes);
+}
+
 base::Millis EgressShaper::backlog(bool IncludeLate) const {
   base::TimePoint Now = Self->Time.now();
   std::size_t WaitingBytes = 0;
@@ -127,7 +159,6 @@
   if (!isEnabled())
     co_return;
   Work.ServiceTime = transmissionTime(Remaining);
-  Work.Sequence = KeepAlive->NextSequence++;
   auto Own = std::make_shared<Impl::Waiter>(
       Impl::Waiter{Sender, Work, PieceSize, Remaining, false});
   KeepAlive->Waiters.push_back(Own);
--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -11,6 +11,8 @@
 
 namespace amaranth::dataplane {
 
+class EntryRequest;
+
 /// State that all requests of an entry node share.
 struct EntryContext {
   EntryContext(const boost::asio::any_io_executor &Executor,
@@ -71,8 +73,13 @@
   std::map<base::ServiceName, RetryBudget> Budgets;
   rollout::EvidenceReport Evidence;
   std::shared_ptr<const document::RouteIndex> Routes;
+  /// Requests that are being served.
+  std::set<EntryRequest *> Requests;
   /// Time by which the responses must be complete because the node shuts down.
   base::TimePoint ShutdownEnd = base::TimePoint::max();
+  /// Requests that arrive later are refused unless they are due before
+  /// `ShutdownEnd`: a response that would be cut off could not be repeated.
+  base::TimePoint IntakeEnd = base::TimePoint::max();
 
 private:
   /// The endpoints whose nodes `NodeCount` counts.
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -29,7 +29,6 @@
 constexpr std::int64_t DownloadLocalWaitPercent = 100;
 /// Applies when neither the route nor the caller sets a limit.
 constexpr base::Millis DefaultTimeout = base::Millis::seconds(60);
-constexpr std::uint32_t HighestPriority = 0;
 
 std::string_view pathOf(const std::string &Target) {
   return std::string_view(Target).substr(0, Target.find_first_of("?#"));
@@ -92,6 +91,16 @@
 
 } // namespace
 
+EntryRequest::EntryRequest(std::shared_ptr<EntryContext> Context,
+                           std::shared_ptr<HttpConnection> Caller,
+                           HttpRequest Request)
+    : Context(std::move(Context)), Caller(std::move(Caller)),
+      Request(std::move(Request)) {
+  this->Context->Requests.insert(this);
+}
+
+EntryRequest::~EntryRequest() { Context->Requests.erase(this); }
+
 asio::awaitable<void> EntryRequest::run() {
   Arrived = Context->Time.now();
   Deadline = LastAttempt = Arrived;
@@ -145,6 +154,9 @@
   computeDeadlines(Terms);
   if (Deadline <= Arrived)
     return notRun(RefusalReason::DeadlineExceeded, "the deadline has passed");
+  if (EndsWithNode && Arrived > Context->IntakeEnd)
+    return notRun(RefusalReason::NodeDraining,
+                  "the node may shut down before the response");
   chooseSplitService();
   return std::nullopt;
 }
@@ -193,6 +205,10 @@
   Objective = MatchedRoute.Objective > base::Millis(0)
                   ? std::min(Deadline, Arrived + MatchedRoute.Objective)
                   : Deadline;
+  limitToShutdown();
+}
+
+void EntryRequest::limitToShutdown() {
   if (Deadline <= Context->ShutdownEnd)
     return;
   // A gate that cannot respond before this node ends refuses the request, and
@@ -200,6 +216,14 @@
   Deadline = Context->ShutdownEnd;
   Objective = std::min(Objective, Deadline);
   EndsWithNode = true;
+  if (auto Running = CurrentExchange.lock())
+    Running->endBy(Deadline);
+}
+
+void EntryRequest::abandonAttempt() {
+  if (auto Running = CurrentExchange.lock())
+    Running->cancel("no response before the node ends",
+                    RefusalReason::DeadlineExceeded);
 }
 
 void EntryRequest::chooseSplitService() {
@@ -353,10 +377,14 @@
     if (CallerGone)
       co_return notRun(RefusalReason::Cancelled, "caller went away");
     RequestHead Outgoing = makeRequestHead(Target);
+    base::TimePoint SentDeadline = Deadline;
     ExchangePtr Running = co_await Context->Peers.open(
-        Target.NodeAddress, std::move(Outgoing), Deadline);
+        Target.NodeAddress, std::move(Outgoing), SentDeadline);
     CancelOnExit CancelGuard(Running);
     CurrentExchange = Running;
+    // The shutdown may have begun while the head was sent.
+    if (Deadline < SentDeadline)
+      Running->endBy(Deadline);
     if (CallerGone)
       Running->cancel("caller went away");
     if (Request.BodyLength != 0)
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -14,9 +14,10 @@
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
 public:
   EntryRequest(std::shared_ptr<EntryContext> Context,
-               std::shared_ptr<HttpConnection> Caller, HttpRequest Request)
-      : Context(std::move(Context)), Caller(std::move(Caller)),
-        Request(std::move(Request)) {}
+               std::shared_ptr<HttpConnection> Caller, HttpRequest Request);
+  ~EntryRequest();
+  EntryRequest(const EntryRequest &) = delete;
+  EntryRequest &operator=(const EntryRequest &) = delete;
 
   /// Writes a response or a refusal. Throws when the caller has disconnected.
   static boost::asio::awaitable<void>
@@ -24,6 +25,11 @@
     co_await Task->run();
   }
 
+  /// Brings the deadline forward to the end of this node, here and at the gate.
+  void limitToShutdown();
+  /// Ends the running attempt without a response.
+  void abandonAttempt();
+
 private:
   boost::asio::awaitable<void> run();
 
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -1,5 +1,7 @@
 #include "EntryRequest.h"
 
+#include <algorithm>
+
 namespace asio = boost::asio;
 
 namespace amaranth::dataplane {
@@ -8,6 +10,10 @@
 
 constexpr base::Millis EvidenceReportInterval = base::Millis(250);
 constexpr base::Millis DrainPollInterval = base::Millis(20);
+/// Time from the start of a shutdown in which requests are accepted although
+/// they may outlast the node, at most half of the shutdown. Callers are told of
+/// the shutdown within this time.
+constexpr base::Millis MaxIntakeTime = base::Millis(2500);
 
 } // namespace
 
@@ -79,8 +85,11 @@
   auto Keep = Self;
   // Leaves time to pass the last responses on.
   constexpr base::Millis ResponseMargin = base::Millis(100);
-  Keep->Context->ShutdownEnd =
-      Keep->Context->Time.now() + Limit - ResponseMargin;
+  base::TimePoint Start = Keep->Context->Time.now();
+  Keep->Context->ShutdownEnd = Start + Limit - ResponseMargin;
+  Keep->Context->IntakeEnd = Start + std::min(MaxIntakeTime, Limit / 2);
+  for (EntryRequest *Request : Keep->Context->Requests)
+    Request->limitToShutdown();
   if (Keep->Context->Options.LameDuckPeriod > base::Millis(0)) {
     Keep->Server.closeAfterResponses();
     co_await Keep->Context->Time.sleepFor(
@@ -89,8 +98,12 @@
   }
   Keep->Server.stopGracefully();
   base::TimePoint End = Keep->Context->Time.now() + Limit;
-  while (Keep->Server.connections() != 0 && Keep->Context->Time.now() < End)
+  while (Keep->Server.connections() != 0 && Keep->Context->Time.now() < End) {
+    if (Keep->Context->Time.now() >= Keep->Context->ShutdownEnd)
+      for (EntryRequest *Request : Keep->Context->Requests)
+        Request->abandonAttempt();
     co_await Keep->Context->Time.sleepFor(DrainPollInterval);
+  }
   co_return Keep->Server.connections() == 0;
 }
 
--- a/dataplane/src/ExchangeServer.cpp
+++ b/dataplane/src/ExchangeServer.cpp
@@ -24,7 +24,7 @@
   TransitDelay Transit;
 
   /// Ignores messages for exchanges that have already finished on this side.
-  void deliver(const Frame &Message) {
+  void deliver(const Frame &Message, base::TimePoint Now) {
     auto Found = Exchanges.find(Message.Stream);
     if (Found == Exchanges.end())
       return;
@@ -34,7 +34,7 @@
       Exchange->Body.onData(decodeRequestData(Message.Payload));
       return;
     case MessageType::Window:
-      Exchange->Body.onWindow(decodeWindow(Message.Payload));
+      deliverWindow(*Exchange, decodeWindow(Message.Payload), Now);
       return;
     default:
       Exchange->end(
@@ -42,6 +42,13 @@
     }
   }
 
+  static void deliverWindow(ServerExchange &Exchange,
+                            const WindowUpdate &Update, base::TimePoint Now) {
+    Exchange.Body.onWindow(Update.Bytes);
+    if (Update.EndsIn)
+      Exchange.endBy(Now + *Update.EndsIn);
+  }
+
   void endAll(const std::string &Cause) {
     for (auto &[Stream, Exchange] : std::exchange(Exchanges, {}))
       Exchange->end(
@@ -102,7 +109,7 @@
       case MessageType::RequestData:
       case MessageType::Window:
       case MessageType::Cancel:
-        Client->deliver(Message);
+        Client->deliver(Message, Time.now());
         break;
       default:
         throw base::ProtocolError(fmt::format(
--- a/dataplane/src/ExchangeStream.cpp
+++ b/dataplane/src/ExchangeStream.cpp
@@ -51,7 +51,8 @@
   EndDelivered = Piece.End;
   if (!Piece.Data.empty() && !Piece.End && !EndCause)
     Channel->post(MessageType::Window, StreamId,
-                  encodeWindow(static_cast<std::uint32_t>(Piece.Data.size())));
+                  encode(WindowUpdate{
+                      static_cast<std::uint32_t>(Piece.Data.size()), {}}));
   co_return Piece;
 }
 
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -334,10 +334,16 @@
 
 SchedulingParams
 Gate::Impl::schedulingParams(const ServerExchange &Exchange) const {
-  return {Exchange.Head.Priority, Exchange.Objective, Exchange.Deadline,
+  return {Exchange.Priority, Exchange.Objective, Exchange.Deadline,
           expectedServiceTime(Exchange.Head), 0};
 }
 
+void Gate::Impl::reschedule(const ServerExchange &Exchange) {
+  SchedulingParams Work = schedulingParams(Exchange);
+  Slots.reschedule(Exchange.Body, Work, latestStart(Exchange));
+  Egress.reschedule(Exchange.Body, Work);
+}
+
 base::TimePoint Gate::Impl::latestStart(const ServerExchange &Exchange) const {
   // An idle upstream accepts a request in any case; see `deadlineReachable`.
   return Exchange.Deadline -
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -74,6 +74,9 @@
   void recordAnswer(const RequestHead &Head, bool Suspect);
   base::Millis expectedServiceTime(const RequestHead &Head) const;
   SchedulingParams schedulingParams(const ServerExchange &Exchange) const;
+  /// Applies a new deadline and priority to an exchange that waits for a slot
+  /// or for the link.
+  void reschedule(const ServerExchange &Exchange);
   base::TimePoint latestStart(const ServerExchange &Exchange) const;
 
   // Processing of one exchange (GateRun.cpp).
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -23,6 +23,10 @@
 /// for it, and its only use is a connection that can be used again.
 constexpr std::size_t MaxDiscardedBytes = 64U << 10U;
 constexpr base::Millis MaxDiscardTime = base::Millis(100);
+/// Time to reserve on the link for a response of which nothing has been sent,
+/// as a percentage of its transmission time: short messages are sent in
+/// between.
+constexpr std::int64_t LinkMarginPercent = 110;
 /// Frame, TCP and IP headers of one message.
 constexpr std::size_t MessageOverheadBytes = 64;
 /// Bytes of a response that are buffered while they wait for the link. A larger
@@ -102,6 +106,8 @@
   bool Complete = false;
   /// The reader stopped before the end of the body; the rest is not sent.
   bool Aborted = false;
+  /// The link cannot send the body in time, so the sender has stopped.
+  bool Abandoned = false;
   bool AllSent = false;
 
   void add(base::Bytes Piece) {
@@ -110,22 +116,44 @@
     Unread -= std::min(Unread, Piece.size());
     Pieces.push_back(std::move(Piece));
   }
-  base::Bytes take() {
-    base::Bytes Piece = std::move(Pieces.front());
-    Pieces.pop_front();
-    Buffered -= Piece.size();
-    return Piece;
+  /// Size of the next message: reads from the upstream are often short.
+  std::size_t nextSize() const {
+    return std::min(Buffered, EgressShaper::PieceBytes);
+  }
+  base::Bytes take(std::size_t Size) {
+    base::Bytes Taken;
+    Taken.reserve(Size);
+    while (Taken.size() < Size) {
+      base::Bytes &First = Pieces.front();
+      std::size_t Count = std::min(Size - Taken.size(), First.size());
+      auto Last = First.begin() + static_cast<std::ptrdiff_t>(Count);
+      Taken.insert(Taken.end(), First.begin(), Last);
+      First.erase(First.begin(), Last);
+      if (First.empty())
+        Pieces.pop_front();
+    }
+    Buffered -= Size;
+    return Taken;
   }
 };
 
+/// True if the link, which needs `LinkTime`, will not have sent a whole
+/// response before its entry node ends. The request can be repeated elsewhere
+/// instead. An upstream that has not finished is not interrupted.
+bool isTooLate(const ServerExchange &Exchange, const ReadAheadBuffer &Ahead,
+               base::Millis LinkTime, base::TimePoint Now) {
+  std::int64_t Percent = Exchange.BytesSent == 0 ? LinkMarginPercent : 100;
+  return Exchange.EndsWithEntry && Ahead.Complete &&
+         Now + LinkTime * Percent / 100 > Exchange.Deadline;
+}
+
 /// Sends buffered data as the shaper permits.
 asio::awaitable<void> sendBuffered(std::shared_ptr<ServerExchange> Exchange,
                                    std::shared_ptr<ReadAheadBuffer> Ahead,
-                                   EgressShaper &Egress) {
+                                   EgressShaper &Egress, base::Clock &Time) {
   ExchangeStream &Body = Exchange->Body;
   std::shared_ptr<ExchangeStream> Sender(Exchange, &Body);
-  SchedulingParams Work{Exchange->Head.Priority, Exchange->Objective,
-                        Exchange->Deadline, base::Millis(0), 0};
+  std::uint64_t Sequence = Egress.nextSequence();
   try {
     while (!Ahead->AllSent && !Ahead->Aborted && !Body.ended()) {
       if (Ahead->Pieces.empty() && !Ahead->Complete) {
@@ -135,11 +163,20 @@
       base::Bytes Piece;
       if (!Ahead->Pieces.empty()) {
         std::size_t Left = Ahead->Buffered + Ahead->Unread;
-        co_await Egress.acquire(Sender, Work, Ahead->Pieces.front().size(),
-                                Left);
+        std::size_t Size = Ahead->nextSize();
+        SchedulingParams Work{Exchange->Priority, Exchange->Objective,
+                              Exchange->Deadline, base::Millis(0), Sequence};
+        co_await Egress.acquire(Sender, Work, Size, Left);
         if (Ahead->Aborted || Body.ended())
           co_return;
-        Piece = Ahead->take();
+        if (Exchange->BytesSent == 0 &&
+            isTooLate(*Exchange, *Ahead, Egress.transmissionTime(Left),
+                      Time.now())) {
+          Ahead->Abandoned = true;
+          Body.changed().notifyAll();
+          co_return;
+        }
+        Piece = Ahead->take(Size);
         Exchange->BytesSent += Piece.size();
       }
       bool End = Ahead->Complete && Ahead->Pieces.empty();
@@ -170,6 +207,7 @@
 asio::awaitable<void> Gate::Impl::serve(ExchangePtr Exchange) {
   auto KeepAlive = shared_from_this();
   std::optional<Refusal> Refused;
+  Exchange->OnReschedule = [this, Raw = Exchange.get()] { reschedule(*Raw); };
   try {
     Refused = co_await admitAndExecute(Exchange);
   } catch (const ExchangeAborted &) {
@@ -182,6 +220,7 @@
   }
   Counters.setGateLoad(load());
   Exchange->OnEnd = nullptr;
+  Exchange->OnReschedule = nullptr;
   logExchange(*Exchange, Refused);
   if (!Refused || Exchange->Body.ended())
     co_return;
@@ -218,7 +257,7 @@
              "queued={} slots={} service_ms={} "
              "instance={} outcome=\"{}\" detail=\"{}\"",
              Exchange.Head.CallerAttempt, Exchange.Head.Route.value(),
-             base::hex64(Exchange.Head.Fingerprint), Exchange.Head.Priority,
+             base::hex64(Exchange.Head.Fingerprint), Exchange.Priority,
              Exchange.TransitDelay.count(),
              (Started - Exchange.Arrived).count(),
              (Exchange.ResponseRead.value_or(Now) - Started).count(),
@@ -333,6 +372,10 @@
   try {
     Call = co_await beginCall(Exchange);
     Call->setDeadline(Exchange->Deadline);
+    Exchange->OnReschedule = [this, Raw = Exchange.get(), Call] {
+      reschedule(*Raw);
+      Call->setDeadline(Raw->Deadline);
+    };
     if (!State.RunsToCompletion)
       Exchange->OnEnd = [Call] { Call->abort(); };
     if (Exchange->Body.ended() && !State.RunsToCompletion)
@@ -346,6 +389,7 @@
     Ended = std::current_exception();
   }
   Exchange->OnEnd = nullptr;
+  Exchange->OnReschedule = nullptr;
   if (Call)
     Call->abort();
   // The upstream may continue with a request that is abandoned here, so it
@@ -580,7 +624,8 @@
       Executor,
       [KeepAlive = shared_from_this(), Exchange,
        Ahead]() -> asio::awaitable<void> {
-        co_await sendBuffered(Exchange, Ahead, KeepAlive->Egress);
+        co_await sendBuffered(Exchange, Ahead, KeepAlive->Egress,
+                              KeepAlive->Time);
       },
       asio::detached);
   OngoingSend Counted(*this);
@@ -605,11 +650,20 @@
   State.Slot.release();
   if (State.Tracked)
     State.Tracked.reset();
-  while (!Ahead->AllSent && !Body.ended() && Time.now() < Exchange->Deadline)
-    co_await Time.waitFor(Body.changed(), Exchange->Deadline);
+  while (!Ahead->AllSent && !Ahead->Abandoned && !Body.ended() &&
+         Time.now() < Exchange->Deadline) {
+    Ahead->Abandoned = isTooLate(*Exchange, *Ahead,
+                                 Egress.expectedCompletion(Body), Time.now());
+    if (!Ahead->Abandoned)
+      co_await Time.waitFor(Body.changed(), Exchange->Deadline);
+  }
   if (Body.ended() && !Ahead->AllSent)
     throw ExchangeAborted(Body.endCause());
   Ahead->Aborted = !Ahead->AllSent;
+  if (Ahead->Abandoned)
+    co_return makeRefusal(ExecutionOutcome::Unknown, RefusalReason::LinkBusy,
+                          "the link cannot carry the response before the entry "
+                          "node ends");
   if (!Ahead->AllSent)
     co_return makeRefusal(ExecutionOutcome::Unknown,
                           RefusalReason::DeadlineExceeded,
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// Longer than any shutdown; keeps sums of times in range.
+constexpr base::Millis MaxEndsIn = base::Millis::seconds(86'400);
+
 using WireFields = flatbuffers::Vector<Offset<wire::HeaderField>>;
 
 Offset<WireFields> encodeFields(FlatBufferBuilder &Out, const Headers &Fields) {
@@ -161,9 +164,10 @@
   return protocol::takeBuffer(Out);
 }
 
-base::Bytes encodeWindow(std::uint32_t Bytes) {
+base::Bytes encode(const WindowUpdate &Value) {
   FlatBufferBuilder Out(64);
-  Out.Finish(wire::CreateWindow(Out, Bytes));
+  std::int64_t EndsIn = Value.EndsIn ? Value.EndsIn->count() : -1;
+  Out.Finish(wire::CreateWindow(Out, Value.Bytes, EndsIn));
   return protocol::takeBuffer(Out);
 }
 
@@ -249,8 +253,12 @@
   return decodePiece<wire::ResponseData>(Payload);
 }
 
-std::uint32_t decodeWindow(base::ByteView Payload) {
-  return protocol::readTable<wire::Window>(Payload).bytes();
+WindowUpdate decodeWindow(base::ByteView Payload) {
+  const auto &In = protocol::readTable<wire::Window>(Payload);
+  WindowUpdate Value{In.bytes(), std::nullopt};
+  if (In.ends_in_ms() >= 0)
+    Value.EndsIn = std::min(base::Millis(In.ends_in_ms()), MaxEndsIn);
+  return Value;
 }
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/PeerPool.cpp
+++ b/dataplane/src/PeerPool.cpp
@@ -55,11 +55,19 @@
   co_return std::nullopt;
 }
 
-void ClientExchange::cancel(const std::string &Cause) {
+void ClientExchange::cancel(const std::string &Cause, RefusalReason Reason) {
   if (Body.ended())
     return;
   Body.channel().post(MessageType::Cancel, Body.streamId(), encodeCancel());
-  Body.end({ExecutionOutcome::Unknown, RefusalReason::Cancelled, Cause});
+  Body.end({ExecutionOutcome::Unknown, Reason, Cause});
+}
+
+void ClientExchange::endBy(base::TimePoint End) {
+  if (Body.ended())
+    return;
+  base::Millis Left = std::max(base::Millis(0), End - Time.now());
+  Body.channel().post(MessageType::Window, Body.streamId(),
+                      encode(WindowUpdate{0, Left}));
 }
 
 void ClientExchange::deliver(const Frame &Message) {
@@ -72,7 +80,7 @@
     Body.onData(decodeResponseData(Message.Payload));
     return;
   case MessageType::Window:
-    Body.onWindow(decodeWindow(Message.Payload));
+    Body.onWindow(decodeWindow(Message.Payload).Bytes);
     return;
   case MessageType::Refusal:
     Body.end(decodeRefusal(Message.Payload));
--- a/dataplane/src/RetryState.cpp
+++ b/dataplane/src/RetryState.cpp
@@ -61,6 +61,9 @@
       Code == RefusalReason::NoEndpoint)
     return std::max(StartupCapacityDelay,
                     Reported.value_or(StartupCapacityDelay));
+  // The capacity of this node says nothing about that of others.
+  if (Code == RefusalReason::NodeDraining)
+    return base::Millis(0);
   return Reported;
 }
 
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -18,25 +18,22 @@
     co_return Result::Ended;
   auto Own = std::make_shared<Waiter>();
   Own->Exchange = Exchange;
-  Own->Work = Work;
-  Own->Work.Sequence = NextSequence++;
   Own->Suspect = Suspect;
+  Own->schedule(Work, LatestStart, NextSequence++);
   Waiters.push_back(Own);
   grantNext();
-  base::TimePoint Until =
-      std::min(LatestStart, latestTimelyStart(Work) + base::Millis(1));
   for (;;) {
     // The objective can no longer be met. A short queue still serves the
     // request until its latest start.
-    if (Time.now() >= Until &&
-        acceptsLateRequests(Waiters.size(), capacity(Work.ServiceTime)))
-      Until = LatestStart;
+    if (Time.now() >= Own->Until &&
+        acceptsLateRequests(Waiters.size(), capacity(Own->Work.ServiceTime)))
+      Own->Until = Own->LatestStart;
     grantNext();
     if (Own->Granted || Own->Dropped || Exchange->ended() ||
-        Time.now() >= Until)
+        Time.now() >= Own->Until)
       break;
     co_await Time.waitFor(Exchange->changed(),
-                          std::min(Until, nextGrant(*Own)));
+                          std::min(Own->Until, nextGrant(*Own)));
   }
   if (Own->Granted)
     co_return Result::Granted;
@@ -48,6 +45,22 @@
   co_return Exchange->ended() ? Result::Ended : Result::Expired;
 }
 
+void SlotQueue::Waiter::schedule(SchedulingParams Params,
+                                 base::TimePoint Latest,
+                                 std::uint64_t Sequence) {
+  Work = Params;
+  Work.Sequence = Sequence;
+  LatestStart = Latest;
+  Until = std::min(Latest, latestTimelyStart(Params) + base::Millis(1));
+}
+
+void SlotQueue::reschedule(const ExchangeStream &Exchange,
+                           SchedulingParams Work, base::TimePoint LatestStart) {
+  for (const auto &Entry : Waiters)
+    if (Entry->Exchange.get() == &Exchange)
+      Entry->schedule(Work, LatestStart, Entry->Work.Sequence);
+}
+
 void SlotQueue::release(bool Suspect) {
   AMARANTH_INVARIANT(Running > 0, "slot released twice");
   --Running;
--- a/dataplane/test/EgressShaper_test.cpp
+++ b/dataplane/test/EgressShaper_test.cpp
@@ -41,7 +41,7 @@
   asio::awaitable<void> run(std::shared_ptr<Transfer> Current) {
     base::TimePoint Objective(Current->Objective);
     SchedulingParams Work{0, Objective, Objective + base::Millis(10'000),
-                          base::Millis(0), 0};
+                          base::Millis(0), Shaper.nextSequence()};
     for (std::size_t Remaining = Current->Bytes; Remaining != 0;) {
       std::size_t Piece = std::min(Remaining, EgressShaper::PieceBytes);
       co_await Shaper.acquire(Current->Sender, Work, Piece, Remaining);
@@ -94,6 +94,20 @@
   CHECK(Second->inTime());
 }
 
+// Guards against equal bodies that share the link piece by piece, so that each
+// of them is complete only when all are.
+TEST_CASE_METHOD(EgressShaperTest,
+                 "acquire completes equal bodies in order of arrival") {
+  // Both are late: each of them needs 750 ms.
+  auto First = start(900'000, 100);
+  auto Second = start(900'000, 100);
+  advance(1'000);
+  CHECK(First->DoneAt >= 0);
+  CHECK(Second->DoneAt == -1);
+  advance(1'000);
+  CHECK(Second->DoneAt >= 0);
+}
+
 TEST_CASE_METHOD(EgressShaperTest,
                  "acquire serves timely bodies before late ones") {
   auto Late = start(900'000, 100);
--- a/dataplane/test/PeerPool_test.cpp
+++ b/dataplane/test/PeerPool_test.cpp
@@ -195,7 +195,7 @@
   poll();
   CHECK(Sent == WindowBytes);
   Dialer.RemoteEnds.back()->post(MessageType::Window, 1,
-                                 encodeWindow(MaxPieceBytes));
+                                 encode(WindowUpdate{MaxPieceBytes, {}}));
   poll();
   CHECK(Sent == WindowBytes + MaxPieceBytes);
   Dialer.RemoteEnds.back()->close("cut");
