Test responses that break off or never end at every byte

Reports of other operators: a target that closes within its response head reached callers as a success, and bytes without end filled the memory. Neither can happen here: a response cut at any byte of head, length or chunks is 502 or a reset, and heads, chunk extensions and trailers without end are closed within 4 MiB. The new cases pass without a change of the code; endless heads, bodies and surplus bytes had tests already.

--- a/dataplane/test/EndlessResponse_test.cpp
+++ b/dataplane/test/EndlessResponse_test.cpp
@@ -14,7 +14,8 @@
 namespace amaranth::dataplane::testing {
 
 /// A node whose upstream answers the first request of each connection with
-/// `Prefix` and then sends `Filler` until the connection is closed.
+/// `Prefix` and then sends `Filler` until the connection is closed, or closes
+/// it itself.
 class EndlessResponseTest : public MeshFixture {
 protected:
   /// What the node may read of an endless response, with kernel buffers.
@@ -59,6 +60,8 @@
     co_await asio::async_read_until(*Socket, asio::dynamic_buffer(Request),
                                     "\r\n\r\n", Token);
     co_await asio::async_write(*Socket, asio::buffer(Test.Prefix), Token);
+    if (Test.ClosesAfterPrefix)
+      Socket->close();
     while (!Failure && !Test.Stopping && !Test.Filler.empty())
       Test.BytesWritten +=
           co_await asio::async_write(*Socket, asio::buffer(Test.Filler), Token);
@@ -88,6 +91,7 @@
   tcp::acceptor Listener;
   std::string Prefix;
   std::string Filler;
+  bool ClosesAfterPrefix = false;
   std::size_t BytesWritten = 0;
   unsigned Connections = 0;
   unsigned Closed = 0;
@@ -163,6 +167,50 @@
   }
 }
 
+// Guards against memory that grows with what is neither head nor body.
+TEST_CASE_METHOD(EndlessResponseTest,
+                 "Endless chunk extension or trailer ends with a reset") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nabcd\r\n";
+  struct Case {
+    std::string Prefix;
+    std::string Filler;
+  };
+  const std::vector<Case> Cases = {{"4;x=", std::string(1000, 'x')},
+                                   {"", std::string(1000, '0')},
+                                   {"0\r\n", "X: y\r\n"},
+                                   {"0\r\nX: ", std::string(1000, 'x')}};
+  for (const Case &Each : Cases) {
+    INFO(Each.Prefix << Each.Filler.substr(0, 60));
+    BytesWritten = 0;
+    auto Result = exchange(Head + Each.Prefix, Each.Filler);
+    CHECK((Result->Reset || Result->status() == 502));
+    checkClosed();
+  }
+}
+
+// Guards against a response that ends within its head or body and reaches the
+// caller as a complete success.
+TEST_CASE_METHOD(EndlessResponseTest,
+                 "Response that breaks off is no success at any byte") {
+  const std::vector<std::string> Responses = {
+      "HTTP/1.1 200 OK\r\nX-Kept: 1\r\nContent-Length: 4\r\n\r\nabcd",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nabcd\r\n0\r\n\r\n"};
+  ClosesAfterPrefix = true;
+  for (const std::string &Whole : Responses) {
+    for (std::size_t Length = 0; Length < Whole.size(); ++Length) {
+      INFO(Whole.substr(0, Length));
+      auto Result = exchange(Whole.substr(0, Length), "");
+      CHECK((Result->Reset || Result->status() == 502));
+    }
+    auto Result = exchange(Whole, "");
+    CHECK(Result->status() == 200);
+    CHECK(Result->has("abcd"));
+  }
+}
+
 // Guards against an answer that looks complete, and against memory that grows
 // with the response.
 TEST_CASE_METHOD(EndlessResponseTest,
