Repeat elsewhere what a gate cannot send before its node ends

At the start of its shutdown a gate now limits the deadline of all exchanges to its own end, so that the check of the link applies: what does not fit is given up at once, and the rest ends with a refusal in place of a lost connection.

--- a/dataplane/include/amaranth/dataplane/ServerExchange.h
+++ b/dataplane/include/amaranth/dataplane/ServerExchange.h
@@ -29,13 +29,23 @@
       std::exchange(OnEnd, nullptr)();
   }
 
-  /// The entry node shuts down and ends at `End`: the response must be complete
-  /// by then, and precedes the responses to other nodes.
+  /// The entry node ends at `End`: the response must be complete by then, and
+  /// precedes those to other nodes.
   void endBy(base::TimePoint End) {
-    Deadline = std::min(Deadline, End);
-    Objective = std::min(Objective, Deadline);
+    if (Deadline <= End)
+      return;
     Priority = HighestPriority;
-    EndsWithEntry = true;
+    limitDeadline(End);
+  }
+
+  /// A node that takes part in the exchange ends at `End`, so the response must
+  /// be complete by then.
+  void limitDeadline(base::TimePoint End) {
+    if (Deadline <= End)
+      return;
+    Deadline = End;
+    Objective = std::min(Objective, Deadline);
+    EndsWithNode = true;
     if (OnReschedule)
       OnReschedule();
     Body.changed().notifyAll();
@@ -49,8 +59,8 @@
   /// Time by which a response meets the latency objective.
   base::TimePoint Objective;
   std::uint32_t Priority;
-  /// The entry node shuts down before the response would be due otherwise.
-  bool EndsWithEntry = false;
+  /// `Deadline` is the end of a node.
+  bool EndsWithNode = false;
   /// Time at which the request got a slot.
   std::optional<base::TimePoint> Started;
   /// Time at which the whole response had been read from the upstream.
@@ -60,7 +70,7 @@
   ExchangeStream Body;
   /// Called by the first `end`.
   std::function<void()> OnEnd;
-  /// Called by `endBy`.
+  /// Called when the deadline was limited.
   std::function<void()> OnReschedule;
 };
 
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -541,19 +541,23 @@
 asio::awaitable<bool> Gate::drain(base::Millis Limit,
                                   base::Millis LameDuckTime) {
   auto KeepAlive = Self;
+  constexpr base::Millis Poll = base::Millis(20);
+  constexpr base::Millis FlushTime = base::Millis(200);
+  // Entry nodes repeat elsewhere what this node cannot answer in time. Without
+  // this they would learn of it by the loss of the connection.
+  KeepAlive->ShutdownEnd = KeepAlive->Time.now() + Limit - FlushTime;
+  for (ServerExchange *Each : KeepAlive->Served)
+    Each->limitDeadline(KeepAlive->ShutdownEnd);
   if (LameDuckTime > base::Millis(0)) {
     KeepAlive->LameDuck = true;
     KeepAlive->publish();
     co_await KeepAlive->Time.sleepFor(LameDuckTime);
-    Limit = Limit - LameDuckTime;
   }
-  constexpr base::Millis Poll = base::Millis(20);
-  constexpr base::Millis FlushTime = base::Millis(200);
   if (!std::exchange(KeepAlive->NodeDraining, true)) {
     KeepAlive->Slots.dropWaiters();
     KeepAlive->publish();
   }
-  base::TimePoint End = KeepAlive->Time.now() + Limit;
+  base::TimePoint End = KeepAlive->ShutdownEnd + TickInterval + Poll;
   while (!KeepAlive->isIdle() && KeepAlive->Time.now() < End)
     co_await KeepAlive->Time.sleepFor(Poll);
   // The last messages may still be in the send queues of their connections;
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -9,6 +9,7 @@
 #include "amaranth/dataplane/SlotQueue.h"
 
 #include <optional>
+#include <set>
 
 namespace amaranth::dataplane {
 
@@ -197,6 +198,10 @@
   base::WallTime ReadyWall;
   std::uint64_t Incarnation;
   std::uint64_t Sequence = 0;
+  /// Exchanges that have not ended.
+  std::set<ServerExchange *> Served;
+  /// Time by which the responses must be complete because the node shuts down.
+  base::TimePoint ShutdownEnd = base::TimePoint::max();
   bool NodeDraining = false;
   /// The endpoint is published as draining but still accepts requests.
   bool LameDuck = false;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -138,12 +138,12 @@
 };
 
 /// True if the link, which needs `LinkTime`, will not have sent a whole
-/// response before its entry node ends. The request can be repeated elsewhere
+/// response before one of its nodes ends. The request can be repeated elsewhere
 /// instead. An upstream that has not finished is not interrupted.
 bool isTooLate(const ServerExchange &Exchange, const ReadAheadBuffer &Ahead,
                base::Millis LinkTime, base::TimePoint Now) {
   std::int64_t Percent = Exchange.BytesSent == 0 ? LinkMarginPercent : 100;
-  return Exchange.EndsWithEntry && Ahead.Complete &&
+  return Exchange.EndsWithNode && Ahead.Complete &&
          Now + LinkTime * Percent / 100 > Exchange.Deadline;
 }
 
@@ -208,6 +208,8 @@
   auto KeepAlive = shared_from_this();
   std::optional<Refusal> Refused;
   Exchange->OnReschedule = [this, Raw = Exchange.get()] { reschedule(*Raw); };
+  Served.insert(Exchange.get());
+  Exchange->limitDeadline(ShutdownEnd);
   try {
     Refused = co_await admitAndExecute(Exchange);
   } catch (const ExchangeAborted &) {
@@ -221,6 +223,7 @@
   Counters.setGateLoad(load());
   Exchange->OnEnd = nullptr;
   Exchange->OnReschedule = nullptr;
+  Served.erase(Exchange.get());
   logExchange(*Exchange, Refused);
   if (!Refused || Exchange->Body.ended())
     co_return;
@@ -662,8 +665,8 @@
   Ahead->Aborted = !Ahead->AllSent;
   if (Ahead->Abandoned)
     co_return makeRefusal(ExecutionOutcome::Unknown, RefusalReason::LinkBusy,
-                          "the link cannot carry the response before the entry "
-                          "node ends");
+                          "the link cannot carry the response before a node "
+                          "ends");
   if (!Ahead->AllSent)
     co_return makeRefusal(ExecutionOutcome::Unknown,
                           RefusalReason::DeadlineExceeded,
--- a/dataplane/test/EgressShaper_test.cpp
+++ b/dataplane/test/EgressShaper_test.cpp
@@ -299,6 +299,31 @@
   });
 }
 
+// Guards against a response that waits for the link of its gate until that node
+// has shut down, although another upstream could have answered meanwhile.
+TEST_CASE_METHOD(NarrowLinkTest,
+                 "A body that the link cannot send before its node ends is "
+                 "repeated elsewhere") {
+  Mesh.Routes.edit().begin()->second.Kind = document::RequestKind::Download;
+  Snapshots.set(Mesh);
+  auto First = get(Left, "/size/300000");
+  runUntil([&] { return Upstream.BytesWritten == 300'000; });
+  auto Second = get(Left, "/size/300000");
+  runUntil([&] { return Upstream.BytesWritten == 600'000; });
+  settle();
+  TestUpstream &Other = addUpstream(addNode("other"));
+  // The link needs 4 s for each of them.
+  spawn([](TestNode &Node) -> asio::awaitable<void> {
+    co_await Node.UpstreamGate.drain(base::Millis(5'000));
+  }(Right));
+  settle();
+  CHECK(Second->Done);
+  CHECK(Second->body().size() == 300'000);
+  CHECK(Other.Seen.size() == 1);
+  finish(*First);
+  CHECK(First->body().size() == 300'000);
+}
+
 // A download must not be admitted if the link cannot send it before its
 // deadline of 10 s.
 TEST_CASE_METHOD(NarrowLinkTest,
