Match the hosts of routes without regard to case

The entry node turned the host of the request into lower case, the index kept that of the route. Ruled out: a node without the configuration.

The index normalizes both sides. Two routes whose hosts differ only in case count as one place in a new configuration; documents accepted before stay valid, since the check is not part of the replicated validation.

Before (normalizeHost without the conversion): both new tests fail, 'none' in place of the route. After: document_test passes.

--- a/control/src/DocumentService.cpp
+++ b/control/src/DocumentService.cpp
@@ -82,7 +82,7 @@
   ChangeResult Result;
   base::DocumentLabel Label = Next.Label;
   std::uint64_t Digest = Next.digest();
-  std::vector<std::string> Faults = Next.faults();
+  std::vector<std::string> Faults = Next.submissionFaults();
   bool IsCurrent = false;
   if (Faults.empty())
     IsCurrent = co_await confirmCurrent("replace");
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -34,16 +34,12 @@
   return std::string_view(Target).substr(0, Target.find_first_of("?#"));
 }
 
-/// The host name without port and in lower case.
+/// The host name without port.
 std::string hostOf(const Headers &Fields) {
   const std::string *Value = findHeader(Fields, "Host");
   if (!Value)
     return {};
-  std::string Host = Value->substr(0, Value->rfind(':'));
-  std::ranges::transform(Host, Host.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Host;
+  return Value->substr(0, Value->rfind(':'));
 }
 
 std::uint64_t hashOf(std::initializer_list<std::string_view> Parts) {
--- a/document/include/amaranth/document/RouteIndex.h
+++ b/document/include/amaranth/document/RouteIndex.h
@@ -10,6 +10,10 @@
 
 namespace amaranth::document {
 
+/// Returns the host name in lower case: names that differ only in case are the
+/// same host.
+std::string normalizeHost(std::string_view Host);
+
 /// Finds the route of a request in time that depends on the length of its path
 /// and not on the number of routes.
 class RouteIndex {
@@ -20,7 +24,8 @@
                       const RouteIndex *Earlier = nullptr);
 
   /// Returns the route, or null if none matches. The pointer is valid during
-  /// the lifetime of the index. `Path` must not contain a query.
+  /// the lifetime of the index. `Host` is compared without regard to case.
+  /// `Path` must not contain a query.
   const Route *match(std::string_view Host, std::string_view Path) const;
 
   const MeshSnapshot &mesh() const { return *Mesh; }
--- a/document/include/amaranth/document/WholeDocument.h
+++ b/document/include/amaranth/document/WholeDocument.h
@@ -33,6 +33,11 @@
   /// not be 0, and no route or service may be malformed, refer to a missing
   /// service, or have the host and path prefix of another route.
   std::vector<std::string> faults() const;
+
+  /// `faults` and further reasons to reject a new document: two routes whose
+  /// hosts differ only in case. Not for documents that were accepted before:
+  /// logs and snapshots may contain such documents.
+  std::vector<std::string> submissionFaults() const;
 };
 
 /// The difference between two versions of a whole document.
--- a/document/src/RouteIndex.cpp
+++ b/document/src/RouteIndex.cpp
@@ -1,7 +1,18 @@
 #include "amaranth/document/RouteIndex.h"
 
+#include <algorithm>
+#include <cctype>
+
 namespace amaranth::document {
 
+std::string normalizeHost(std::string_view Host) {
+  std::string Result(Host);
+  std::ranges::transform(Result, Result.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Result;
+}
+
 RouteIndex::RouteIndex(std::shared_ptr<const MeshSnapshot> Snapshot,
                        const RouteIndex *Earlier)
     : Mesh(std::move(Snapshot)) {
@@ -11,7 +22,7 @@
   }
   std::unordered_map<std::string, PrefixMap> Index;
   for (const auto &[Name, Entry] : Mesh->Routes)
-    Index[Entry.Host].emplace(Entry.PathPrefix, &Entry);
+    Index[normalizeHost(Entry.Host)].emplace(Entry.PathPrefix, &Entry);
   Hosts = std::make_shared<const std::unordered_map<std::string, PrefixMap>>(
       std::move(Index));
 }
@@ -39,8 +50,8 @@
 
 const Route *RouteIndex::match(std::string_view Host,
                                std::string_view Path) const {
-  for (std::string_view Key : {Host, std::string_view()}) {
-    auto Found = Hosts->find(std::string(Key));
+  for (const std::string &Key : {normalizeHost(Host), std::string()}) {
+    auto Found = Hosts->find(Key);
     if (Found == Hosts->end())
       continue;
     if (const Route *Best = findLongestPrefix(Found->second, Path))
--- a/document/src/WholeDocument.cpp
+++ b/document/src/WholeDocument.cpp
@@ -2,6 +2,7 @@
 
 #include "amaranth/base/Digest.h"
 #include "amaranth/document/Document.h"
+#include "amaranth/document/RouteIndex.h"
 
 #include <fmt/format.h>
 
@@ -107,6 +108,22 @@
   return Faults;
 }
 
+std::vector<std::string> WholeDocument::submissionFaults() const {
+  std::vector<std::string> Faults = faults();
+  std::map<std::pair<std::string, std::string>, const Route *> Known;
+  for (const auto &[Name, Entry] : Content.Routes) {
+    auto [Other, Inserted] = Known.try_emplace(
+        {normalizeHost(Entry.Host), Entry.PathPrefix}, &Entry);
+    // Routes with equal hosts are already among the faults.
+    if (!Inserted && Other->second->Host != Entry.Host)
+      Faults.push_back(
+          fmt::format("the hosts of the routes {} and {} differ only in case, "
+                      "and they have the same path prefix",
+                      Other->second->Name.value(), Name.value()));
+  }
+  return Faults;
+}
+
 WholeDocumentChange computeChange(const WholeDocument &Base,
                                   const WholeDocument &Next) {
   MeshKeys Keys = changedKeys(Base.Content, Next.Content);
--- a/document/test/RouteIndex_test.cpp
+++ b/document/test/RouteIndex_test.cpp
@@ -67,6 +67,16 @@
   CHECK(find("c.example", "/") == "none");
 }
 
+// Guards against a route with a capital letter in its host that no request
+// matches.
+TEST_CASE_METHOD(RouteIndexTest, "match ignores the case of host names") {
+  add("r", "Cluj.Studio.example", "/x/");
+  CHECK(find("Cluj.Studio.example", "/x/1") == "r");
+  CHECK(find("cluj.studio.example", "/x/1") == "r");
+  CHECK(find("CLUJ.studio.EXAMPLE", "/x/1") == "r");
+  CHECK(find("cluj.studio.example", "/X/1") == "none");
+}
+
 // Guards against an index that finds another route than a scan, which would
 // send requests to a service that the configuration does not specify.
 TEST_CASE_METHOD(RouteIndexTest, "match finds the same route as a scan") {
--- a/document/test/WholeDocument_test.cpp
+++ b/document/test/WholeDocument_test.cpp
@@ -94,6 +94,22 @@
   CHECK(Weightless.faults().size() == 1);
 }
 
+// Guards against two routes of which one never gets a request. Documents that
+// were accepted before this was checked must stay valid.
+TEST_CASE_METHOD(WholeDocumentTest,
+                 "submissionFaults finds hosts that differ only in case") {
+  WholeDocument Value = sample(1);
+  addRoute(Value, "r3", "/same/", "b");
+  addRoute(Value, "r4", "/same/", "b");
+  auto &Routes = Value.Content.Routes.edit();
+  Routes.at(base::RouteName("r3")).Host = "studio.example";
+  Routes.at(base::RouteName("r4")).Host = "Studio.example";
+  CHECK(Value.faults().empty());
+  CHECK(Value.submissionFaults().size() == 1);
+  Routes.at(base::RouteName("r4")).Host = "office.example";
+  CHECK(Value.submissionFaults().empty());
+}
+
 TEST_CASE_METHOD(WholeDocumentTest,
                  "snapshot and delta carry hosts, weights and limits") {
   WholeDocument Value = sample(1);
