Reject an unknown service that a route names beside its split

A configuration was accepted whose route refers to a service that does not exist, when the route also has a valid split (found by the review in the code). PROTOCOL calls a route that names an unknown service invalid.

Before: the new case of document_test finds no fault. After: it passes.

--- a/document/include/amaranth/document/WholeDocument.h
+++ b/document/include/amaranth/document/WholeDocument.h
@@ -35,7 +35,8 @@
   std::vector<std::string> faults() const;
 
   /// `faults` and further reasons to reject a new document: two routes whose
-  /// hosts differ only in case. Not for documents that were accepted before:
+  /// hosts differ only in case, and a missing service that a route names beside
+  /// its split. Not for documents that were accepted before:
   /// logs and snapshots may contain such documents.
   std::vector<std::string> submissionFaults() const;
 };
--- a/document/src/WholeDocument.cpp
+++ b/document/src/WholeDocument.cpp
@@ -112,6 +112,11 @@
   std::vector<std::string> Faults = faults();
   std::map<std::pair<std::string, std::string>, const Route *> Known;
   for (const auto &[Name, Entry] : Content.Routes) {
+    bool NamesService = !Entry.Service.value().empty();
+    if (!Entry.Split.empty() && NamesService &&
+        !Content.Services.contains(Entry.Service))
+      Faults.push_back(fmt::format("route {}: unknown service {}", Name.value(),
+                                   Entry.Service.value()));
     auto [Other, Inserted] = Known.try_emplace(
         {normalizeHost(Entry.Host), Entry.PathPrefix}, &Entry);
     // Routes with equal hosts are already among the faults.
--- a/document/test/WholeDocument_test.cpp
+++ b/document/test/WholeDocument_test.cpp
@@ -110,6 +110,19 @@
   CHECK(Value.submissionFaults().empty());
 }
 
+// Guards against accepting a configuration that refers to a service it does not
+// have.
+TEST_CASE_METHOD(WholeDocumentTest,
+                 "submissionFaults finds an unknown service beside a split") {
+  WholeDocument Value = sample(1);
+  Route &Entry = Value.Content.Routes.edit().begin()->second;
+  Entry.Split = {{base::ServiceName("a"), 90}, {base::ServiceName("b"), 10}};
+  Entry.Service = base::ServiceName("missing");
+  CHECK(Value.submissionFaults().size() == 1);
+  Entry.Service = base::ServiceName();
+  CHECK(Value.submissionFaults().empty());
+}
+
 TEST_CASE_METHOD(WholeDocumentTest,
                  "snapshot and delta carry hosts, weights and limits") {
   WholeDocument Value = sample(1);
