Keep the initial voters on disk until the cluster is formed

Ruled out: processes that do not reach each other.

A replica stores the initial voters with its identity and takes them over if its settings have none. Identity files of earlier versions are read.

Before (the stored voters not taken over): the new case sees no leader.

--- a/replication/include/amaranth/replication/Replica.h
+++ b/replication/include/amaranth/replication/Replica.h
@@ -20,7 +20,8 @@
   std::string Address;
   /// Addresses of the voters that form a cluster if none exists yet. Must be
   /// the same list on each of them; empty for a process that only joins a
-  /// cluster.
+  /// cluster. The disk keeps the list until the replica belongs to a cluster,
+  /// so it is needed at the first start only.
   std::vector<std::string> InitialVoters;
   /// Addresses of further control processes. A process with an empty disk asks
   /// these and the initial voters whether they belong to a cluster and joins
--- a/replication/include/amaranth/replication/Storage.h
+++ b/replication/include/amaranth/replication/Storage.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <exception>
 #include <memory>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -51,6 +52,9 @@
   /// True on the replica that forms the cluster, from the choice of the
   /// cluster id until the first entry is stored.
   bool Forming = false;
+  /// Initial voters that this replica was started with before it belonged to a
+  /// cluster. A process that is started again then may not be told them.
+  std::vector<std::string> InitialVoters;
 };
 
 struct StoredVote {
--- a/replication/src/Files.h
+++ b/replication/src/Files.h
@@ -68,6 +68,7 @@
       : Remaining(Data), Name(std::move(Name)) {}
   std::uint64_t u64();
   base::Bytes lengthPrefixed();
+  bool atEnd() const { return Remaining.empty(); }
 
 private:
   base::ByteView takeBytes(std::size_t Count);
--- a/replication/src/Formation.cpp
+++ b/replication/src/Formation.cpp
@@ -23,6 +23,17 @@
   }
 }
 
+void ReplicaCore::keepInitialVoters() {
+  if (Settings.InitialVoters.empty()) {
+    Settings.InitialVoters = Identity.InitialVoters;
+    return;
+  }
+  if (Identity.InitialVoters == Settings.InitialVoters)
+    return;
+  Identity.InitialVoters = Settings.InitialVoters;
+  Disk.write(Identity);
+}
+
 bool ReplicaCore::isWithoutLeader() const {
   // This learner may have been removed while it was down, or may have been
   // replaced by a delayed join request of a previous process at this address.
--- a/replication/src/LogStorage.cpp
+++ b/replication/src/LogStorage.cpp
@@ -32,11 +32,25 @@
 namespace {
 
 base::Bytes encode(const StoredIdentity &Value) {
-  return detail::Encoder()
-      .u64(Value.Id.value())
-      .u64(Value.Cluster)
-      .u64(Value.Forming ? 1 : 0)
-      .Data;
+  detail::Encoder Out;
+  Out.u64(Value.Id.value()).u64(Value.Cluster).u64(Value.Forming ? 1 : 0);
+  Out.u64(Value.InitialVoters.size());
+  for (const std::string &Address : Value.InitialVoters)
+    Out.lengthPrefixed(base::asBytes(Address));
+  return std::move(Out.Data);
+}
+
+StoredIdentity decodeIdentity(const base::Bytes &Data,
+                              const std::string &Name) {
+  detail::Decoder Input(Data, Name);
+  StoredIdentity Value;
+  Value.Id = base::ReplicaId(Input.u64());
+  Value.Cluster = Input.u64();
+  Value.Forming = Input.u64() != 0;
+  // Files of earlier versions end here.
+  for (std::uint64_t Left = Input.atEnd() ? 0 : Input.u64(); Left > 0; --Left)
+    Value.InitialVoters.emplace_back(base::asText(Input.lengthPrefixed()));
+  return Value;
 }
 
 base::Bytes encode(const StoredVote &Value) {
@@ -138,14 +152,8 @@
 
 StoredIdentity LogStorage::Impl::loadIdentity(bool FolderEmpty) {
   std::filesystem::path Path = Folder / "identity";
-  if (auto Data = detail::readChecksummedFile(Path)) {
-    detail::Decoder Input(*Data, Path.string());
-    StoredIdentity Identity;
-    Identity.Id = base::ReplicaId(Input.u64());
-    Identity.Cluster = Input.u64();
-    Identity.Forming = Input.u64() != 0;
-    return Identity;
-  }
+  if (auto Data = detail::readChecksummedFile(Path))
+    return decodeIdentity(*Data, Path.string());
   // A new identity with an existing log would make this a second replica that
   // has the entries of the first one.
   if (!FolderEmpty)
--- a/replication/src/Replica.cpp
+++ b/replication/src/Replica.cpp
@@ -34,6 +34,8 @@
   RecoveredState Found = Disk.recover();
   Identity = Found.Identity;
   Vote = Found.Vote;
+  if (Identity.Cluster == 0 || Identity.Forming)
+    keepInitialVoters();
   if (Found.Snapshot) {
     const StoredSnapshot &Base = *Found.Snapshot;
     Log = MemoryLog(Base.Index.value(), Base.IndexTerm.value());
--- a/replication/src/ReplicaCore.h
+++ b/replication/src/ReplicaCore.h
@@ -209,6 +209,9 @@
   boost::asio::awaitable<void> formationLoop();
   /// Returns whether this replica is not the leader and no leader has contacted
   /// it for three maximum election timeouts.
+  /// Stores the initial voters, or takes over the stored ones if the settings
+  /// have none.
+  void keepInitialVoters();
   bool isWithoutLeader() const;
   boost::asio::awaitable<void> formOrJoin();
   boost::asio::awaitable<void> joinCluster(std::string ContactAddress,
--- a/replication/src/Segments.cpp
+++ b/replication/src/Segments.cpp
@@ -194,10 +194,9 @@
   for (const EntryRef &Entry : Entries) {
     // Recovery would take the record for corrupt.
     if (Entry->Payload.size() > MaxEntryPayloadBytes)
-      throw StorageError(
-          fmt::format("{}: entry {} has {} bytes, the limit is {}",
-                      Folder.string(), Entry->Index.value(),
-                      Entry->Payload.size(), MaxEntryPayloadBytes));
+      throw StorageError(fmt::format(
+          "{}: entry {} has {} bytes, the limit is {}", Folder.string(),
+          Entry->Index.value(), Entry->Payload.size(), MaxEntryPayloadBytes));
     if (SegmentFiles.empty() ||
         SegmentFiles.back().End >= SegmentSizeThresholdBytes) {
       Flush();
--- a/replication/test/LogStorage_test.cpp
+++ b/replication/test/LogStorage_test.cpp
@@ -97,12 +97,14 @@
   base::ReplicaId Id = Disk->id();
   append(1, 5);
   Disk->write(StoredVote{base::Term(3), base::ReplicaId(9)});
-  Disk->write(StoredIdentity{Id, 77, false});
+  Disk->write(StoredIdentity{Id, 77, false, {"10.0.0.1:1", "10.0.0.2:1"}});
   Disk->write(TruncateFrom{base::LogIndex(4)});
   append(4, 6, 3);
   open();
   CHECK(Disk->id() == Id);
   CHECK(Recovered.Identity.Cluster == 77);
+  CHECK(Recovered.Identity.InitialVoters ==
+        std::vector<std::string>{"10.0.0.1:1", "10.0.0.2:1"});
   CHECK(Recovered.Vote.CurrentTerm == base::Term(3));
   CHECK(Recovered.Vote.VotedFor == base::ReplicaId(9));
   REQUIRE(Recovered.Entries.size() == 6);
--- a/replication/test/ReplicaMembers_test.cpp
+++ b/replication/test/ReplicaMembers_test.cpp
@@ -175,6 +175,43 @@
       TestCluster.runUntil([this] { return TestCluster.leader() != nullptr; }));
 }
 
+// Guards against a cluster that is never formed: a process that is killed
+// before that is not told the initial voters again.
+TEST_CASE_METHOD(ReplicaMembersTest,
+                 "Replica restarted before the formation still forms") {
+  TestCluster.start(0);
+  TestCluster.runFor(base::Millis(250));
+  TestCluster.kill(0);
+  for (std::size_t I = 1; I < 5; ++I)
+    TestCluster.start(I);
+  TestCluster.runFor(base::Millis(1500));
+  CHECK(TestCluster.leader() == nullptr);
+  std::vector<std::string> Voters =
+      std::exchange(TestCluster.Settings.InitialVoters, {});
+  TestCluster.Settings.KnownPeers = Voters;
+  TestCluster.start(0);
+  CHECK(
+      TestCluster.runUntil([this] { return TestCluster.leader() != nullptr; }));
+}
+
+// Guards against a second cluster: a process that lost its disk has no initial
+// voters, wherever the formation has got to.
+TEST_CASE_METHOD(ReplicaMembersTest,
+                 "Replica with an empty disk and no initial voters forms "
+                 "no cluster") {
+  TestCluster.start(0);
+  TestCluster.runFor(base::Millis(250));
+  TestCluster.loseDisk(0);
+  std::vector<std::string> Voters =
+      std::exchange(TestCluster.Settings.InitialVoters, {});
+  TestCluster.Settings.KnownPeers = Voters;
+  for (std::size_t I = 0; I < 3; ++I)
+    TestCluster.start(I);
+  TestCluster.runFor(base::Millis::seconds(20));
+  for (std::size_t I = 0; I < 3; ++I)
+    CHECK(TestCluster.at(I).Log->clusterId() == 0);
+}
+
 // Guards against unbounded memory use while the disk or the peers are stalled.
 TEST_CASE_METHOD(ReplicaMembersTest,
                  "Replica rejects commands above the queue limit") {
