Log when a document is in force at a node and at all nodes

Nodes now log each document that they put in force, and each control process logs how long a document took to reach its nodes, or after a second which nodes lack it and what they have.

--- a/control/src/NodeService.cpp
+++ b/control/src/NodeService.cpp
@@ -65,6 +65,7 @@
     }
     ++Ticks;
     Context->Statistics.prune();
+    Context->Statistics.reportLaggards();
     if (const auto &Newest = Context->History.current())
       Context->Tasks->tick(Context->Executor, std::move(ConnectedNodes),
                            *Newest);
--- a/control/src/NodeStatistics.cpp
+++ b/control/src/NodeStatistics.cpp
@@ -1,5 +1,8 @@
 #include "NodeStatistics.h"
 
+#include "amaranth/base/Log.h"
+
+#include <fmt/ranges.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -11,6 +14,9 @@
 
 constexpr std::size_t MaxVersions = 1000;
 constexpr base::Millis RecordRetention = base::Millis::seconds(600);
+/// Nodes that have not acknowledged a version by then are logged.
+constexpr base::Millis LaggardDelay = base::Millis(1000);
+constexpr std::size_t MaxLoggedLaggards = 8;
 /// Upper bounds in milliseconds. The target for convergence is 18 s; the last
 /// buckets show by how much a version missed it.
 const prometheus::Histogram::BucketBoundaries ConvergenceBuckets = {
@@ -110,7 +116,7 @@
 void NodeStatistics::recordCommit(base::DocumentVersion Document) {
   if (!Versions.empty() && Versions.back().Document >= Document)
     return;
-  Versions.push_back({Document, Time.now(), std::nullopt});
+  Versions.push_back({Document, Time.now(), std::nullopt, false});
   if (Versions.size() > MaxVersions)
     Versions.pop_front();
 }
@@ -131,6 +137,9 @@
     if (It->Duration)
       return;
     It->Duration = Time.now() - It->SeenAt;
+    base::logger("control")->info(
+        "document acknowledged by all nodes document={} duration_ms={}",
+        It->Document.value(), It->Duration->count());
     Convergence->Observe(static_cast<double>(It->Duration->count()));
   }
 }
@@ -154,6 +163,31 @@
   return All;
 }
 
+void NodeStatistics::reportLaggards() {
+  for (Version &Entry : Versions) {
+    if (Entry.Reported || Entry.Duration ||
+        Time.now() - Entry.SeenAt < LaggardDelay)
+      continue;
+    Entry.Reported = true;
+    std::vector<std::string> Names;
+    std::size_t Count = 0;
+    for (const auto &[Node, Record] : Records) {
+      const ServedNode &Status = Record.Status;
+      if (!Status.Connected || Status.Document >= Entry.Document)
+        continue;
+      if (++Count <= MaxLoggedLaggards)
+        Names.push_back(
+            fmt::format("{}:{}", Node.value(), Status.Document.value()));
+    }
+    if (Count != 0)
+      base::logger("control")->warn(
+          "document not acknowledged by all nodes document={} since_ms={} "
+          "missing={} nodes={}",
+          Entry.Document.value(), (Time.now() - Entry.SeenAt).count(), Count,
+          fmt::join(Names, ","));
+  }
+}
+
 void NodeStatistics::prune() {
   std::erase_if(Records, [&](const auto &Entry) {
     return !Entry.second.Status.Connected &&
--- a/control/src/NodeStatistics.h
+++ b/control/src/NodeStatistics.h
@@ -43,6 +43,9 @@
   std::vector<VersionConvergence> convergence() const;
   /// Removes nodes that have been disconnected for 10 minutes.
   void prune();
+  /// Logs once for each document version which connected nodes have not
+  /// acknowledged it in time.
+  void reportLaggards();
 
 private:
   struct Record {
@@ -54,6 +57,7 @@
     base::DocumentVersion Document;
     base::TimePoint SeenAt;
     std::optional<base::Millis> Duration;
+    bool Reported = false;
   };
 
   void removeFromVersion(base::DocumentVersion Document);
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -240,6 +240,13 @@
 void Follower::Impl::onUpdateApplied() {
   const document::MeshSnapshot &Mesh = *Applier.current();
   FailedAttempts = 0;
+  if (Mesh.Document != LoggedDocument)
+    base::logger("follower")
+        ->info("document in force document={} state={} control={}",
+               Mesh.Document.value(), Mesh.State.value(),
+               Active ? Chooser.process(Active->ProcessIndex).Address.text()
+                      : std::string());
+  LoggedDocument = Mesh.Document;
   ++Status.AppliedUpdates;
   AppliedCount->Increment();
   DocumentGauge->Set(static_cast<double>(Mesh.Document.value()));
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -91,6 +91,8 @@
   std::shared_ptr<Connection> Replacement;
   bool Stopped = false;
   unsigned FailedAttempts = 0;
+  /// Last document version that was logged.
+  base::DocumentVersion LoggedDocument;
   /// Attempts to replace a stale connection since the last fresh one, counted
   /// within the current round over all control processes.
   std::size_t ConsecutiveStale = 0;
