Judge a new version under full load before it is completed

Ruled out: late reports; the failures of the last second were known, but 151 good requests outweighed them.

At 70 % of the time the new version now receives all traffic for 0.7 s, then a quarter while the results come in. Results since the last decision are weighed on their own too, and doubt at the end of the finishing time rolls back.

--- a/control/include/amaranth/control/TimedRolloutController.h
+++ b/control/include/amaranth/control/TimedRolloutController.h
@@ -38,6 +38,8 @@
     /// When the current epoch was first observed.
     base::TimePoint EpochObserved;
     std::uint64_t Epoch = 0;
+    /// All results until then.
+    EvidenceTable::Counts AtEpoch;
     /// Since when upstreams of the new version have been ready.
     std::optional<base::TimePoint> NewVersionReady;
   };
--- a/control/src/TimedRolloutController.cpp
+++ b/control/src/TimedRolloutController.cpp
@@ -67,6 +67,8 @@
     if (Observed.Epoch != Entry.Epoch) {
       Observed.Epoch = Entry.Epoch;
       Observed.EpochObserved = Time.now();
+      Observed.AtEpoch = Evidence.rolloutTotals(
+          Entry.Service, base::Revision(Entry.Order.value()));
     }
     if (!Mesh)
       Mesh = State.mesh();
@@ -99,10 +101,17 @@
   base::Revision Section(Entry.Order.value());
   for (const auto &[Key, Counts] :
        Evidence.rolloutTotals(Entry.Service, Section)) {
-    if (Key.Version == Entry.From)
+    auto Before = Observed.AtEpoch.find(Key);
+    rollout::EvidenceCounts Recent = Before == Observed.AtEpoch.end()
+                                         ? Counts
+                                         : Counts.since(Before->second);
+    if (Key.Version == Entry.From) {
       Now.Routes[Key.Route].Old += Counts;
-    else if (Key.Version == Entry.To)
+      Now.RecentRoutes[Key.Route].Old += Recent;
+    } else if (Key.Version == Entry.To) {
       Now.Routes[Key.Route].New += Counts;
+      Now.RecentRoutes[Key.Route].New += Recent;
+    }
   }
   return Now;
 }
--- a/rollout/include/amaranth/rollout/Evidence.h
+++ b/rollout/include/amaranth/rollout/Evidence.h
@@ -39,6 +39,9 @@
 
   void add(bool Error, base::Millis ResponseTime);
   EvidenceCounts &operator+=(const EvidenceCounts &Other);
+  /// The counts since `Earlier`. Counts that are lower than `Earlier` have
+  /// started anew and are returned as they are.
+  EvidenceCounts since(const EvidenceCounts &Earlier) const;
 };
 
 /// Counts of one node since its previous report. Nodes report only services
--- a/rollout/include/amaranth/rollout/TimedPolicy.h
+++ b/rollout/include/amaranth/rollout/TimedPolicy.h
@@ -28,6 +28,10 @@
   std::uint32_t NewSlots = 0;
   /// Results of both versions since the rollout started.
   std::map<base::RouteName, RouteWindow> Routes;
+  /// Results since the last decision. A version that fails under load only is
+  /// judged by these: its good results at smaller shares say nothing about the
+  /// current one.
+  std::map<base::RouteName, RouteWindow> RecentRoutes;
 };
 
 struct TimedAction {
@@ -54,13 +58,17 @@
   /// rollout, after which the old version may be stopped. Nodes receive a
   /// decision within 0.3 s, and requests in flight then need about a second.
   base::Millis FinishingTime = base::Millis(1200);
+  /// Time for which the new version receives all traffic before it is judged
+  /// for the last time.
+  base::Millis LoadProbeTime = base::Millis(700);
 };
 
 /// Decides the next action for a rollout of 10 to 60 s, which is too short for
 /// the sequential test of longer rollouts to get enough requests.
 ///
-/// The new version gets little traffic for most of the time, more shortly
-/// before the end to expose faults under load, and all traffic only at the end.
+/// The new version gets little traffic for most of the time. Before the end it
+/// gets all traffic for a moment, which exposes faults under load, then a
+/// quarter while the results come in, and all traffic only if they are good.
 /// At most about a tenth of the service's requests therefore reach a version
 /// that fails or slows down from its start, later or under load.
 TimedAction decideTimed(const TimedProgress &Now, const TimedPacing &Pacing);
--- a/rollout/src/Evidence.cpp
+++ b/rollout/src/Evidence.cpp
@@ -26,4 +26,15 @@
   return *this;
 }
 
+EvidenceCounts EvidenceCounts::since(const EvidenceCounts &Earlier) const {
+  if (Requests < Earlier.Requests)
+    return *this;
+  EvidenceCounts Result;
+  Result.Requests = Requests - Earlier.Requests;
+  Result.Errors = Errors - std::min(Errors, Earlier.Errors);
+  for (std::size_t I = 0; I < LatencyBuckets; ++I)
+    Result.Latency[I] = Latency[I] - std::min(Latency[I], Earlier.Latency[I]);
+  return Result;
+}
+
 } // namespace amaranth::rollout
--- a/rollout/src/TimedPolicy.cpp
+++ b/rollout/src/TimedPolicy.cpp
@@ -37,7 +37,12 @@
   std::uint32_t Share;
 };
 constexpr std::array<ScheduleStep, 3> Schedule = {
-    {{0.0, 40'000}, {0.60, 80'000}, {0.76, 250'000}}};
+    {{0.0, 40'000}, {0.60, 80'000}, {0.70, 250'000}}};
+/// Fraction of the duration at which the new version receives all traffic for
+/// `TimedPacing::LoadProbeTime`. A version that fails under full load only is
+/// found with few requests: the old one serves while their results come in.
+constexpr double LoadProbeStart = 0.70;
+constexpr std::uint32_t AllTraffic = 1'000'000;
 /// Fraction of the duration from which the new version may receive all traffic.
 constexpr double FinishStart = 0.84;
 /// Fraction of the duration at which the rollout must finish or roll back.
@@ -74,49 +79,92 @@
                              Seen.New.Requests, countAbove(Seen.New, Limit));
 }
 
+/// Fewer recent results of the old version give no estimate of its rates, as
+/// when the new version receives all traffic.
+constexpr std::uint64_t MinRecentOldRequests = 20;
+
 struct Assessment {
+  void keepStrongest(double Ratio, const std::string &Text) {
+    if (Ratio <= Evidence)
+      return;
+    Evidence = Ratio;
+    Reason = Text;
+  }
+
   double Evidence = 0;
   std::string Reason;
-  std::uint64_t NewRequests = 0;
 };
 
-Assessment assess(const TimedProgress &Now) {
-  Assessment Result;
+using RouteResults = std::map<base::RouteName, RouteWindow>;
+
+RouteWindow sumOf(const RouteResults &Routes) {
   RouteWindow All;
-  auto KeepStrongest = [&Result](double Evidence, const std::string &Text) {
-    if (Evidence <= Result.Evidence)
-      return;
-    Result.Evidence = Evidence;
-    Result.Reason = Text;
-  };
-  for (const auto &[Route, Seen] : Now.Routes) {
+  for (const auto &[Route, Seen] : Routes) {
     All.Old += Seen.Old;
     All.New += Seen.New;
-    KeepStrongest(degradationLogRatio(Seen.Old.Requests, Seen.Old.Errors,
-                                      Seen.New.Requests, Seen.New.Errors),
-                  fmt::format("errors on route {}: {} of {}, old {} of {}",
-                              Route.value(), Seen.New.Errors, Seen.New.Requests,
-                              Seen.Old.Errors, Seen.Old.Requests));
-    KeepStrongest(slownessLogRatio(Seen),
-                  fmt::format("slow on route {}: {} requests, old {}",
-                              Route.value(), Seen.New.Requests,
-                              Seen.Old.Requests));
   }
-  KeepStrongest(degradationLogRatio(All.Old.Requests, All.Old.Errors,
-                                    All.New.Requests, All.New.Errors),
-                fmt::format("errors: {} of {}, old {} of {}", All.New.Errors,
-                            All.New.Requests, All.Old.Errors,
-                            All.Old.Requests));
-  Result.NewRequests = All.New.Requests;
+  return All;
+}
+
+/// Assesses the results of one period. `Period` is named in the reasons.
+void assessRoutes(const RouteResults &Routes, const char *Period,
+                  Assessment &Result) {
+  for (const auto &[Route, Seen] : Routes) {
+    Result.keepStrongest(
+        degradationLogRatio(Seen.Old.Requests, Seen.Old.Errors,
+                            Seen.New.Requests, Seen.New.Errors),
+        fmt::format("errors on route {}: {} of {}, old {} of {}{}",
+                    Route.value(), Seen.New.Errors, Seen.New.Requests,
+                    Seen.Old.Errors, Seen.Old.Requests, Period));
+    Result.keepStrongest(slownessLogRatio(Seen),
+                         fmt::format("slow on route {}: {} requests, old {}{}",
+                                     Route.value(), Seen.New.Requests,
+                                     Seen.Old.Requests, Period));
+  }
+  RouteWindow All = sumOf(Routes);
+  Result.keepStrongest(degradationLogRatio(All.Old.Requests, All.Old.Errors,
+                                           All.New.Requests, All.New.Errors),
+                       fmt::format("errors: {} of {}, old {} of {}{}",
+                                   All.New.Errors, All.New.Requests,
+                                   All.Old.Errors, All.Old.Requests, Period));
+}
+
+/// The recent results of the new version with those of the old one that they
+/// compare with: recent ones, or all if there are few recent ones.
+RouteResults recentResults(const TimedProgress &Now) {
+  RouteResults Result = Now.RecentRoutes;
+  for (auto &[Route, Seen] : Result) {
+    auto All = Now.Routes.find(Route);
+    if (Seen.Old.Requests < MinRecentOldRequests && All != Now.Routes.end())
+      Seen.Old = All->second.Old;
+  }
+  return Result;
+}
+
+Assessment assess(const TimedProgress &Now) {
+  Assessment Result;
+  assessRoutes(Now.Routes, "", Result);
+  assessRoutes(recentResults(Now), " since the last step", Result);
   return Result;
 }
 
-std::uint32_t scheduledShare(double ElapsedFraction) {
+bool hasEnoughSlots(const TimedProgress &Now) {
+  return static_cast<double>(Now.NewSlots) >=
+         MinNewSlotFraction * static_cast<double>(Now.OldSlots);
+}
+
+std::uint32_t scheduledShare(const TimedProgress &Now,
+                             const TimedPacing &Pacing,
+                             double ElapsedFraction) {
   std::uint32_t Share = 0;
   for (const ScheduleStep &Entry : Schedule)
     if (ElapsedFraction >= Entry.Start)
       Share = Entry.Share;
-  return Share;
+  bool ProbeRuns =
+      Now.Share == AllTraffic && Now.SinceDecision < Pacing.LoadProbeTime;
+  bool ProbeIsDue = Now.Share < Share && ElapsedFraction >= LoadProbeStart &&
+                    ElapsedFraction < FinishStart && hasEnoughSlots(Now);
+  return ProbeRuns || ProbeIsDue ? AllTraffic : Share;
 }
 
 TimedAction makeAction(TimedAction::Kind Type, std::string Reason,
@@ -146,14 +194,17 @@
 TimedAction decideTimed(const TimedProgress &Now, const TimedPacing &Pacing) {
   using Kind = TimedAction::Kind;
   Assessment Seen = assess(Now);
+  std::uint64_t NewRequests = sumOf(Now.Routes).New.Requests;
   if (Seen.Evidence >= RollBackLogRatio)
     return makeAction(Kind::RollBack, Seen.Reason);
   if (Now.Finishing) {
-    if (Now.SinceDecision >= Pacing.FinishingTime)
-      return makeAction(Kind::Complete,
-                        fmt::format("{} requests, nothing against the version",
-                                    Seen.NewRequests));
-    return {};
+    if (Now.SinceDecision < Pacing.FinishingTime)
+      return {};
+    if (Seen.Evidence >= MaxFinishLogRatio)
+      return makeAction(Kind::RollBack, "in doubt at the end: " + Seen.Reason);
+    return makeAction(
+        Kind::Complete,
+        fmt::format("{} requests, nothing against the version", NewRequests));
   }
   double ElapsedFraction =
       static_cast<double>(Now.Elapsed.count()) /
@@ -166,21 +217,18 @@
   if (ElapsedFraction >= FinishStart) {
     if (Seen.Evidence >= MaxFinishLogRatio)
       return makeAction(Kind::RollBack, "in doubt at the end: " + Seen.Reason);
-    bool EnoughSlots = static_cast<double>(Now.NewSlots) >=
-                       MinNewSlotFraction * static_cast<double>(Now.OldSlots);
-    if (TimeExpired || (EnoughSlots && Seen.NewRequests >= MinNewRequests))
+    if (TimeExpired || (hasEnoughSlots(Now) && NewRequests >= MinNewRequests))
       return makeAction(Kind::Finish,
                         fmt::format("{} requests, {} new slots for {} old ones",
-                                    Seen.NewRequests, Now.NewSlots,
-                                    Now.OldSlots));
+                                    NewRequests, Now.NewSlots, Now.OldSlots));
   }
   if (Now.NewReadyFor < Pacing.WarmUpTime)
     return {};
-  std::uint32_t Share = scheduledShare(ElapsedFraction);
-  if (Share <= Now.Share)
+  std::uint32_t Share = scheduledShare(Now, Pacing, ElapsedFraction);
+  if (Share == Now.Share)
     return {};
-  return makeAction(Kind::Share,
-                    fmt::format("{} requests so far", Seen.NewRequests), Share);
+  return makeAction(Kind::Share, fmt::format("{} requests so far", NewRequests),
+                    Share);
 }
 
 } // namespace amaranth::rollout
--- a/rollout/test/TimedPolicy_test.cpp
+++ b/rollout/test/TimedPolicy_test.cpp
@@ -57,6 +57,7 @@
       if (Next.Type == TimedAction::Kind::Wait)
         continue;
       LastDecision = At;
+      AtDecision = Now.Routes;
       apply(Next, At, Now);
     }
     return Result;
@@ -97,6 +98,11 @@
       (Entry.New ? Seen.New : Seen.Old).add(Entry.Error, Entry.Took);
       return true;
     });
+    for (const auto &[Route, Seen] : Now.Routes) {
+      RouteWindow &Before = AtDecision[Route];
+      Now.RecentRoutes[Route] = {Seen.Old.since(Before.Old),
+                                 Seen.New.since(Before.New)};
+    }
   }
 
   void request(std::int64_t At, const TimedProgress & /*Now*/) {
@@ -134,6 +140,8 @@
   std::uint32_t InForce = 0;
   std::vector<std::pair<std::int64_t, std::uint32_t>> Shares;
   std::vector<Response> Pending;
+  /// All results until the last decision.
+  std::map<base::RouteName, RouteWindow> AtDecision;
   Outcome Result;
 };
 
@@ -212,6 +220,20 @@
   CHECK(Load.Exposed == 0);
 }
 
+// Guards against a version that fails only once it receives all traffic: the
+// good results before that outweighed the failures, and it was completed.
+TEST_CASE("decideTimed rolls back a version that fails under full load") {
+  for (double Errors : {0.3, 0.5, 0.9})
+    for (double Rate : {60.0, 90.0, 260.0, 1000.0})
+      for (std::int64_t Duration : {12'000, 14'000, 16'000}) {
+        Totals Sum = runMany({Errors, 0, 8, 0, 1}, Rate, Duration, 100);
+        INFO("errors " << Errors << " rate " << Rate << " duration "
+                       << Duration);
+        CHECK(Sum.RolledBack == 100);
+        CHECK(Sum.Exposed == 0);
+      }
+}
+
 TEST_CASE("decideTimed rolls back if the new version has no upstreams") {
   TimedProgress Now;
   Now.Duration = base::Millis(10'000);
