Check service and version again before a request is sent

The announcement is compared with the request on admission only, and nothing drops the waiting requests when the upstream is replaced.

The check before the send, which is repeated after a connect and after a claim, now compares both as well. Such a request is refused as not run.

Before (the check left out): the other upstream sees the waiting request. After: dataplane_test passes.

--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -392,10 +392,22 @@
   return Refused;
 }
 
+std::optional<Refusal>
+Gate::Impl::identityRefusal(const RequestHead &Head) const {
+  if (LastAnnouncement && Head.Service == LastAnnouncement->Service &&
+      Head.Version == LastAnnouncement->Version)
+    return std::nullopt;
+  return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::WrongUpstream,
+                     "another service or version runs here");
+}
+
 std::optional<Refusal>
 Gate::Impl::refusalBeforeSend(const ServerExchange &Exchange) const {
   if (auto Refused = stateRefusal())
     return Refused;
+  // The upstream may have been replaced while the request waited.
+  if (auto Refused = identityRefusal(Exchange.Head))
+    return Refused;
   if (Exchange.Body.ended())
     return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::Cancelled,
                        "cancelled");
@@ -464,10 +476,8 @@
   const RequestHead &Head = Exchange.Head;
   if (auto Refused = stateRefusal())
     return Refused;
-  if (Head.Service != LastAnnouncement->Service ||
-      Head.Version != LastAnnouncement->Version)
-    return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::WrongUpstream,
-                       "another service or version runs here");
+  if (auto Refused = identityRefusal(Head))
+    return Refused;
   if (auto Refused = quarantineRefusal(Head))
     return Refused;
   if (Time.now() >= Exchange.Deadline)
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -41,6 +41,9 @@
   std::optional<Refusal> checkAdmission(const ServerExchange &Exchange);
   bool admitsProbe(base::Millis Wait);
   std::optional<Refusal> stateRefusal() const;
+  /// Refusal of a request for another service or version than the announced
+  /// one.
+  std::optional<Refusal> identityRefusal(const RequestHead &Head) const;
   std::optional<Refusal> quarantineRefusal(const RequestHead &Head) const;
   bool deadlineReachable(const SchedulingParams &Work, base::Millis Wait,
                          base::Millis Link) const;
--- a/dataplane/test/Gate_test.cpp
+++ b/dataplane/test/Gate_test.cpp
@@ -248,6 +248,50 @@
   CHECK(Upstreams[0]->Concurrency->MaxRunning == 1);
 }
 
+// Guards against a booking that is run by the payment service: a request that
+// waits for a slot was sent to the next upstream that announced itself,
+// whatever its service.
+TEST_CASE_METHOD(GateTest,
+                 "Waiting request is not sent to an upstream of another "
+                 "service") {
+  document::Service Other;
+  Other.Name = base::ServiceName("other");
+  Other.Versions = {{base::VersionName("v1"), document::FullShare, false}};
+  Mesh.Services[Other.Name] = Other;
+  Snapshots.set(Mesh);
+  TestUpstream &First = addUpstream(Node, "v1", 1);
+  auto Running = post(Node, "/hold", "x");
+  runUntil([&] { return First.Seen.size() == 1; });
+  auto Waiting = post(Node, "/echo", "x");
+  runUntil([&] { return Node.UpstreamGate.load().Queued == 1; });
+  // Known to no entry node, so that requests reach it through this gate only.
+  TestUpstream Second(Context.get_executor(), Time);
+  spawn(Second.Server.serve(
+      [&Second](std::shared_ptr<HttpConnection> Link,
+                HttpRequest Request) -> boost::asio::awaitable<void> {
+        Second.Seen.push_back(Request.Method + " " + Request.Target);
+        Headers None;
+        co_await Link->respond(200, std::move(None), "");
+      }));
+  Announcement Replacement;
+  Replacement.Service = Other.Name;
+  Replacement.Version = base::VersionName("v1");
+  Replacement.Upstream = Second.Server.local();
+  Replacement.Slots = 4;
+  Replacement.ReportedState = Announcement::State::Ready;
+  Replacement.Incarnation = 2;
+  Replacement.Sequence = 1;
+  REQUIRE(Node.UpstreamGate.announce(Replacement));
+  runUntil([&] { return Waiting->Done; });
+  CHECK(Waiting->has("X-Amaranth-Outcome: not-run"));
+  CHECK(Second.Seen.empty());
+  Held = false;
+  Release.notifyAll();
+  runUntil([&] { return Running->Done; });
+  Second.crash();
+  settle();
+}
+
 TEST_CASE_METHOD(GateTest, "Silent upstream becomes absent and comes back") {
   TestUpstream &Upstream = addUpstream(Node);
   Time.advance(base::Millis(4999));
