Leave no gap in the log after a loss of power during a compaction

A loss of power may then keep the older and lose the newer one, and recovery refuses the gap: the replica does not start.

Each removal is synced before the next, and recovery removes covered segments before a gap, which data folders of earlier versions may have.

Before (the new rule left out): 'the segment starts at entry 33, but the previous segment ends at entry 16'. After: replication_test passes.

--- a/replication/src/LogStorage.cpp
+++ b/replication/src/LogStorage.cpp
@@ -279,13 +279,13 @@
   std::filesystem::path SnapshotPath = Folder / "snapshot";
   if (auto Data = detail::readChecksummedFile(SnapshotPath))
     Result.Snapshot = decodeSnapshot(*Data, SnapshotPath.string());
-  Result.Entries = Log.recover();
+  std::uint64_t SnapshotEnd =
+      Result.Snapshot ? Result.Snapshot->Index.value() : 0;
+  Result.Entries = Log.recover(SnapshotEnd);
   Result.Identity =
       loadIdentity(!Vote && !Result.Snapshot && Result.Entries.empty());
   if (Result.Snapshot && !trimToSnapshot(*Result.Snapshot, Result.Entries))
     Log.removeAllSegments();
-  std::uint64_t SnapshotEnd =
-      Result.Snapshot ? Result.Snapshot->Index.value() : 0;
   if (!Result.Entries.empty() &&
       Result.Entries.front()->Index.value() != SnapshotEnd + 1)
     throw StorageError(fmt::format(
--- a/replication/src/Segments.cpp
+++ b/replication/src/Segments.cpp
@@ -81,7 +81,7 @@
 
 } // namespace
 
-std::vector<EntryRef> Segments::recover() {
+std::vector<EntryRef> Segments::recover(std::uint64_t CoveredIndex) {
   for (const auto &Item : std::filesystem::directory_iterator(Folder)) {
     std::string Name = Item.path().filename().string();
     if (!Name.starts_with("log-"))
@@ -95,8 +95,21 @@
       SegmentFiles.begin(), SegmentFiles.end(),
       [](const Segment &A, const Segment &B) { return A.First < B.First; });
   std::vector<EntryRef> Entries;
-  for (Segment &File : SegmentFiles)
-    readSegment(File, &File == &SegmentFiles.back(), Entries);
+  for (std::size_t I = 0; I < SegmentFiles.size(); ++I) {
+    std::uint64_t First = SegmentFiles[I].First;
+    bool HasGap =
+        !Entries.empty() && Entries.back()->Index.value() + 1 != First;
+    // Earlier versions did not sync each removal of a covered segment.
+    if (HasGap && First <= CoveredIndex + 1) {
+      base::logger("replication")
+          ->warn("removing covered segments before a gap folder={} next={}",
+                 Folder.string(), First);
+      for (; I > 0; --I)
+        removeFirstSegment();
+      Entries.clear();
+    }
+    readSegment(SegmentFiles[I], I + 1 == SegmentFiles.size(), Entries);
+  }
   if (!SegmentFiles.empty())
     openLastSegment();
   // The data just read may not have reached the disk yet.
@@ -243,21 +256,27 @@
 }
 
 void Segments::removeSegmentsUpTo(std::uint64_t Index) {
-  while (SegmentFiles.size() > 1 && SegmentFiles[1].First <= Index + 1) {
-    std::filesystem::remove(SegmentFiles.front().Path);
-    SegmentFiles.pop_front();
-  }
+  while (SegmentFiles.size() > 1 && SegmentFiles[1].First <= Index + 1)
+    removeFirstSegment();
+}
+
+void Segments::removeFirstSegment() {
+  std::filesystem::remove(SegmentFiles.front().Path);
+  // Synced one by one: after a loss of power, a gap would remain if an older
+  // removal was lost and a newer one was not.
+  syncFolder(Folder);
+  SegmentFiles.pop_front();
 }
 
 void Segments::removeAllSegments() {
   while (!SegmentFiles.empty()) {
     std::filesystem::remove(SegmentFiles.back().Path);
+    syncFolder(Folder);
     SegmentFiles.pop_back();
   }
   CurrentFile = FileDescriptor();
   HasUnsyncedRecords = false;
   SyncedIndex = 0;
-  syncFolder(Folder);
 }
 
 void Segments::sync() {
--- a/replication/src/Segments.h
+++ b/replication/src/Segments.h
@@ -20,9 +20,11 @@
 public:
   explicit Segments(std::filesystem::path Folder) : Folder(std::move(Folder)) {}
 
-  /// Reads all records and truncates a torn tail of the last segment. If synced
-  /// data is corrupt, throws a `StorageError` with the file and the offset.
-  std::vector<EntryRef> recover();
+  /// Reads all records and truncates a torn tail of the last segment. A
+  /// snapshot covers the entries up to `CoveredIndex`; they may have gaps. If
+  /// other synced data is corrupt, throws a `StorageError` with the file and
+  /// the offset.
+  std::vector<EntryRef> recover(std::uint64_t CoveredIndex);
 
   /// Writes the entries. They are durable after the next `sync`.
   void append(const std::vector<EntryRef> &Entries);
@@ -47,6 +49,8 @@
                    std::vector<EntryRef> &Entries);
   void truncateTornTail(Segment &LastSegment, const base::Bytes &Data);
   void openLastSegment();
+  /// Durable on return.
+  void removeFirstSegment();
   void startSegment(std::uint64_t First);
   std::uint64_t lastIndex() const;
 
--- a/replication/test/LogStorage_test.cpp
+++ b/replication/test/LogStorage_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
@@ -244,6 +245,49 @@
   CHECK(Recovered.Entries.size() == 1);
 }
 
+// Guards against a replica that does not start after a loss of power during a
+// compaction: of two segments that were removed, the older one came back.
+TEST_CASE_METHOD(LogStorageTest,
+                 "LogStorage ignores covered segments before a gap") {
+  for (std::uint64_t I = 1; I <= 40; ++I)
+    Disk->write(AppendEntries{{entry(I, 1, 1U << 20U)}});
+  waitForSync();
+  fs::path Copy = Folder / "copy";
+  fs::copy_file(firstSegment(), Copy);
+  auto Snapshot = std::make_shared<StoredSnapshot>();
+  Snapshot->Index = base::LogIndex(38);
+  Snapshot->IndexTerm = base::Term(1);
+  Disk->write(SaveSnapshot{Snapshot, false});
+  waitForSync();
+  fs::rename(Copy, firstSegment());
+  open();
+  CHECK(Recovered.Entries.size() == 2);
+  append(41, 41);
+  open();
+  CHECK(Recovered.Entries.size() == 3);
+}
+
+// Guards against the loss of entries that no snapshot covers.
+TEST_CASE_METHOD(LogStorageTest,
+                 "LogStorage refuses a gap above the snapshot") {
+  for (std::uint64_t I = 1; I <= 40; ++I)
+    Disk->write(AppendEntries{{entry(I, 1, 1U << 20U)}});
+  auto Snapshot = std::make_shared<StoredSnapshot>();
+  Snapshot->Index = base::LogIndex(4);
+  Snapshot->IndexTerm = base::Term(1);
+  Disk->write(SaveSnapshot{Snapshot, false});
+  waitForSync();
+  Disk.reset();
+  std::vector<fs::path> Segments;
+  for (const auto &Item : fs::directory_iterator(Folder))
+    if (Item.path().filename().string().starts_with("log-"))
+      Segments.push_back(Item.path());
+  std::ranges::sort(Segments);
+  REQUIRE(Segments.size() >= 3);
+  fs::remove(Segments[1]);
+  CHECK_THAT(openError(), Catch::Contains("previous segment ends"));
+}
+
 TEST_CASE_METHOD(LogStorageTest,
                  "LogStorage starts new segments and removes covered ones") {
   std::uint64_t Last = 40;
