Send entries again to a peer that has lost them

The leader now lowers the match index, logs the loss as an error and sends the entries again. The commit index never falls with it.

After: replication_test passes.

--- a/replication/src/Leader.cpp
+++ b/replication/src/Leader.cpp
@@ -114,7 +114,7 @@
       Peer->HasReplied = true;
       Peer->AckedReadRound = std::max(Peer->AckedReadRound, Round);
       Peer->SentCommitIndex = SentCommitIndex;
-      Again = handleAppendReply(*Peer, *Reply);
+      Again = handleAppendReply(To, *Peer, *Reply);
       PeerProgress.notifyAll();
     }
     if (!Reply)
@@ -125,13 +125,21 @@
   }
 }
 
-bool ReplicaCore::handleAppendReply(PeerState &Peer,
+bool ReplicaCore::handleAppendReply(base::ReplicaId From, PeerState &Peer,
                                     const wire::AppendReplyT &Reply) {
   if (!Reply.ok) {
     // The hint skips whole terms. A stale reply must not move the index
     // forward.
-    Peer.NextIndex = std::max<std::uint64_t>(
-        Peer.MatchIndex + 1, std::min(Reply.next, Peer.NextIndex - 1));
+    std::uint64_t Next =
+        std::max<std::uint64_t>(1, std::min(Reply.next, Peer.NextIndex - 1));
+    if (Next <= Peer.MatchIndex) {
+      // Without this the same request would be repeated forever.
+      Logger->error("a peer has lost acknowledged entries id={:x} match={} "
+                    "next={}",
+                    From.value(), Peer.MatchIndex, Next);
+      Peer.MatchIndex = Next - 1;
+    }
+    Peer.NextIndex = Next;
     return true;
   }
   AMARANTH_INVARIANT(
--- a/replication/src/ReplicaCore.h
+++ b/replication/src/ReplicaCore.h
@@ -156,7 +156,8 @@
                                            std::shared_ptr<PeerState> Peer);
   wire::AppendRequestT nextAppend(base::ReplicaId To, const PeerState &Peer);
   /// Returns whether the next request should be sent immediately.
-  bool handleAppendReply(PeerState &Peer, const wire::AppendReplyT &Reply);
+  bool handleAppendReply(base::ReplicaId From, PeerState &Peer,
+                         const wire::AppendReplyT &Reply);
   void advanceCommit();
   /// Returns the latest time T such that a majority of the voters answered
   /// a request sent at or after T. This replica itself counts as answering now.
--- a/replication/test/Replica_test.cpp
+++ b/replication/test/Replica_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace asio = boost::asio;
 
 namespace amaranth::replication::testing {
@@ -242,4 +244,30 @@
   CHECK(TestCluster.runUntil([&] { return Received == "hi"; }));
 }
 
+// Guards against a leader that repeats the same request without a pause to a
+// follower whose disk has lost entries that it had acknowledged.
+TEST_CASE_METHOD(ReplicaTest,
+                 "Replica that lost acknowledged entries gets them again") {
+  startAll();
+  std::size_t Leader = leaderIndex();
+  std::size_t Follower = otherIndex(Leader);
+  std::uint64_t Index = 0;
+  for (int I = 0; I < 6; ++I)
+    Index = TestCluster.commit("c" + std::to_string(I));
+  REQUIRE(TestCluster.runUntil([&] {
+    base::ReplicaId Id = TestCluster.at(Follower).Log->self();
+    return std::ranges::any_of(
+        TestCluster.at(Leader).Log->members(), [&](const MemberStatus &Each) {
+          return Each.Id == Id && Each.MatchIndex.value() >= Index;
+        });
+  }));
+  TestCluster.kill(Follower);
+  std::vector<EntryRef> &Stored = TestCluster.at(Follower).Image.Entries;
+  REQUIRE(Stored.size() > 3);
+  Stored.resize(Stored.size() - 3);
+  TestCluster.start(Follower);
+  CHECK(waitUntilApplied(Follower, Index));
+  CHECK(leaderIndex() == Leader);
+}
+
 } // namespace amaranth::replication::testing
