Load a third of a new version's upstreams as they will be loaded

Ruled out: missed reports (each failure is in the evidence).

During a rollout, requests for the new version prefer a third of its upstreams, the same on all nodes, while these have free slots. Large responses are spread as before, since they would fill the links of few nodes.

Before: choose spreads over all six endpoints of the new test. After: dataplane_test passes.

--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -50,6 +50,10 @@
     bool LargeResponse = false;
     /// No zone is preferred, because the local one has turned out to be full.
     bool AnyZone = false;
+    /// A third of the endpoints, the same for all nodes, is preferred while it
+    /// has free slots. So the few requests of a new version show how it behaves
+    /// under the load that it will have.
+    bool Concentrate = false;
   };
 
   /// Returns an endpoint of the version that is not in `Excluded`, or null.
@@ -123,6 +127,10 @@
   static double expectedWaitMs(const Candidate &Option, const Selection &Pick);
   const document::Endpoint *pickLeastCost(CandidateList Candidates,
                                           const Selection &Pick);
+  /// Returns the preferred endpoints with free slots for
+  /// `RequestTraits::Concentrate`; empty if there are none.
+  static CandidateList concentrate(const CandidateList &Candidates,
+                                   const Selection &Pick);
   CandidateList preferLocalZone(CandidateList Candidates,
                                 const Selection &Pick) const;
   void eject(const document::MeshSnapshot &Mesh,
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -28,6 +28,11 @@
 constexpr double MinSuccessRate = 0.05;
 constexpr std::size_t MaxSampledCandidates = 4;
 
+/// Part of the endpoints of a new version that gets most of its requests, and
+/// the part of their slots that is used.
+constexpr std::size_t ConcentrationDivisor = 3;
+constexpr double MaxConcentratedLoad = 0.8;
+
 } // namespace
 
 double Balancer::outstandingRequests(const EndpointStats &Stats,
@@ -145,6 +150,19 @@
   return Candidates;
 }
 
+Balancer::CandidateList Balancer::concentrate(const CandidateList &Candidates,
+                                              const Selection &Pick) {
+  // The candidates are in the order of their ids.
+  std::size_t Count =
+      (Candidates.size() + ConcentrationDivisor - 1) / ConcentrationDivisor;
+  CandidateList Preferred;
+  for (std::size_t I = 0; I < Count; ++I)
+    if (outstandingRequests(*Candidates[I].Stats, Pick.Now) + 1 <=
+        MaxConcentratedLoad * slotsOf(Candidates[I]))
+      Preferred.push_back(Candidates[I]);
+  return Preferred;
+}
+
 void Balancer::updateIndex(const document::MeshSnapshot &Mesh) {
   if (Mesh.Endpoints.sharesWith(Indexed))
     return;
@@ -179,8 +197,11 @@
       (Pick.Now < Option.Stats->EjectedUntil ? Ejected : Usable)
           .push_back(Option);
   }
-  const Endpoint *Chosen =
-      pickLeastCost(preferLocalZone(std::move(Usable), Pick), Pick);
+  const Endpoint *Chosen = nullptr;
+  if (Request.Concentrate)
+    Chosen = pickLeastCost(concentrate(Usable, Pick), Pick);
+  if (!Chosen)
+    Chosen = pickLeastCost(preferLocalZone(std::move(Usable), Pick), Pick);
   if (!Chosen)
     Chosen = pickLeastCost(std::move(Ejected), Pick);
   if (!Chosen)
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -279,9 +279,13 @@
   // Downloads stay in their zone; see `DownloadLocalWaitPercent`.
   Balancer::RequestTraits Traits{maxLocalWait(), isDownload(),
                                  !isDownload() && Retries.asksAllZones()};
+  const document::Service &Wanted = Entry->second;
   // Repeats the selection without the versions that have no usable endpoint.
   while (const document::VersionShare *Version = chooseVersion(
-             Entry->second, Context->Guard, WithoutEndpoint, Context->Random)) {
+             Wanted, Context->Guard, WithoutEndpoint, Context->Random)) {
+    // Large responses would fill the links of a few nodes.
+    Traits.Concentrate = Wanted.HasRollout && !isDownload() &&
+                         Version->Version == Wanted.Rollout.To;
     if (const auto *Found = Context->LoadBalancer.choose(
             Snapshot, Service, Version->Version, Retries.excluded(), Traits))
       return Found;
--- a/dataplane/test/Parts_test.cpp
+++ b/dataplane/test/Parts_test.cpp
@@ -82,6 +82,22 @@
   CHECK(Far < 300);
 }
 
+// Guards against a new version that fails under load and is not found, because
+// its requests are spread over all its upstreams.
+TEST_CASE_METHOD(BalancerTest,
+                 "choose with Concentrate prefers a third with free slots") {
+  for (int I = 0; I < 6; ++I)
+    add("e" + std::to_string(I), I % 2 == 0 ? "a" : "b");
+  Request.Concentrate = true;
+  auto Chosen = chooseMany(60);
+  CHECK(Chosen["e0"] + Chosen["e1"] == 60);
+  Balance.recordLoad(base::EndpointId("e0"), {8, 0, 10});
+  CHECK(chooseMany(20)["e1"] == 20);
+  Balance.recordLoad(base::EndpointId("e1"), {8, 0, 10});
+  Chosen = chooseMany(60);
+  CHECK(Chosen["e0"] + Chosen["e1"] < 60);
+}
+
 // Guards against downloads that queue at one node of the zone while the links
 // of other nodes are idle: free slots do not imply a free link.
 TEST_CASE_METHOD(BalancerTest,
