--- a/dataplane/test/Shutdown_test.cpp
+++ b/dataplane/test/Shutdown_test.cpp
@@ -49,14 +49,16 @@
     EntryShutdownTest,
     "Downloads in progress are answered before the shutdown ends") {
   constexpr std::size_t Bytes = 200'000;
+  constexpr std::size_t Count = 3;
   Mesh.Routes.edit().begin()->second.Kind = document::RequestKind::Download;
   Mesh.Routes.edit().begin()->second.Objective = base::Millis(100);
   Snapshots.set(Mesh);
   TestUpstream &Upstream = addUpstream(Staying);
   std::vector<std::shared_ptr<CallerResult>> Downloads;
-  for (int I = 0; I < 3; ++I)
+  Downloads.reserve(Count);
+  for (std::size_t I = 0; I < Count; ++I)
     Downloads.push_back(get(Leaving, "/size/" + std::to_string(Bytes)));
-  runUntil([&] { return Upstream.BytesWritten == 3 * Bytes; });
+  runUntil([&] { return Upstream.BytesWritten == Count * Bytes; });
   // The link sends 80 kB of bodies a second.
   shutDown(base::Millis(4000));
   advance(base::Millis(100));
