--- a/dataplane/test/Shutdown_test.cpp
+++ b/dataplane/test/Shutdown_test.cpp
@@ -37,6 +37,23 @@
     }
   }
 
+  /// Sends a request with `Fields` behind one that is answered after two thirds
+  /// of a shutdown, on the same connection, and waits for both responses.
+  std::shared_ptr<CallerResult> sendLateRequest(TestUpstream &Upstream,
+                                                const std::string &Fields) {
+    auto Caller =
+        send(Leaving.Entry.local(), "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
+                                    "POST /late HTTP/1.1\r\nHost: h\r\n" +
+                                        Fields + "Content-Length: 0\r\n\r\n");
+    runUntil([&] { return Upstream.Seen.size() == 1; });
+    shutDown(base::Millis(3000));
+    advance(base::Millis(2000));
+    Held = false;
+    Release.notifyAll();
+    runUntil([&] { return Caller->Done; });
+    return Caller;
+  }
+
   TestNode &Leaving;
   TestNode &Staying;
   /// Whether all requests were answered when the shutdown ended.
@@ -116,36 +133,17 @@
 TEST_CASE_METHOD(EntryShutdownTest,
                  "Request late in a shutdown is refused if it may outlast it") {
   TestUpstream &Upstream = addUpstream(Staying);
-  auto Pipelined =
-      send(Leaving.Entry.local(), "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
-                                  "POST /late HTTP/1.1\r\nHost: h\r\n"
-                                  "Content-Length: 0\r\n\r\n");
-  runUntil([&] { return Upstream.Seen.size() == 1; });
-  shutDown(base::Millis(3000));
-  advance(base::Millis(2000));
-  Held = false;
-  Release.notifyAll();
-  runUntil([&] { return Pipelined->Done; });
+  auto Caller = sendLateRequest(Upstream, "");
   CHECK(Upstream.Seen == std::vector<std::string>{"GET /hold"});
-  CHECK(Pipelined->has("X-Amaranth-Outcome: not-run"));
-  CHECK(Pipelined->has("X-Amaranth-Reason: node-draining"));
+  CHECK(Caller->has("X-Amaranth-Outcome: not-run"));
+  CHECK(Caller->has("X-Amaranth-Reason: node-draining"));
 }
 
 // A request that is due before the node ends cannot be cut off by it.
 TEST_CASE_METHOD(EntryShutdownTest,
                  "Request late in a shutdown is served if it is due before") {
   TestUpstream &Upstream = addUpstream(Staying);
-  auto Pipelined =
-      send(Leaving.Entry.local(), "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
-                                  "POST /late HTTP/1.1\r\nHost: h\r\n"
-                                  "X-Request-Deadline-Ms: 500\r\n"
-                                  "Content-Length: 0\r\n\r\n");
-  runUntil([&] { return Upstream.Seen.size() == 1; });
-  shutDown(base::Millis(3000));
-  advance(base::Millis(2000));
-  Held = false;
-  Release.notifyAll();
-  runUntil([&] { return Pipelined->Done; });
+  sendLateRequest(Upstream, "X-Request-Deadline-Ms: 500\r\n");
   CHECK(Upstream.Seen == std::vector<std::string>{"GET /hold", "POST /late"});
 }
 
