--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -68,7 +68,8 @@
   UpstreamShed = 30,
   /// Another process has the upstream's address.
   UpstreamReplaced = 31,
-  /// The gate's link cannot carry the response before one of the two nodes ends.
+  /// The gate's link cannot carry the response before one of the two nodes
+  /// ends.
   LinkBusy = 32,
 };
 
