Make up for late wake-ups on the egress link

Cause: the token bucket of the link keeps one piece (8 KiB, 12 ms at 6.9 Mbit/s). A process that runs late, because its share of the processor is used up until the end of a period, loses the link's time. The gate assumes 690 kB/s and sends 250 kB/s, so a response that was started as fitting is not complete when the entry node ends.

Ruled out: load alone (ten busy processes change nothing), an end of the node before its gates know of it (they give up the rest within 50 ms).

Change: while bodies wait, up to 100 ms of unused link time is kept. "acquire makes up for late wake-ups" fails before (not complete) and passes.

--- a/dataplane/src/EgressShaper.cpp
+++ b/dataplane/src/EgressShaper.cpp
@@ -16,6 +16,11 @@
 namespace {
 
 constexpr double MillisPerSecond = 1000;
+/// Unused link time that is made up for when a process runs late while bodies
+/// wait, for example because its share of the processor is used up until the
+/// end of a period of 100 ms. Without this the link carries less than
+/// `transmissionTime` promises.
+constexpr std::int64_t MaxCatchUpMillis = 100;
 
 } // namespace
 
@@ -36,12 +41,16 @@
         LastRefill(Time.now()) {}
 
   /// Token bucket: adds the bytes that the link could send since the last
-  /// refill, up to one piece.
+  /// refill, up to one piece, and more while bodies wait; see
+  /// `MaxCatchUpMillis`.
   void refill() {
     base::TimePoint Now = Time.now();
     AvailableBytes +=
         BytesPerMilli * static_cast<double>((Now - LastRefill).count());
-    AvailableBytes = std::min(AvailableBytes, static_cast<double>(PieceBytes));
+    auto MaxBytes = static_cast<double>(PieceBytes);
+    if (GrantTaskRunning)
+      MaxBytes += BytesPerMilli * MaxCatchUpMillis;
+    AvailableBytes = std::min(AvailableBytes, MaxBytes);
     LastRefill = Now;
   }
   bool grantOne();
--- a/dataplane/test/EgressShaper_test.cpp
+++ b/dataplane/test/EgressShaper_test.cpp
@@ -84,6 +84,19 @@
   CHECK(Sent * 100 >= Carried * (EgressShaper::BodySharePercent - 5));
 }
 
+// Guards against a link that stays idle while bodies wait because the process
+// gets the processor late: bodies then take much longer than expected.
+TEST_CASE_METHOD(EgressShaperTest, "acquire makes up for late wake-ups") {
+  // The link needs 250 ms.
+  auto Body = start(300'000, 1'000);
+  for (int Step = 0; Step < 6; ++Step) {
+    Time.advance(base::Millis(50));
+    advance(0);
+  }
+  CHECK(Body->DoneAt >= 0);
+  CHECK(Sent <= 300'000);
+}
+
 TEST_CASE_METHOD(EgressShaperTest,
                  "acquire completes bodies one after another") {
   // One body of 90 kB takes 75 ms. Sent concurrently, both would take 150 ms.
