Buffer whole responses while the entry node shuts down

Cause: an entry node forwards a response after 64 KiB. When the rest does not arrive before the node ends, nothing is left but to cut it off.

Ruled out: giving it up earlier at the gate. It does so already when it expects to be late, but a part has been forwarded by then.

Change: during a shutdown, responses up to 1 MiB are complete before the first byte is forwarded. Others get a response that lets their caller repeat it. "Download that is not complete at the end is not cut off" fails before (reset within a 200) and passes.

--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -27,6 +27,8 @@
 /// would miss their objective there.
 constexpr std::int64_t LocalWaitPercent = 15;
 constexpr std::int64_t DownloadLocalWaitPercent = 100;
+/// Responses up to this size are buffered completely while the node shuts down.
+constexpr std::size_t MaxShutdownBufferBytes = 1U << 20U;
 /// Applies when neither the route nor the caller sets a limit.
 constexpr base::Millis DefaultTimeout = base::Millis::seconds(60);
 
@@ -432,7 +434,7 @@
   // exception propagates to the calling function for that.
   base::Bytes Buffered;
   bool End = false;
-  while (!End && Buffered.size() <= Context->Options.ResponseBufferBytes) {
+  while (!End && Buffered.size() <= responseBufferBytes()) {
     BodyPiece Piece = co_await Running->Body.readData();
     End = Piece.End;
     Buffered.insert(Buffered.end(), Piece.Data.begin(), Piece.Data.end());
@@ -461,6 +463,14 @@
   co_return std::nullopt;
 }
 
+std::size_t EntryRequest::responseBufferBytes() const {
+  // Once a part has been forwarded, a response that does not arrive in time can
+  // only be cut off.
+  return EndsWithNode ? std::max(Context->Options.ResponseBufferBytes,
+                                 MaxShutdownBufferBytes)
+                      : Context->Options.ResponseBufferBytes;
+}
+
 asio::awaitable<bool> EntryRequest::streamResponse(ExchangePtr Running,
                                                    ResponseHead Head,
                                                    base::Bytes First) {
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -49,6 +49,9 @@
                                                    document::Endpoint Target);
   boost::asio::awaitable<MaybeRefusal> forwardResponse(ExchangePtr Running,
                                                        ResponseHead Head);
+  /// Size up to which a response is buffered before its first byte is
+  /// forwarded.
+  std::size_t responseBufferBytes() const;
   /// Forwards `First` and then the rest of the body as it arrives. Returns true
   /// when the body was complete.
   boost::asio::awaitable<bool>
--- a/dataplane/test/Shutdown_test.cpp
+++ b/dataplane/test/Shutdown_test.cpp
@@ -91,6 +91,29 @@
   CHECK(Drained == true);
 }
 
+// Guards against a download that its link carries more slowly than expected, so
+// that the node that took it ends in the middle of the response.
+TEST_CASE_METHOD(EntryShutdownTest,
+                 "Download that is not complete at the end is not cut off") {
+  constexpr std::size_t Bytes = 250'000;
+  Mesh.Routes.edit().begin()->second.Kind = document::RequestKind::Download;
+  Mesh.Routes.edit().begin()->second.Objective = base::Millis(100);
+  Snapshots.set(Mesh);
+  TestNode &Other = addNode("other");
+  TestUpstream &Upstream = addUpstream(Staying);
+  auto Download = get(Leaving, "/size/" + std::to_string(Bytes));
+  runUntil([&] { return Upstream.BytesWritten == Bytes; });
+  shutDown(base::Millis(4000));
+  advance(base::Millis(2000));
+  // Short responses use the link without waiting for it, 2.5 s in all.
+  for (int I = 0; I < 25; ++I)
+    get(Other, "/size/8000");
+  advance(base::Millis(2500));
+  REQUIRE(Download->Done);
+  CHECK_FALSE(Download->Reset);
+  CHECK(Download->status() >= 500);
+}
+
 // Guards against a planned shutdown that closes the connection of a request
 // whose upstream has not answered.
 TEST_CASE_METHOD(EntryShutdownTest,
