Write the last responses of a shutdown when the process runs late

A request that is open at the end of a shutdown loses its connection instead of getting a response.

Cause: EntryServer::drain gives requests up at 100 ms before the end of its limit and ends at the limit. A process that does not run in between, for example because its share of the processor is used up, ends at once.

Change: the time for the last responses counts from the moment at which the requests are given up. "Request gets a response although the node runs late" fails before (the shutdown ends with the request open) and passes.

--- a/dataplane/include/amaranth/dataplane/EntryServer.h
+++ b/dataplane/include/amaranth/dataplane/EntryServer.h
@@ -64,7 +64,8 @@
   /// Stops accepting callers; requests in flight continue.
   void stop();
   /// Stops after the lame duck period and waits until the last response is
-  /// complete. Takes at most `Limit`. Returns true when no request is left.
+  /// complete. Requests that are left at the end of `Limit` are refused. Returns
+  /// true when no request is left.
   boost::asio::awaitable<bool> drain(base::Millis Limit);
 
 private:
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -83,7 +83,7 @@
 
 asio::awaitable<bool> EntryServer::drain(base::Millis Limit) {
   auto Keep = Self;
-  // Leaves time to pass the last responses on.
+  // Time to pass the last responses on.
   constexpr base::Millis ResponseMargin = base::Millis(100);
   base::TimePoint Start = Keep->Context->Time.now();
   Keep->Context->ShutdownEnd = Start + Limit - ResponseMargin;
@@ -94,14 +94,20 @@
     Keep->Server.closeAfterResponses();
     co_await Keep->Context->Time.sleepFor(
         Keep->Context->Options.LameDuckPeriod);
-    Limit = Limit - Keep->Context->Options.LameDuckPeriod;
   }
   Keep->Server.stopGracefully();
-  base::TimePoint End = Keep->Context->Time.now() + Limit;
-  while (Keep->Server.connections() != 0 && Keep->Context->Time.now() < End) {
-    if (Keep->Context->Time.now() >= Keep->Context->ShutdownEnd)
+  // Counted from when the requests were given up: a process that runs late has
+  // not written their responses at the end of `Limit`.
+  std::optional<base::TimePoint> End;
+  while (Keep->Server.connections() != 0) {
+    base::TimePoint Now = Keep->Context->Time.now();
+    if (End && Now >= *End)
+      break;
+    if (Now >= Keep->Context->ShutdownEnd) {
+      End = End.value_or(Now + ResponseMargin);
       for (EntryRequest *Request : Keep->Context->Requests)
         Request->abandonAttempt();
+    }
     co_await Keep->Context->Time.sleepFor(DrainPollInterval);
   }
   co_return Keep->Server.connections() == 0;
--- a/dataplane/test/Shutdown_test.cpp
+++ b/dataplane/test/Shutdown_test.cpp
@@ -114,6 +114,24 @@
   CHECK(Download->status() >= 500);
 }
 
+// Guards against a shutdown that ends without a response to its last requests
+// because the process did not run at the moment at which it gives them up.
+TEST_CASE_METHOD(EntryShutdownTest,
+                 "Request gets a response although the node runs late") {
+  TestUpstream &Upstream = addUpstream(Staying);
+  auto Held = get(Leaving, "/hold");
+  runUntil([&] { return Upstream.Seen.size() == 1; });
+  shutDown(base::Millis(3000));
+  advance(base::Millis(2800));
+  CHECK_FALSE(Held->Done);
+  Time.advance(base::Millis(300));
+  runUntil([&] { return Held->Done; });
+  CHECK_FALSE(Held->Reset);
+  CHECK(Held->status() == 504);
+  advance(base::Millis(100));
+  CHECK(Drained == true);
+}
+
 // Guards against a planned shutdown that closes the connection of a request
 // whose upstream has not answered.
 TEST_CASE_METHOD(EntryShutdownTest,
