--- a/base/include/amaranth/base/Digest.h
+++ b/base/include/amaranth/base/Digest.h
@@ -33,6 +33,9 @@
 /// 16 lower-case hexadecimal digits.
 std::string hex64(std::uint64_t Value);
 
+/// SHA-256 of `Data`; 32 bytes.
+Bytes sha256(ByteView Data);
+
 /// HMAC-SHA256 of `Data` under `Key`; 32 bytes.
 Bytes hmacSha256(ByteView Key, ByteView Data);
 
--- a/base/include/amaranth/base/StrongId.h
+++ b/base/include/amaranth/base/StrongId.h
@@ -34,6 +34,8 @@
 using VersionName = StrongId<struct VersionNameTag, std::string>;
 /// Name of a route, unique in the document.
 using RouteName = StrongId<struct RouteNameTag, std::string>;
+/// Name of a customer, unique in the document.
+using CustomerName = StrongId<struct CustomerNameTag, std::string>;
 /// Name of a team that owns sections.
 using TeamName = StrongId<struct TeamNameTag, std::string>;
 /// Name of an operator, from the keys file of the control processes.
--- a/base/src/Digest.cpp
+++ b/base/src/Digest.cpp
@@ -45,6 +45,16 @@
 
 std::string hex64(std::uint64_t Value) { return fmt::format("{:016x}", Value); }
 
+Bytes sha256(ByteView Data) {
+  Bytes Result(EVP_MAX_MD_SIZE);
+  unsigned Size = 0;
+  if (!EVP_Digest(Data.data(), Data.size(), Result.data(), &Size, EVP_sha256(),
+                  nullptr))
+    throw std::runtime_error("SHA-256 failed");
+  Result.resize(Size);
+  return Result;
+}
+
 Bytes hmacSha256(ByteView Key, ByteView Data) {
   Bytes Result(EVP_MAX_MD_SIZE);
   unsigned Size = 0;
--- a/dataplane/include/amaranth/dataplane/EntryServer.h
+++ b/dataplane/include/amaranth/dataplane/EntryServer.h
@@ -9,6 +9,7 @@
 #include "amaranth/dataplane/HttpDialect.h"
 #include "amaranth/dataplane/Metrics.h"
 #include "amaranth/dataplane/PeerPool.h"
+#include "amaranth/dataplane/QuotaLimiter.h"
 #include "amaranth/dataplane/RetryBudget.h"
 #include "amaranth/follower/ControlCalls.h"
 #include "amaranth/follower/SnapshotSource.h"
@@ -50,7 +51,8 @@
               EntrySettings Options, base::Clock &Time,
               follower::SnapshotSource &Snapshots,
               follower::ControlCalls &Control, CrashQuarantine &Quarantine,
-              PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect);
+              PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect,
+              QuotaLimiter &Quotas);
   ~EntryServer();
 
   base::Address local() const;
@@ -64,8 +66,8 @@
   /// Stops accepting callers; requests in flight continue.
   void stop();
   /// Stops after the lame duck period and waits until the last response is
-  /// complete. Requests that are left at the end of `Limit` are refused. Returns
-  /// true when no request is left.
+  /// complete. Requests that are left at the end of `Limit` are refused.
+  /// Returns true when no request is left.
   boost::asio::awaitable<bool> drain(base::Millis Limit);
 
 private:
--- a/dataplane/include/amaranth/dataplane/Gate.h
+++ b/dataplane/include/amaranth/dataplane/Gate.h
@@ -38,6 +38,8 @@
   std::uint64_t Sequence = 0;
   /// Id of the upstream process; empty if it has none.
   std::string Instance;
+  /// How much longer the upstream is cold; 0 when it is warm.
+  base::Millis ColdFor;
 };
 
 struct GateSettings {
--- a/dataplane/include/amaranth/dataplane/HttpDialect.h
+++ b/dataplane/include/amaranth/dataplane/HttpDialect.h
@@ -15,6 +15,8 @@
   std::string Attempt;
   /// Time that the caller waits for the response, if it sent one.
   std::optional<base::Millis> Timeout;
+  /// API key of the caller; empty if it sent none. Never logged.
+  std::string ApiKey;
 };
 
 /// Request metadata that a node sends to an upstream.
@@ -26,6 +28,12 @@
   std::string Instance;
   /// Service that runs beside the entry node; empty if unknown.
   std::string CallerService;
+  /// Customer that sent the request; empty if none. Used if
+  /// `CustomersInForce`.
+  std::string Customer;
+  /// The document names customers: the upstream learns the customer from this
+  /// node only, and never sees an API key.
+  bool CustomersInForce = false;
 };
 
 /// What an upstream says about itself in a response.
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -71,6 +71,14 @@
   /// The gate's link cannot carry the response before one of the two nodes
   /// ends.
   LinkBusy = 32,
+  /// No customer has the API key, or the request has none and needs one.
+  Unauthenticated = 33,
+  /// The customer has used up its quota at all nodes.
+  QuotaExceeded = 34,
+  /// The zone of the upstream is evacuated.
+  ZoneEvacuated = 35,
+  /// The upstream is cold and bears no further request yet.
+  UpstreamCold = 36,
 };
 
 /// Returns the reason in kebab case, such as `queue-full`, for headers, logs
@@ -138,6 +146,13 @@
   base::BootTime Sent;
   /// The request was running at an upstream that crashed.
   bool Suspect = false;
+  /// Customer whose API key the request has; empty without a key.
+  base::CustomerName Customer;
+  /// The document names customers, so that the node tells the upstream which
+  /// one sent the request, whatever the caller says.
+  bool CustomersInForce = false;
+  /// Another upstream may have run the request before.
+  bool Repeated = false;
 };
 
 struct ResponseHead {
--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -19,10 +19,11 @@
                EntrySettings Settings, base::Clock &Time,
                follower::SnapshotSource &Snapshots,
                follower::ControlCalls &Control, CrashQuarantine &Quarantine,
-               PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect)
+               PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect,
+               QuotaLimiter &Quotas)
       : Executor(Executor), Options(std::move(Settings)), Time(Time),
         Snapshots(Snapshots), Control(Control), Quarantine(Quarantine),
-        Peers(Peers), Counters(Counters), Dialect(Dialect),
+        Peers(Peers), Counters(Counters), Dialect(Dialect), Quotas(Quotas),
         LoadBalancer(Options.LoadBalancing, Time, Counters, Options.Seed),
         Guard(Time), Random(Options.Seed + 1) {}
 
@@ -67,6 +68,7 @@
   PeerPool &Peers;
   Metrics &Counters;
   const HttpDialect &Dialect;
+  QuotaLimiter &Quotas;
   Balancer LoadBalancer;
   VersionCircuitBreaker Guard;
   std::mt19937_64 Random;
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -21,11 +21,12 @@
   Impl(const asio::any_io_executor &Executor, EntrySettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
        follower::ControlCalls &Control, CrashQuarantine &Quarantine,
-       PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect)
+       PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect,
+       QuotaLimiter &Quotas)
       : Server(Executor, Options.ListenAddress, Options.HttpLimits, Time),
         Context(std::make_shared<EntryContext>(
             Executor, std::move(Options), Time, Snapshots, Control, Quarantine,
-            Peers, Counters, Dialect)) {}
+            Peers, Counters, Dialect, Quotas)) {}
 
   HttpServer Server;
   std::shared_ptr<EntryContext> Context;
@@ -36,10 +37,11 @@
                          follower::SnapshotSource &Snapshots,
                          follower::ControlCalls &Control,
                          CrashQuarantine &Quarantine, PeerPool &Peers,
-                         Metrics &Counters, const HttpDialect &Dialect)
+                         Metrics &Counters, const HttpDialect &Dialect,
+                         QuotaLimiter &Quotas)
     : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Snapshots,
-                                  Control, Quarantine, Peers, Counters,
-                                  Dialect)) {}
+                                  Control, Quarantine, Peers, Counters, Dialect,
+                                  Quotas)) {}
 
 EntryServer::~EntryServer() = default;
 
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -119,12 +119,16 @@
   auto Caller = Out.CreateString(Head.CallerService.value());
   auto Route = Out.CreateString(Head.Route.value());
   auto CallerAttempt = Out.CreateString(Head.CallerAttempt);
+  Offset<flatbuffers::String> Customer;
+  if (!Head.Customer.value().empty())
+    Customer = Out.CreateString(Head.Customer.value());
   Out.Finish(wire::CreateRequestHead(
       Out, Service, Version, Method, Target, Fields, Head.Remaining.count(),
       Attempt, Key, Head.RequestHash, Head.Fingerprint, Head.BodyLength, Caller,
       Route, CallerAttempt, Head.Objective.count(), Head.Priority,
       Head.MaxQueueWait ? Head.MaxQueueWait->count() : -1, Head.AtMostOnce,
-      Head.Sent.count(), Head.Suspect));
+      Head.Sent.count(), Head.Suspect, Customer, Head.CustomersInForce,
+      Head.Repeated));
   return protocol::takeBuffer(Out);
 }
 
@@ -215,6 +219,11 @@
     throw base::ProtocolError("negative departure time in a request head");
   Head.Sent = base::BootTime(Table.sent_boot_ms());
   Head.Suspect = Table.suspect();
+  if (Table.customer())
+    Head.Customer = base::CustomerName(Table.customer()->str());
+  rejectControlCharacters(Head.Customer.value());
+  Head.CustomersInForce = Table.customers_in_force();
+  Head.Repeated = Table.repeated();
   return Head;
 }
 
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -112,6 +112,7 @@
   Gate UpstreamGate;
   ExchangeServer Exchanges;
   PeerPool Peers;
+  UnlimitedQuotas Quotas;
   EntryServer Entry;
   AnnounceHandler Announcements;
   AnnounceServer Announce;
--- a/document/include/amaranth/document/MeshSnapshot.h
+++ b/document/include/amaranth/document/MeshSnapshot.h
@@ -4,10 +4,12 @@
 #include "amaranth/base/Millis.h"
 #include "amaranth/base/Settings.h"
 #include "amaranth/base/StrongId.h"
+#include "amaranth/document/Customer.h"
 #include "amaranth/document/SharedMap.h"
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +55,8 @@
   /// Maximum number of upstreams tried per request; 0 lets the node decide.
   std::uint32_t MaxAttempts = 0;
   std::vector<WeightedService> Split;
+  /// Requests need no API key although the document names customers.
+  bool Public = false;
 
   bool operator==(const Route &) const = default;
 };
@@ -111,6 +115,11 @@
   std::string HealthPath;
   /// Maximum number of connections to an upstream; 0 if unknown.
   std::uint32_t MaxConnections = 0;
+  /// How long an upstream is cold after its start.
+  base::Millis ColdPeriod;
+  /// Requests a second that a cold upstream bears; 0 if it bears as many as a
+  /// warm one.
+  double ColdRequestsPerSecond = 0;
 
   bool operator==(const Service &) const = default;
 };
@@ -173,6 +182,10 @@
   SharedMap<base::ServiceName, Service> Services;
   SharedMap<base::EndpointId, Endpoint> Endpoints;
   SharedMap<std::uint64_t, QuarantineEntry> Quarantine;
+  /// Empty if callers need no API key.
+  SharedMap<base::CustomerName, Customer> Customers;
+  /// Zones whose upstreams get no requests by order of an operator.
+  std::set<base::AvailabilityZone> EvacuatedZones;
   CallerLimits Limits;
 
   bool operator==(const MeshSnapshot &) const = default;
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -141,7 +141,7 @@
         Exchanges(Executor, Upstream, Time),
         Peers(Executor, peerSettings(Settings), Time, Dialer),
         Entry(Executor, entrySettings(Settings), Time, ConfigFollower,
-              ConfigFollower, Quarantine, Peers, Counters, *Dialect),
+              ConfigFollower, Quarantine, Peers, Counters, *Dialect, Quotas),
         Local(makeLocalHandler(Settings, Upstream)),
         Announce(Executor, Settings.AnnounceAddress, Time, Local.get(),
                  Registry, [this] { return ready(); }),
@@ -178,6 +178,7 @@
   dataplane::Gate Upstream;
   dataplane::ExchangeServer Exchanges;
   dataplane::PeerPool Peers;
+  dataplane::UnlimitedQuotas Quotas;
   dataplane::EntryServer Entry;
   std::unique_ptr<dataplane::LocalHandler> Local;
   dataplane::AnnounceServer Announce;
