Stop redirects while the gates of a service are full

An entry node hears from each of 27 gates too seldom to know that all are full. The messages fill links of 2.8 Mbit/s, and the mean time from an entry node to a gate rises from 7 to 100-330 ms. Running requests then wait for their calls with a slot in hand (519 ms for 240 ms of work), which fills the gates more.

Change: each entry node keeps how often gates of its zone and of others granted a slot lately. A refused request asks on only where that is likely, leaves a full zone at once, and is refused at once where all are full.

--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTH_DATAPLANE_SRC_ENTRYCONTEXT_H
 #define AMARANTH_DATAPLANE_SRC_ENTRYCONTEXT_H
 
+#include "SlotOdds.h"
 #include "amaranth/dataplane/EntryServer.h"
 #include "amaranth/dataplane/HttpDialect.h"
 #include "amaranth/dataplane/RetryBudget.h"
@@ -73,6 +74,7 @@
   VersionCircuitBreaker Guard;
   std::mt19937_64 Random;
   std::map<base::ServiceName, RetryBudget> Budgets;
+  std::map<base::ServiceName, SlotOdds> Odds;
   rollout::EvidenceReport Evidence;
   std::shared_ptr<const document::RouteIndex> Routes;
   /// Requests that are being served.
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -299,6 +299,10 @@
 asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::runAttempt() {
   // A retry uses the newest configuration.
   SnapshotPtr Snapshot = Context->Snapshots.current();
+  if (Retries.attempts() == 0 &&
+      Context->Odds[Service].advice(Context->Time.now()) ==
+          SlotOdds::Advice::AskAllZones)
+    Retries.askAllZones();
   const document::Endpoint *Found = chooseEndpoint(*Snapshot);
   if (!Found && Retries.readmitBusyEndpoints())
     Found = chooseEndpoint(*Snapshot);
@@ -312,7 +316,12 @@
   LastAttempt = Started;
   AttemptHistory += fmt::format("{}{}@{}", AttemptHistory.empty() ? "" : ",",
                                 Target.Version.value(), Target.Id.value());
+  bool BoundedWait = Retries.limitsQueueWait();
   MaybeRefusal Refused = co_await runExchange(Snapshot, Target);
+  if (BoundedWait)
+    Context->Odds[Service].record(
+        Target.Zone == Context->Options.LoadBalancing.Zone,
+        !Refused || !isBusy(Refused->Reason), Context->Time.now());
   if (Refused) {
     AttemptHistory += fmt::format(":{}:{}ms", reasonText(Refused->Reason),
                                   (Context->Time.now() - Started).count());
@@ -585,6 +594,13 @@
   if (CallerGone || Retries.attempts() == 0 || !isBodyReplayable() ||
       Context->Time.now() >= Deadline || quarantineRefusal())
     return false;
+  if (isBusy(Refused.Reason) && Retries.limitsQueueWait()) {
+    auto Advice = Context->Odds[Service].advice(Context->Time.now());
+    if (Advice == SlotOdds::Advice::GiveUp)
+      return false;
+    if (Advice == SlotOdds::Advice::AskAllZones)
+      Retries.askAllZones();
+  }
   auto Next = Retries.onRefusal(Refused.Endpoint, Refused, isRepeatable(),
                                 maxAttempts());
   if (Next == RetryState::Step::Stop)
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -73,6 +73,9 @@
     std::erase_if(Context->Budgets, [&](const auto &Entry) {
       return !Snapshot->Services.contains(Entry.first);
     });
+    std::erase_if(Context->Odds, [&](const auto &Entry) {
+      return !Snapshot->Services.contains(Entry.first);
+    });
     RetryBudget::Rates Rates = Context->retryRates();
     for (auto &[Service, Budget] : Context->Budgets)
       Budget.setRates(Rates);
--- a/dataplane/src/RetryState.h
+++ b/dataplane/src/RetryState.h
@@ -60,8 +60,12 @@
   /// Whether a gate should refuse the request when it cannot meet the
   /// objective.
   bool limitsQueueWait() const { return !AcceptsAnyWait; }
+  /// The gates of the local zone are known to be full.
+  void askAllZones() { AllZones = true; }
   /// Whether gates of all zones should be asked.
-  bool asksAllZones() const { return BusyEndpoints.size() >= MaxLocalRefusals; }
+  bool asksAllZones() const {
+    return AllZones || BusyEndpoints.size() >= MaxLocalRefusals;
+  }
   const std::set<base::EndpointId> &excluded() const { return Excluded; }
   unsigned attempts() const { return Attempts; }
   /// Attempts that reached an upstream.
@@ -77,6 +81,7 @@
   unsigned Attempts = 0;
   unsigned UpstreamAttempts = 0;
   bool AcceptsAnyWait = false;
+  bool AllZones = false;
   std::optional<base::Millis> CapacityDelay;
 };
 
--- a/dataplane/test/Decisions_test.cpp
+++ b/dataplane/test/Decisions_test.cpp
@@ -1,6 +1,7 @@
 #include "IdleLimit.h"
 #include "RetryState.h"
 #include "SchedulingOrder.h"
+#include "SlotOdds.h"
 #include "amaranth/dataplane/RequestRateLimit.h"
 #include "amaranth/dataplane/RetryBudget.h"
 
@@ -30,6 +31,39 @@
 
 } // namespace
 
+// Guards against the storm of redirects of a service that is full: each refused
+// request asked four gates, and the messages delayed all responses.
+TEST_CASE("SlotOdds stops redirects while the gates of all zones are full") {
+  SlotOdds Odds;
+  base::TimePoint Now(1'000);
+  for (int I = 0; I < 20; ++I)
+    Odds.record(I % 2 == 0, false, Now);
+  CHECK(Odds.advice(Now) == SlotOdds::Advice::GiveUp);
+  // Gates are asked again although no answer came meanwhile.
+  CHECK(Odds.advice(Now + base::Millis(2'000)) ==
+        SlotOdds::Advice::AskLocalZone);
+}
+
+// Guards against requests that are refused while another zone has free slots.
+TEST_CASE("SlotOdds leaves a full zone while others have slots") {
+  SlotOdds Odds;
+  base::TimePoint Now(1'000);
+  for (int I = 0; I < 20; ++I)
+    Odds.record(true, false, Now);
+  CHECK(Odds.advice(Now) == SlotOdds::Advice::AskAllZones);
+  for (int I = 0; I < 20; ++I)
+    Odds.record(false, I % 4 != 0, Now);
+  CHECK(Odds.advice(Now) == SlotOdds::Advice::AskAllZones);
+}
+
+// A few refusals say little about gates that were not asked.
+TEST_CASE("SlotOdds allows redirects after single refusals") {
+  SlotOdds Odds;
+  Odds.record(true, false, base::TimePoint(1'000));
+  Odds.record(true, false, base::TimePoint(1'000));
+  CHECK(Odds.advice(base::TimePoint(1'000)) == SlotOdds::Advice::AskLocalZone);
+}
+
 TEST_CASE("RequestRateLimit spreads requests over time") {
   RequestRateLimit Limit;
   base::TimePoint Now(0);
