Carry customers, cold limits and evacuated zones to the nodes

They are now part of the digest, the checks, the keys of changed entries, the deltas and both encodings. New fields stand at the end of their tables and are absent when empty.

The hash of the customers is kept until they change.

A value of -0 in a digest counts as 0: an encoding does not keep the sign, so a decoded copy had another digest.

--- a/document/bench/Main.cpp
+++ b/document/bench/Main.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <string>
@@ -14,7 +15,7 @@
 
 constexpr int Repetitions = 200;
 
-MeshSnapshot makeMesh(int Routes, int Endpoints) {
+MeshSnapshot makeMesh(int Routes, int Endpoints, int Customers) {
   constexpr int ServiceCount = 4;
   MeshSnapshot Mesh;
   for (int I = 0; I < ServiceCount; ++I) {
@@ -44,11 +45,19 @@
     Entry.State = EndpointState::Ready;
     Mesh.Endpoints[Entry.Id] = Entry;
   }
+  for (int I = 0; I < Customers; ++I) {
+    Customer Entry;
+    Entry.Name = base::CustomerName(fmt::format("customer-{}", I));
+    Entry.Keys = {digestOfKey(fmt::format("key-{}-a", I)),
+                  digestOfKey(fmt::format("key-{}-b", I))};
+    std::ranges::sort(Entry.Keys);
+    Mesh.Customers[Entry.Name] = Entry;
+  }
   return Mesh;
 }
 
 /// Prints the mean time in microseconds that a node spends on one delta, its
-/// route index included. `Change` makes one change of the mesh.
+/// checks and its route index included. `Change` makes one change of the mesh.
 template <typename Action>
 void measure(const char *Name, MeshSnapshot Mesh, Action Change) {
   std::vector<base::Bytes> Deltas;
@@ -62,7 +71,10 @@
   auto Index = std::make_shared<const RouteIndex>(Current);
   auto Start = std::chrono::steady_clock::now();
   for (const base::Bytes &Delta : Deltas) {
-    Current = applyDelta(*Current, decodeDelta(Delta));
+    auto Before = Current;
+    Current = applyDelta(*Before, decodeDelta(Delta));
+    if (!Current->faultsSince(*Before).empty())
+      throw base::Error("the snapshot has faults");
     Index = std::make_shared<const RouteIndex>(Current, Index.get());
   }
   std::chrono::duration<double, std::micro> Taken =
@@ -75,16 +87,17 @@
 
 } // namespace amaranth::document
 
-/// Usage: `amaranth-bench-apply ROUTES ENDPOINTS`.
+/// Usage: `amaranth-bench-apply ROUTES ENDPOINTS [CUSTOMERS]`.
 int main(int Count, char **Arguments) {
   using namespace amaranth;
-  if (Count != 3) {
-    std::cerr << "usage: amaranth-bench-apply ROUTES ENDPOINTS\n";
+  if (Count != 3 && Count != 4) {
+    std::cerr << "usage: amaranth-bench-apply ROUTES ENDPOINTS [CUSTOMERS]\n";
     return 2;
   }
   try {
     document::MeshSnapshot Mesh =
-        document::makeMesh(std::stoi(Arguments[1]), std::stoi(Arguments[2]));
+        document::makeMesh(std::stoi(Arguments[1]), std::stoi(Arguments[2]),
+                           Count == 4 ? std::stoi(Arguments[3]) : 0);
     document::measure(
         "endpoint", Mesh, [](document::MeshSnapshot &Next, int I) {
           auto &Entries = Next.Endpoints.edit();
@@ -93,6 +106,12 @@
     document::measure("route", Mesh, [](document::MeshSnapshot &Next, int I) {
       Next.Routes.edit().begin()->second.Timeout = base::Millis(I);
     });
+    if (!Mesh.Customers.empty())
+      document::measure(
+          "customer", Mesh, [](document::MeshSnapshot &Next, int I) {
+            auto &Entries = Next.Customers.edit();
+            Entries.begin()->second.Priority = static_cast<std::uint32_t>(I);
+          });
   } catch (const std::exception &Failure) {
     std::cerr << Failure.what() << '\n';
     return 1;
--- a/document/include/amaranth/document/MeshDelta.h
+++ b/document/include/amaranth/document/MeshDelta.h
@@ -24,12 +24,15 @@
   std::set<base::ServiceName> Services;
   std::set<base::EndpointId> Endpoints;
   std::set<std::uint64_t> Quarantine;
+  std::set<base::CustomerName> Customers;
 
   std::size_t size() const;
   void merge(const MeshKeys &Other);
 };
 
-/// Changes that turn one snapshot into another.
+/// Changes that turn one snapshot into another. Its size depends on the number
+/// of changed entries, because operators change one of up to 2,000 customers
+/// as often as once each 60 ms.
 struct MeshDelta {
   base::DocumentVersion FromDocument;
   base::StateIndex FromState;
@@ -46,6 +49,11 @@
   std::vector<base::ServiceName> RemovedServices;
   std::vector<base::EndpointId> RemovedEndpoints;
   std::vector<std::uint64_t> RemovedQuarantine;
+  std::vector<Customer> Customers;
+  std::vector<base::CustomerName> RemovedCustomers;
+  /// All evacuated zones of the result. A few names at most, so they are not
+  /// sent as a difference.
+  std::set<base::AvailabilityZone> EvacuatedZones;
 };
 
 /// Returns the keys of all entries that were added, changed or removed.
@@ -64,7 +72,8 @@
 std::shared_ptr<const MeshSnapshot> applyDelta(const MeshSnapshot &Base,
                                                const MeshDelta &Delta);
 
-/// Returns the part of a snapshot that refers to the given services.
+/// Returns the part of a snapshot that refers to the given services. Customers
+/// and evacuated zones belong to every part.
 MeshSnapshot filterServices(const MeshSnapshot &Whole,
                             const std::set<base::ServiceName> &Services);
 
--- a/document/src/MeshDelta.cpp
+++ b/document/src/MeshDelta.cpp
@@ -65,7 +65,8 @@
 } // namespace
 
 std::size_t MeshKeys::size() const {
-  return Routes.size() + Services.size() + Endpoints.size() + Quarantine.size();
+  return Routes.size() + Services.size() + Endpoints.size() +
+         Quarantine.size() + Customers.size();
 }
 
 void MeshKeys::merge(const MeshKeys &Other) {
@@ -73,6 +74,7 @@
   Services.insert(Other.Services.begin(), Other.Services.end());
   Endpoints.insert(Other.Endpoints.begin(), Other.Endpoints.end());
   Quarantine.insert(Other.Quarantine.begin(), Other.Quarantine.end());
+  Customers.insert(Other.Customers.begin(), Other.Customers.end());
 }
 
 MeshKeys changedKeys(const MeshSnapshot &From, const MeshSnapshot &To) {
@@ -81,6 +83,7 @@
   collectChangedKeys(From.Services, To.Services, Keys.Services);
   collectChangedKeys(From.Endpoints, To.Endpoints, Keys.Endpoints);
   collectChangedKeys(From.Quarantine, To.Quarantine, Keys.Quarantine);
+  collectChangedKeys(From.Customers, To.Customers, Keys.Customers);
   return Keys;
 }
 
@@ -91,12 +94,15 @@
   Delta.ToState = To.State;
   Delta.Digest = Digest;
   Delta.Limits = To.Limits;
+  Delta.EvacuatedZones = To.EvacuatedZones;
   splitKeys(Keys.Routes, To.Routes, Delta.Routes, Delta.RemovedRoutes);
   splitKeys(Keys.Services, To.Services, Delta.Services, Delta.RemovedServices);
   splitKeys(Keys.Endpoints, To.Endpoints, Delta.Endpoints,
             Delta.RemovedEndpoints);
   splitKeys(Keys.Quarantine, To.Quarantine, Delta.Quarantine,
             Delta.RemovedQuarantine);
+  splitKeys(Keys.Customers, To.Customers, Delta.Customers,
+            Delta.RemovedCustomers);
   return Delta;
 }
 
@@ -119,6 +125,7 @@
   Result->Document = Delta.ToDocument;
   Result->State = Delta.ToState;
   Result->Limits = Delta.Limits;
+  Result->EvacuatedZones = Delta.EvacuatedZones;
   replaceEntries(Result->Routes, Delta.Routes, Delta.RemovedRoutes, NameOf);
   replaceEntries(Result->Services, Delta.Services, Delta.RemovedServices,
                  NameOf);
@@ -126,6 +133,8 @@
                  IdOf);
   replaceEntries(Result->Quarantine, Delta.Quarantine, Delta.RemovedQuarantine,
                  FingerprintOf);
+  replaceEntries(Result->Customers, Delta.Customers, Delta.RemovedCustomers,
+                 NameOf);
   if (Result->digest() != Delta.Digest)
     throw DeltaMismatch(
         fmt::format("digest mismatch after applying the delta to state {}",
@@ -139,6 +148,8 @@
   Part.Document = Whole.Document;
   Part.State = Whole.State;
   Part.Limits = Whole.Limits;
+  Part.Customers = Whole.Customers;
+  Part.EvacuatedZones = Whole.EvacuatedZones;
   auto IsWanted = [&Services](const Route &Entry) {
     return Entry.Split.empty()
                ? Services.contains(Entry.Service)
--- a/document/src/MeshSnapshot.cpp
+++ b/document/src/MeshSnapshot.cpp
@@ -1,6 +1,7 @@
 #include "amaranth/document/MeshSnapshot.h"
 
 #include "amaranth/base/Digest.h"
+#include "amaranth/document/CustomerFaults.h"
 
 #include <fmt/format.h>
 
@@ -29,11 +30,14 @@
     return *this;
   }
   DigestBuilder &text(std::string_view Value) {
-    number(Value.size());
+    return number(Value.size()).bytes(base::asBytes(Value));
+  }
+  /// Appends bytes whose number is known from the fields before.
+  DigestBuilder &bytes(base::ByteView Value) {
     if (Buffered + Value.size() > Buffer.size())
       flush();
     if (Value.size() > Buffer.size()) {
-      Hash.update(base::asBytes(Value));
+      Hash.update(Value);
       return *this;
     }
     std::copy(Value.begin(), Value.end(),
@@ -41,7 +45,10 @@
     Buffered += Value.size();
     return *this;
   }
-  DigestBuilder &real(double Value) { return text(fmt::format("{}", Value)); }
+  /// -0 counts as 0, because an encoded snapshot does not keep its sign.
+  DigestBuilder &real(double Value) {
+    return text(fmt::format("{}", Value == 0 ? 0.0 : Value));
+  }
   /// The hash of the fields so far.
   const base::Hasher64 &hasher() {
     flush();
@@ -59,6 +66,10 @@
   std::size_t Buffered = 0;
 };
 
+// Fields that were added later change the digest only if they are set, so that
+// nodes of earlier versions compute the same digest for the same content.
+constexpr std::uint64_t LaterField = 2;
+
 void addService(DigestBuilder &Out, const Service &Entry) {
   Out.text(Entry.Name.value()).number(Entry.Versions.size());
   for (const VersionShare &Version : Entry.Versions)
@@ -66,7 +77,12 @@
         .number(Version.Share)
         .number(Version.Barred ? 1 : 0);
   Out.text(Entry.HealthPath).number(Entry.MaxConnections);
-  Out.number(Entry.HasRollout ? 1 : 0);
+  bool LimitsCold =
+      Entry.ColdPeriod != base::Millis(0) || Entry.ColdRequestsPerSecond != 0;
+  Out.number((Entry.HasRollout ? 1 : 0) | (LimitsCold ? LaterField : 0));
+  if (LimitsCold)
+    Out.number(static_cast<std::uint64_t>(Entry.ColdPeriod.count()))
+        .real(Entry.ColdRequestsPerSecond);
   if (!Entry.HasRollout)
     return;
   const ActiveRollout &Rollout = Entry.Rollout;
@@ -97,7 +113,8 @@
       .text(Entry.PathPrefix)
       .text(Entry.Service.value())
       .number(static_cast<std::uint64_t>(Entry.Timeout.count()))
-      .number(Entry.RequireIdempotencyKey ? 1 : 0)
+      .number((Entry.RequireIdempotencyKey ? 1 : 0) |
+              (Entry.Public ? LaterField : 0))
       .text(Entry.Host)
       .number(static_cast<std::uint64_t>(Entry.Kind))
       .number(static_cast<std::uint64_t>(Entry.Objective.count()))
@@ -115,6 +132,22 @@
       .number(static_cast<std::uint64_t>(Value.IdleTimeout.count()));
 }
 
+std::uint64_t
+hashCustomers(const SharedMap<base::CustomerName, Customer> &Customers) {
+  DigestBuilder Out;
+  Out.number(Customers.size());
+  for (const auto &[Name, Entry] : Customers) {
+    Out.text(Name.value())
+        .number(Entry.Priority)
+        .real(Entry.RequestsPerSecond)
+        .real(Entry.Burst)
+        .number(Entry.Keys.size());
+    for (const KeyDigest &Key : Entry.Keys)
+      Out.bytes(Key);
+  }
+  return Out.hasher().digest();
+}
+
 std::string shareFault(const Service &Entry) {
   if (Entry.Versions.empty())
     return {};
@@ -162,6 +195,8 @@
     for (const auto &[Id, Entry] : Endpoints)
       if (Entry.Id != Id || Entry.Slots == 0)
         Found.push_back(fmt::format("endpoint {} is malformed", Id.value()));
+  for (std::string &Fault : customerFaults(Customers, Valid.Customers))
+    Found.push_back(std::move(Fault));
   return Found;
 }
 
@@ -170,18 +205,29 @@
   /// Keeps the routes alive, so that `sharesWith` identifies them.
   decltype(MeshSnapshot::Routes) Routes;
   base::Hasher64 Hash;
+  /// The customers are kept in the same way, because a change of an endpoint
+  /// would otherwise hash the keys of 2,000 customers.
+  decltype(MeshSnapshot::Customers) Customers;
+  std::uint64_t CustomersHash = 0;
 };
 
 std::uint64_t MeshSnapshot::digest() const {
   auto Start = Cache.Value;
-  if (!Start || Start->Document != Document ||
-      !Start->Routes.sharesWith(Routes)) {
+  bool SameRoutes =
+      Start && Start->Document == Document && Start->Routes.sharesWith(Routes);
+  bool SameCustomers = Start && Start->Customers.sharesWith(Customers);
+  if (!SameRoutes || !SameCustomers) {
+    std::uint64_t CustomersHash =
+        SameCustomers ? Start->CustomersHash : hashCustomers(Customers);
     DigestBuilder Prefix;
-    Prefix.number(Document.value()).number(Routes.size());
-    for (const auto &[Name, Entry] : Routes)
-      addRoute(Prefix, Entry);
-    Start = std::make_shared<const RoutesDigest>(
-        RoutesDigest{Document, Routes, Prefix.hasher()});
+    if (!SameRoutes) {
+      Prefix.number(Document.value()).number(Routes.size());
+      for (const auto &[Name, Entry] : Routes)
+        addRoute(Prefix, Entry);
+    }
+    Start = std::make_shared<const RoutesDigest>(RoutesDigest{
+        Document, Routes, SameRoutes ? Start->Hash : Prefix.hasher(), Customers,
+        CustomersHash});
     Cache.Value = Start;
   }
   DigestBuilder Out(Start->Hash);
@@ -198,6 +244,11 @@
         .text(Entry.Service.value())
         .number(Entry.Convicted ? 1 : 0)
         .number(static_cast<std::uint64_t>(Entry.Until.count()));
+  if (!Customers.empty() || !EvacuatedZones.empty()) {
+    Out.number(Start->CustomersHash).number(EvacuatedZones.size());
+    for (const base::AvailabilityZone &Zone : EvacuatedZones)
+      Out.text(Zone.value());
+  }
   return Out.hasher().digest();
 }
 
--- a/document/src/SnapshotCodec.cpp
+++ b/document/src/SnapshotCodec.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace amaranth::document {
 
@@ -15,6 +17,8 @@
 
 namespace {
 
+constexpr std::size_t KeyDigestBytes = std::tuple_size_v<KeyDigest>;
+
 template <typename Entries>
 using Offsets = std::vector<flatbuffers::Offset<Entries>>;
 
@@ -28,10 +32,11 @@
     Parts.push_back(wire::CreateWeightedService(
         Out, Out.CreateSharedString(Part.Service.value()), Part.Weight));
   auto Split = Out.CreateVector(Parts);
-  return wire::CreateRoute(
-      Out, Name, Prefix, Target, Value.Timeout.count(),
-      Value.RequireIdempotencyKey, Host, static_cast<std::uint8_t>(Value.Kind),
-      Value.Objective.count(), Value.Priority, Value.MaxAttempts, Split);
+  return wire::CreateRoute(Out, Name, Prefix, Target, Value.Timeout.count(),
+                           Value.RequireIdempotencyKey, Host,
+                           static_cast<std::uint8_t>(Value.Kind),
+                           Value.Objective.count(), Value.Priority,
+                           Value.MaxAttempts, Split, Value.Public);
 }
 
 flatbuffers::Offset<wire::CallerLimits> write(Builder &Out,
@@ -59,7 +64,9 @@
   auto Name = Out.CreateSharedString(Value.Name.value());
   auto Health = Out.CreateSharedString(Value.HealthPath);
   return wire::CreateService(Out, Name, Out.CreateVector(Versions), Rollout,
-                             Health, Value.MaxConnections);
+                             Health, Value.MaxConnections,
+                             Value.ColdPeriod.count(),
+                             Value.ColdRequestsPerSecond);
 }
 
 flatbuffers::Offset<wire::Endpoint> write(Builder &Out, const Endpoint &Value) {
@@ -83,6 +90,20 @@
                                      Value.Convicted, Value.Until.count());
 }
 
+flatbuffers::Offset<wire::Customer> write(Builder &Out, const Customer &Value) {
+  auto Name = Out.CreateString(Value.Name.value());
+  flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> Keys;
+  if (!Value.Keys.empty()) {
+    std::uint8_t *Next = nullptr;
+    Keys = Out.CreateUninitializedVector(Value.Keys.size() * KeyDigestBytes,
+                                         &Next);
+    for (const KeyDigest &Key : Value.Keys)
+      Next = std::copy(Key.begin(), Key.end(), Next);
+  }
+  return wire::CreateCustomer(Out, Name, Keys, Value.Priority,
+                              Value.RequestsPerSecond, Value.Burst);
+}
+
 std::string textOf(const flatbuffers::String *Text) {
   return Text ? Text->str() : std::string();
 }
@@ -99,6 +120,7 @@
   Value.Objective = base::Millis(In.objective_ms());
   Value.Priority = In.priority();
   Value.MaxAttempts = In.max_attempts();
+  Value.Public = In.public_();
   if (In.split())
     for (const wire::WeightedService *Part : *In.split())
       Value.Split.push_back(
@@ -114,6 +136,8 @@
           base::Millis(In->idle_timeout_ms())};
 }
 
+bool isRate(double Value) { return std::isfinite(Value) && Value >= 0; }
+
 Service read(const wire::Service &In) {
   Service Value;
   Value.Name = base::ServiceName(In.name()->str());
@@ -131,6 +155,12 @@
                      Rollout->max_latency_ratio()};
   Value.HealthPath = textOf(In.health_path());
   Value.MaxConnections = In.max_connections();
+  Value.ColdPeriod = base::Millis(In.cold_period_ms());
+  Value.ColdRequestsPerSecond = In.cold_requests_per_second();
+  if (Value.ColdPeriod < base::Millis(0) ||
+      !isRate(Value.ColdRequestsPerSecond))
+    throw base::ProtocolError(fmt::format(
+        "service {} has an invalid cold period or rate", Value.Name.value()));
   return Value;
 }
 
@@ -159,6 +189,31 @@
           In.convicted(), base::WallTime(In.until())};
 }
 
+Customer read(const wire::Customer &In) {
+  Customer Value;
+  Value.Name = base::CustomerName(In.name()->str());
+  if (const auto *Keys = In.key_digests()) {
+    if (Keys->size() % KeyDigestBytes != 0)
+      throw base::ProtocolError(
+          fmt::format("customer {} has {} bytes of key digests, expected a "
+                      "multiple of {}",
+                      Value.Name.value(), Keys->size(), KeyDigestBytes));
+    Value.Keys.resize(Keys->size() / KeyDigestBytes);
+    const std::uint8_t *Next = Keys->data();
+    for (KeyDigest &Key : Value.Keys) {
+      std::copy_n(Next, KeyDigestBytes, Key.begin());
+      Next += KeyDigestBytes;
+    }
+  }
+  Value.Priority = In.priority();
+  Value.RequestsPerSecond = In.requests_per_second();
+  Value.Burst = In.burst();
+  if (!isRate(Value.RequestsPerSecond) || !isRate(Value.Burst))
+    throw base::ProtocolError(
+        fmt::format("customer {} has an invalid limit", Value.Name.value()));
+  return Value;
+}
+
 template <typename Container> void checkCount(const Container *Entries) {
   if (Entries && Entries->size() > MaxSnapshotEntries)
     throw base::ProtocolError(fmt::format("{} entries, the limit is {}",
@@ -185,14 +240,15 @@
   return Out.CreateVector(Written);
 }
 
-template <typename Id>
+/// `Names` is a container of strong ids.
+template <typename Names>
 flatbuffers::Offset<
     flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>>
-writeNames(Builder &Out, const std::vector<Id> &Names) {
-  if (Names.empty())
+writeNames(Builder &Out, const Names &Values) {
+  if (Values.empty())
     return 0;
   Offsets<flatbuffers::String> Written;
-  for (const Id &Name : Names)
+  for (const auto &Name : Values)
     Written.push_back(Out.CreateString(Name.value()));
   return Out.CreateVector(Written);
 }
@@ -215,10 +271,19 @@
     Into.emplace_back(Name->str());
 }
 
+std::set<base::AvailabilityZone> readZones(
+    const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *In) {
+  std::vector<base::AvailabilityZone> Names;
+  readNames(In, Names);
+  return {Names.begin(), Names.end()};
+}
+
 /// Decodes entries into a map; throws if a key is repeated.
 template <typename Wire, typename Key, typename Value, typename KeyOf>
 void readMap(const Wire *In, SharedMap<Key, Value> &Into, KeyOf EntryKey) {
   checkCount(In);
+  if (!In)
+    return;
   auto &Entries = Into.edit();
   for (const auto *Entry : *In) {
     Value Decoded = read(*Entry);
@@ -260,11 +325,16 @@
   auto Endpoints = writeAll<wire::Endpoint>(Out, Value.Endpoints);
   auto Quarantine = writeAll<wire::QuarantineEntry>(Out, Value.Quarantine);
   auto Limits = write(Out, Value.Limits);
+  flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::Customer>>>
+      Customers;
+  if (!Value.Customers.empty())
+    Customers = writeAll<wire::Customer>(Out, Value.Customers);
+  auto Zones = writeNames(Out, Value.EvacuatedZones);
   std::uint64_t Checksum =
       hashNumbers({Value.Document.value(), Value.State.value(), Digest});
-  Out.Finish(wire::CreateSnapshot(Out, Value.Document.value(),
-                                  Value.State.value(), Digest, Checksum, Routes,
-                                  Services, Endpoints, Quarantine, Limits));
+  Out.Finish(wire::CreateSnapshot(
+      Out, Value.Document.value(), Value.State.value(), Digest, Checksum,
+      Routes, Services, Endpoints, Quarantine, Limits, Customers, Zones));
   return protocol::takeBuffer(Out);
 }
 
@@ -284,6 +354,8 @@
   readMap(In.services(), Value->Services, NameOf);
   readMap(In.endpoints(), Value->Endpoints, IdOf);
   readMap(In.quarantine(), Value->Quarantine, FingerprintOf);
+  readMap(In.customers(), Value->Customers, NameOf);
+  Value->EvacuatedZones = readZones(In.evacuated_zones());
   Value->Limits = readLimits(In.limits());
   if (Value->digest() != In.digest())
     throw base::ProtocolError(
@@ -304,12 +376,15 @@
   if (!Value.RemovedQuarantine.empty())
     RemovedQuarantine = Out.CreateVector(Value.RemovedQuarantine);
   auto Limits = write(Out, Value.Limits);
+  auto Customers = writeAll<wire::Customer>(Out, Value.Customers);
+  auto RemovedCustomers = writeNames(Out, Value.RemovedCustomers);
+  auto Zones = writeNames(Out, Value.EvacuatedZones);
   Out.Finish(wire::CreateDelta(
       Out, Value.FromDocument.value(), Value.FromState.value(),
       Value.ToDocument.value(), Value.ToState.value(), Value.Digest,
       deltaChecksum(Value), Routes, Services, Endpoints, Quarantine,
       RemovedRoutes, RemovedServices, RemovedEndpoints, RemovedQuarantine,
-      Limits));
+      Limits, Customers, RemovedCustomers, Zones));
   return protocol::takeBuffer(Out);
 }
 
@@ -328,6 +403,9 @@
   readAll(In.endpoints(), Value.Endpoints);
   readAll(In.quarantine(), Value.Quarantine);
   Value.Limits = readLimits(In.limits());
+  readAll(In.customers(), Value.Customers);
+  readNames(In.removed_customers(), Value.RemovedCustomers);
+  Value.EvacuatedZones = readZones(In.evacuated_zones());
   readNames(In.removed_routes(), Value.RemovedRoutes);
   readNames(In.removed_services(), Value.RemovedServices);
   readNames(In.removed_endpoints(), Value.RemovedEndpoints);
--- a/document/test/SnapshotCodec_test.cpp
+++ b/document/test/SnapshotCodec_test.cpp
@@ -25,6 +25,9 @@
     for (int I = 0; I < Endpoints; ++I)
       putEndpoint(I, I % Services, 1);
     Mesh.Quarantine[5] = {5, serviceName(0), true, base::WallTime(99)};
+    putCustomer(0, 1);
+    putCustomer(1, 2);
+    Mesh.EvacuatedZones = {base::AvailabilityZone("sve-mitt-3")};
   }
 
   static base::ServiceName serviceName(int I) {
@@ -66,10 +69,18 @@
     Entry.ReadySince = 1'700'000'000'000 + I;
     Mesh.Endpoints[Entry.Id] = Entry;
   }
+  void putCustomer(int I, std::uint32_t Priority) {
+    Customer Entry;
+    Entry.Name = base::CustomerName(fmt::format("customer-{:04}", I));
+    Entry.Keys = {digestOfKey(Entry.Name.value())};
+    Entry.Priority = Priority;
+    Entry.RequestsPerSecond = 610;
+    Mesh.Customers[Entry.Name] = Entry;
+  }
   /// Adds, changes or removes a random entry.
   void applyRandomChange(std::mt19937_64 &Random) {
     auto Pick = [&](int Bound) { return static_cast<int>(Random() % Bound); };
-    switch (Pick(5)) {
+    switch (Pick(8)) {
     case 0:
       return putService(Pick(8), Random());
     case 1:
@@ -80,6 +91,18 @@
       Mesh.Endpoints.erase(
           base::EndpointId(fmt::format("upstream-{:04}", Pick(12))));
       return;
+    case 4:
+      return putCustomer(Pick(6), static_cast<std::uint32_t>(Pick(4)));
+    case 5:
+      Mesh.Customers.erase(
+          base::CustomerName(fmt::format("customer-{:04}", Pick(6))));
+      return;
+    case 6: {
+      base::AvailabilityZone Zone(fmt::format("sve-mitt-{}", Pick(3)));
+      if (Mesh.EvacuatedZones.erase(Zone) == 0)
+        Mesh.EvacuatedZones.insert(Zone);
+      return;
+    }
     default:
       std::uint64_t Fingerprint = Random() % 4;
       Mesh.Quarantine[Fingerprint] = {Fingerprint, serviceName(0), false,
