Keep the customers of whole documents and replicate changes of them

A document that is replaced as a whole had no place for customers, whose text must be returned as it was sent.

A source shares its text between copies and keeps its hash, and the digest adds up these hashes, so a change of one customer neither copies nor hashes the others. The document and the mesh are checked against the ones before, so unchanged customers are not checked again.

Two customers with one key are refused with both names and without the key.

--- a/control/src/Commands.cpp
+++ b/control/src/Commands.cpp
@@ -121,9 +121,10 @@
   auto Routes = Out.CreateVectorOfStrings(Change.RouteSources);
   auto Services = Out.CreateVectorOfStrings(Change.ServiceSources);
   auto Source = Out.CreateString(Change.Source);
-  return wire::CreateReplaceDocument(Out, Operator, Change.Label.value(),
-                                     Change.Base.value(), Change.Digest,
-                                     Changes, Routes, Services, Source)
+  auto Customers = detail::writeSources(Out, Change.CustomerSources);
+  return wire::CreateReplaceDocument(
+             Out, Operator, Change.Label.value(), Change.Base.value(),
+             Change.Digest, Changes, Routes, Services, Source, Customers)
       .Union();
 }
 
@@ -246,6 +247,14 @@
   Change.RouteSources = detail::readStrings(*Value.route_sources());
   Change.ServiceSources = detail::readStrings(*Value.service_sources());
   Change.Source = Value.source()->str();
+  if (!Value.customer_sources())
+    return Result;
+  auto Sources = detail::readStrings(*Value.customer_sources());
+  if (Sources.size() != Change.Changes.Customers.size())
+    throw base::ProtocolError("the change lacks the sources of some customers");
+  for (std::size_t I = 0; I < Sources.size(); ++I)
+    Change.CustomerSources.emplace_back(Change.Changes.Customers[I].Name,
+                                        std::move(Sources[I]));
   return Result;
 }
 
--- a/control/src/ControlState.cpp
+++ b/control/src/ControlState.cpp
@@ -41,6 +41,9 @@
   detail::ServiceVersions Versions;
   /// Cached result of `buildMesh`; null after a change.
   mutable std::shared_ptr<const document::MeshSnapshot> Mesh;
+  /// The last result of `buildMesh`. Unchanged parts are not checked again.
+  mutable std::shared_ptr<const document::MeshSnapshot> CheckedMesh =
+      std::make_shared<const document::MeshSnapshot>();
 
   CommandResult execute(base::ByteView Data, detail::EntryContext Context) {
     try {
@@ -275,8 +278,9 @@
 
   std::shared_ptr<const document::MeshSnapshot> buildMesh() const {
     auto Result = assembleMesh();
-    auto Faults = Result->faults();
+    auto Faults = Result->faultsSince(*CheckedMesh);
     AMARANTH_INVARIANT(Faults.empty(), Faults.front());
+    CheckedMesh = Result;
     return Result;
   }
 
--- a/control/src/DocumentStore.cpp
+++ b/control/src/DocumentStore.cpp
@@ -34,7 +34,7 @@
   try {
     auto Next = std::make_shared<document::WholeDocument>(
         document::applyChange(*Current, Change));
-    if (auto Faults = Next->faults(); !Faults.empty()) {
+    if (auto Faults = Next->faultsSince(*Current); !Faults.empty()) {
       CommandResult Refused = makeResult(ResultCode::Invalid);
       Refused.Messages = std::move(Faults);
       return Refused;
@@ -64,6 +64,7 @@
                              const ServiceVersions &Versions) const {
   Mesh.Routes = Current->Content.Routes;
   Mesh.Services = Current->Content.Services;
+  Mesh.Customers = Current->Content.Customers;
   Mesh.Limits = Current->Content.Limits;
   for (auto &[Name, Entry] : Mesh.Services.edit())
     Versions.fillService(Entry);
@@ -77,13 +78,18 @@
   std::vector<std::string> Services;
   for (const auto &[Name, Text] : Current->ServiceSources)
     Services.push_back(Text);
+  std::vector<document::CustomerSource> Customers;
+  for (const auto &[Name, Entry] : Current->CustomerSources)
+    Customers.push_back(Entry);
   auto Bytes =
       Out.CreateVector(document::encodeSnapshot(Content, Content.digest()));
   auto RouteSources = Out.CreateVectorOfStrings(Routes);
   auto ServiceSources = Out.CreateVectorOfStrings(Services);
   auto Source = Out.CreateString(Current->Source);
+  auto CustomerSources = writeSources(Out, Customers);
   return wire::CreateWholeDocumentRecord(Out, Current->Label.value(), Bytes,
-                                         RouteSources, ServiceSources, Source);
+                                         RouteSources, ServiceSources, Source,
+                                         CustomerSources);
 }
 
 Offset<flatbuffers::Vector<Offset<wire::AcceptedLabel>>>
@@ -108,8 +114,12 @@
   Next->Source = Record->source()->str();
   auto Routes = readStrings(*Record->route_sources());
   auto Services = readStrings(*Record->service_sources());
+  std::vector<std::string> Customers;
+  if (Record->customer_sources())
+    Customers = readStrings(*Record->customer_sources());
   if (Routes.size() != Next->Content.Routes.size() ||
-      Services.size() != Next->Content.Services.size())
+      Services.size() != Next->Content.Services.size() ||
+      Customers.size() != Next->Content.Customers.size())
     throw base::ProtocolError(
         "sources in a snapshot do not match its document");
   std::size_t NextSource = 0;
@@ -118,6 +128,11 @@
   NextSource = 0;
   for (const auto &[Name, Entry] : Next->Content.Services)
     Next->ServiceSources[Name] = std::move(Services[NextSource++]);
+  NextSource = 0;
+  for (const auto &[Name, Entry] : Next->Content.Customers)
+    Next->CustomerSources.emplace(
+        Name,
+        document::CustomerSource(Name, std::move(Customers[NextSource++])));
   if (!Next->faults().empty() || acceptedDigest(Next->Label) != Next->digest())
     throw base::ProtocolError("invalid document in a snapshot");
   Current = std::move(Next);
--- a/control/src/WireConversion.cpp
+++ b/control/src/WireConversion.cpp
@@ -58,6 +58,18 @@
   return Result;
 }
 
+Offset<WireStrings>
+writeSources(Builder &Out,
+             const std::vector<document::CustomerSource> &Values) {
+  if (Values.empty())
+    return 0;
+  std::vector<Offset<flatbuffers::String>> List;
+  List.reserve(Values.size());
+  for (const document::CustomerSource &Entry : Values)
+    List.push_back(Out.CreateString(Entry.text()));
+  return Out.CreateVector(List);
+}
+
 std::vector<std::string> readStrings(const WireStrings &Value) {
   std::vector<std::string> Result;
   Result.reserve(Value.size());
--- a/control/src/WireConversion.h
+++ b/control/src/WireConversion.h
@@ -24,6 +24,10 @@
 using WireStrings = flatbuffers::Vector<Offset<flatbuffers::String>>;
 std::vector<std::string> readStrings(const WireStrings &Value);
 
+/// Null if there are no sources, as in data of earlier versions.
+Offset<WireStrings>
+writeSources(Builder &Out, const std::vector<document::CustomerSource> &Values);
+
 /// Writes the string value of a strong id.
 template <typename Id>
 Offset<flatbuffers::String> writeString(Builder &Out, const Id &Value) {
--- a/control/test/WholeDocumentState_test.cpp
+++ b/control/test/WholeDocumentState_test.cpp
@@ -1,6 +1,8 @@
 #include "FakeLog.h"
 #include "StateFixture.h"
+#include "amaranth/base/Digest.h"
 #include "amaranth/control/DocumentService.h"
+#include "amaranth/document/SnapshotCodec.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -30,6 +32,22 @@
   return Value;
 }
 
+void addCustomer(document::WholeDocument &Into, const std::string &Name,
+                 const std::string &Key) {
+  document::Customer Entry;
+  Entry.Name = base::CustomerName(Name);
+  Entry.Keys = {document::digestOfKey(Key)};
+  Into.Content.Customers[Entry.Name] = Entry;
+  Into.CustomerSources.edit().insert_or_assign(
+      Entry.Name, document::CustomerSource(Entry.Name, "text " + Key));
+}
+
+bool contains(const base::Bytes &Data, std::string_view Text) {
+  return std::string_view(reinterpret_cast<const char *>(Data.data()),
+                          Data.size())
+             .find(Text) != std::string_view::npos;
+}
+
 } // namespace
 
 class WholeDocumentStateTest : public StateFixture {
@@ -182,6 +200,72 @@
   CHECK(Other.timedRollouts().at(0).Share == 50'000);
 }
 
+// Guards against a control process that cannot read the log or the snapshots
+// on its disk after an update.
+TEST_CASE_METHOD(WholeDocumentStateTest,
+                 "Encodings without customers are those of earlier versions") {
+  auto Change =
+      document::computeChange(*State.wholeDocument(), makeDocument(5));
+  // Written by the version before customers were added.
+  CHECK(base::hex64(Change.Digest) == "a75b7ab0db0ae906");
+  base::Bytes Data =
+      encodeCommand(ReplaceDocument{base::OperatorName("ana"), Change});
+  CHECK(base::hex64(base::hash64(Data)) == "5bc416c2c38904e2");
+  REQUIRE(decodeResult(State.apply({base::LogIndex(1), base::Term(1),
+                                    base::WallTime(StartTime), Data}))
+              .Code == ResultCode::Accepted);
+  base::Bytes Saved = State.snapshot();
+  CHECK(base::hex64(base::hash64(Saved)) == "78333e23f1159631");
+  ControlState Other;
+  Other.restore(Saved);
+  CHECK(*Other.mesh() == *State.mesh());
+}
+
+TEST_CASE_METHOD(WholeDocumentStateTest,
+                 "ReplaceDocument carries one of 2,000 customers") {
+  document::WholeDocument Next = makeDocument(5);
+  for (int I = 0; I < 2000; ++I)
+    addCustomer(Next, "c" + std::to_string(I), "secret-" + std::to_string(I));
+  REQUIRE(replace(Next).Code == ResultCode::Accepted);
+  Next.Label = base::DocumentLabel(6);
+  addCustomer(Next, "c7", "secret-new");
+  ReplaceDocument Change{base::OperatorName("ana"),
+                         document::computeChange(*State.wholeDocument(), Next)};
+  CHECK(encodeCommand(Change).size() < 1024);
+  REQUIRE(run(Change).Code == ResultCode::Accepted);
+  CHECK(State.wholeDocument()->CustomerSources == Next.CustomerSources);
+  CHECK(State.mesh()->Customers == Next.Content.Customers);
+  base::Bytes Saved = State.snapshot();
+  ControlState Other;
+  Other.restore(Saved);
+  CHECK(Other.snapshot() == Saved);
+  CHECK(Other.wholeDocument()->CustomerSources == Next.CustomerSources);
+  CHECK(*Other.mesh() == *State.mesh());
+}
+
+TEST_CASE_METHOD(WholeDocumentStateTest,
+                 "Keys of customers stay in the document") {
+  document::WholeDocument Next = makeDocument(5);
+  addCustomer(Next, "a", "secret-1");
+  REQUIRE(replace(Next).Code == ResultCode::Accepted);
+  Next.Label = base::DocumentLabel(6);
+  addCustomer(Next, "b", "secret-1");
+  CommandResult Refused = replace(Next);
+  CHECK(Refused.Code == ResultCode::Invalid);
+  CHECK(Refused.Messages ==
+        std::vector<std::string>{"customers a and b have the same key"});
+  for (const AuditEntry &Entry : State.audit(10))
+    CHECK(Entry.Reason.find("secret") == std::string::npos);
+  // The document has the text, so the search below would find it.
+  CHECK(contains(State.snapshot(), "secret-1"));
+  auto Mesh = State.mesh();
+  CHECK_FALSE(
+      contains(document::encodeSnapshot(*Mesh, Mesh->digest()), "secret"));
+  base::Bytes Delta = document::encodeDelta(document::computeDelta({}, *Mesh));
+  CHECK_FALSE(contains(Delta, "secret"));
+  CHECK(document::decodeDelta(Delta).Customers.size() == 1);
+}
+
 class DocumentServiceTest {
 protected:
   template <typename Result>
--- a/document/include/amaranth/document/WholeDocument.h
+++ b/document/include/amaranth/document/WholeDocument.h
@@ -6,11 +6,37 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 namespace amaranth::document {
 
+/// Largest number of customers in a new document; about four times the target
+/// size.
+inline constexpr std::size_t MaxCustomers = 8192;
+
+/// The text of a customer as the operator sent it. It contains the customer's
+/// keys, so it must not appear in a message. Copies share the text: with 2,000
+/// customers and a change of one each 60 ms, the others are neither copied nor
+/// hashed again.
+class CustomerSource {
+public:
+  CustomerSource(const base::CustomerName &Name, std::string Text);
+
+  const std::string &text() const { return *Text; }
+  /// Hash of name and text.
+  std::uint64_t hash() const { return Hash; }
+
+  bool operator==(const CustomerSource &Other) const {
+    return Hash == Other.Hash && *Text == *Other.Text;
+  }
+
+private:
+  std::shared_ptr<const std::string> Text;
+  std::uint64_t Hash;
+};
+
 /// A document that operators replace in one step instead of editing its
 /// sections.
 ///
@@ -18,11 +44,14 @@
 /// are kept beside the decoded values so that a read returns what was sent.
 struct WholeDocument {
   base::DocumentLabel Label;
-  /// Routes, services without versions, and limits; all else is empty.
+  /// Routes, services without versions, customers and limits; all else is
+  /// empty.
   MeshSnapshot Content;
   std::map<base::RouteName, std::string> RouteSources;
   std::map<base::ServiceName, std::string> ServiceSources;
-  /// The rest of the operator's text, which belongs to no route or service.
+  SharedMap<base::CustomerName, CustomerSource> CustomerSources;
+  /// The rest of the operator's text, which belongs to no route, service or
+  /// customer.
   std::string Source;
 
   /// Hash of the sources. Distinguishes a repeated request from a different
@@ -30,14 +59,19 @@
   std::uint64_t digest() const;
 
   /// All reasons to reject the document, empty if it is valid: the label must
-  /// not be 0, and no route or service may be malformed, refer to a missing
-  /// service, or have the host and path prefix of another route.
+  /// not be 0, no route, service or customer may be malformed, no route may
+  /// refer to a missing service or have the host and path prefix of another
+  /// route, and no customer may have a key of another customer. A reason names
+  /// both customers and never the key.
   std::vector<std::string> faults() const;
+  /// The same for a document that follows `Valid`, which has no faults. Does
+  /// not check the customers that both contain.
+  std::vector<std::string> faultsSince(const WholeDocument &Valid) const;
 
   /// `faults` and further reasons to reject a new document: two routes whose
-  /// hosts differ only in case, and a missing service that a route names beside
-  /// its split. Not for documents that were accepted before:
-  /// logs and snapshots may contain such documents.
+  /// hosts differ only in case, a missing service that a route names beside
+  /// its split, and more than `MaxCustomers` customers. Not for documents that
+  /// were accepted before: logs and snapshots may contain such documents.
   std::vector<std::string> submissionFaults() const;
 };
 
@@ -48,9 +82,11 @@
   /// `WholeDocument::digest` of the result.
   std::uint64_t Digest = 0;
   MeshDelta Changes;
-  /// Sources of the routes and services in `Changes`, in the same order.
+  /// Sources of the routes, services and customers in `Changes`, in the same
+  /// order.
   std::vector<std::string> RouteSources;
   std::vector<std::string> ServiceSources;
+  std::vector<CustomerSource> CustomerSources;
   std::string Source;
 };
 
--- a/document/src/WholeDocument.cpp
+++ b/document/src/WholeDocument.cpp
@@ -1,12 +1,14 @@
 #include "amaranth/document/WholeDocument.h"
 
 #include "amaranth/base/Digest.h"
+#include "amaranth/document/CustomerFaults.h"
 #include "amaranth/document/Document.h"
 #include "amaranth/document/RouteIndex.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace amaranth::document {
 
@@ -36,8 +38,8 @@
 template <typename Sources, typename Names>
 void collectChangedSources(const Sources &Base, const Sources &Next,
                            Names &Changed) {
-  for (const auto &[Name, Text] : Next)
-    if (auto Old = Base.find(Name); Old == Base.end() || Old->second != Text)
+  for (const auto &[Name, Entry] : Next)
+    if (auto Old = Base.find(Name); Old == Base.end() || Old->second != Entry)
       Changed.insert(Name);
 }
 
@@ -49,6 +51,19 @@
                      [](char C) { return C > ' ' && C < 0x7f; });
 }
 
+void checkService(const Service &Entry, std::vector<std::string> &Faults) {
+  auto Fault = [&](std::string_view Text) {
+    Faults.push_back(fmt::format("service {}: {}", Entry.Name.value(), Text));
+  };
+  if (!isValidOperatorName(Entry.Name.value()))
+    Fault("malformed name");
+  if (Entry.ColdPeriod < base::Millis(0))
+    Fault("negative cold period");
+  if (!std::isfinite(Entry.ColdRequestsPerSecond) ||
+      Entry.ColdRequestsPerSecond < 0)
+    Fault("the rate while cold is not finite or is negative");
+}
+
 void checkRoute(const Route &Entry, const MeshSnapshot &Content,
                 std::vector<std::string> &Faults) {
   auto Fault = [&](std::string_view Text) {
@@ -78,16 +93,37 @@
 
 } // namespace
 
+CustomerSource::CustomerSource(const base::CustomerName &Name, std::string Text)
+    : Text(std::make_shared<const std::string>(std::move(Text))) {
+  std::string Hashed;
+  appendText(Hashed, Name.value());
+  appendText(Hashed, *this->Text);
+  Hash = base::hash64(base::asBytes(Hashed));
+}
+
 std::uint64_t WholeDocument::digest() const {
   std::string Text;
   appendText(Text, Source);
   appendSources(Text, RouteSources);
   Text += '|';
   appendSources(Text, ServiceSources);
+  // Without customers the digest is the one of earlier versions. The hashes of
+  // the customers are added up, because each of them covers its own name.
+  if (!CustomerSources.empty()) {
+    std::uint64_t Sum = 0;
+    for (const auto &[Name, Entry] : CustomerSources)
+      Sum += Entry.hash();
+    Text += fmt::format("|{}:{:016x}", CustomerSources.size(), Sum);
+  }
   return base::hash64(base::asBytes(Text));
 }
 
 std::vector<std::string> WholeDocument::faults() const {
+  return faultsSince(WholeDocument());
+}
+
+std::vector<std::string>
+WholeDocument::faultsSince(const WholeDocument &Valid) const {
   std::vector<std::string> Faults;
   if (Label.value() == 0)
     Faults.emplace_back("the label must not be 0");
@@ -103,8 +139,14 @@
                                    Other->second.value(), Name.value()));
   }
   for (const auto &[Name, Entry] : Content.Services)
+    checkService(Entry, Faults);
+  for (const auto &[Name, Entry] : Content.Customers)
     if (!isValidOperatorName(Name.value()))
-      Faults.push_back(fmt::format("service {}: malformed name", Name.value()));
+      Faults.push_back(
+          fmt::format("customer {}: malformed name", Name.value()));
+  for (std::string &Fault :
+       customerFaults(Content.Customers, Valid.Content.Customers))
+    Faults.push_back(std::move(Fault));
   return Faults;
 }
 
@@ -126,6 +168,10 @@
                       "and they have the same path prefix",
                       Other->second->Name.value(), Name.value()));
   }
+  if (Content.Customers.size() > MaxCustomers)
+    Faults.push_back(
+        fmt::format("the document has {} customers, the limit is {}",
+                    Content.Customers.size(), MaxCustomers));
   return Faults;
 }
 
@@ -136,6 +182,9 @@
   collectChangedSources(Base.RouteSources, Next.RouteSources, Keys.Routes);
   collectChangedSources(Base.ServiceSources, Next.ServiceSources,
                         Keys.Services);
+  if (!Base.CustomerSources.sharesWith(Next.CustomerSources))
+    collectChangedSources(Base.CustomerSources, Next.CustomerSources,
+                          Keys.Customers);
   WholeDocumentChange Change;
   Change.Label = Next.Label;
   Change.Base = Base.Label;
@@ -145,6 +194,8 @@
     Change.RouteSources.push_back(Next.RouteSources.at(Entry.Name));
   for (const Service &Entry : Change.Changes.Services)
     Change.ServiceSources.push_back(Next.ServiceSources.at(Entry.Name));
+  for (const Customer &Entry : Change.Changes.Customers)
+    Change.CustomerSources.push_back(Next.CustomerSources.at(Entry.Name));
   Change.Source = Next.Source;
   return Change;
 }
@@ -157,7 +208,8 @@
                                     "is current",
                                     Change.Base.value(), Base.Label.value()));
   if (Changes.Routes.size() != Change.RouteSources.size() ||
-      Changes.Services.size() != Change.ServiceSources.size())
+      Changes.Services.size() != Change.ServiceSources.size() ||
+      Changes.Customers.size() != Change.CustomerSources.size())
     throw DeltaMismatch("the change lacks the sources of some parts");
   WholeDocument Next = Base;
   Next.Label = Change.Label;
@@ -181,6 +233,16 @@
     Next.Content.Services.edit().insert_or_assign(Entry.Name, Entry);
     Next.ServiceSources.insert_or_assign(Entry.Name, Change.ServiceSources[I]);
   }
+  for (const base::CustomerName &Name : Changes.RemovedCustomers) {
+    Next.Content.Customers.erase(Name);
+    Next.CustomerSources.erase(Name);
+  }
+  for (std::size_t I = 0; I < Changes.Customers.size(); ++I) {
+    const Customer &Entry = Changes.Customers[I];
+    Next.Content.Customers.edit().insert_or_assign(Entry.Name, Entry);
+    Next.CustomerSources.edit().insert_or_assign(Entry.Name,
+                                                 Change.CustomerSources[I]);
+  }
   if (Next.digest() != Change.Digest)
     throw DeltaMismatch(fmt::format("the change to document {} gives another "
                                     "digest",
--- a/document/test/WholeDocument_test.cpp
+++ b/document/test/WholeDocument_test.cpp
@@ -33,6 +33,17 @@
     Into.Content.Routes[Entry.Name] = Entry;
     Into.RouteSources[Entry.Name] = Prefix + Service;
   }
+
+  static void addCustomer(WholeDocument &Into, const std::string &Name,
+                          const std::string &Key,
+                          const std::string &Form = "") {
+    Customer Entry;
+    Entry.Name = base::CustomerName(Name);
+    Entry.Keys = {digestOfKey(Key)};
+    Into.Content.Customers[Entry.Name] = Entry;
+    Into.CustomerSources.edit().insert_or_assign(
+        Entry.Name, CustomerSource(Entry.Name, Form + Key));
+  }
 };
 
 TEST_CASE_METHOD(
@@ -63,6 +74,72 @@
   CHECK(applyChange(sample(1), Change).digest() == Next.digest());
 }
 
+TEST_CASE_METHOD(WholeDocumentTest,
+                 "applyChange adds, changes and removes customers") {
+  WholeDocument Base = sample(1);
+  std::uint64_t WithoutCustomers = Base.digest();
+  addCustomer(Base, "a", "key-1");
+  addCustomer(Base, "b", "key-2");
+  addCustomer(Base, "c", "key-3");
+  CHECK(Base.digest() != WithoutCustomers);
+  WholeDocument Next = sample(2);
+  addCustomer(Next, "a", "key-4");
+  addCustomer(Next, "b", "key-2", "other form");
+  addCustomer(Next, "d", "key-3");
+  WholeDocumentChange Change = computeChange(Base, Next);
+  CHECK(Change.CustomerSources.size() == 3);
+  WholeDocument Result = applyChange(Base, Change);
+  CHECK(Result.Content == Next.Content);
+  CHECK(Result.CustomerSources == Next.CustomerSources);
+  Change.CustomerSources.pop_back();
+  CHECK_THROWS_AS(applyChange(Base, Change), DeltaMismatch);
+  // The keys of two customers are exchanged.
+  addCustomer(Next, "a", "key-2");
+  addCustomer(Next, "b", "key-4");
+  CHECK(Next.digest() != Result.digest());
+}
+
+// Guards against a change that takes as much work as the whole text.
+TEST_CASE_METHOD(WholeDocumentTest,
+                 "change of one of 2,000 customers copies no other text") {
+  auto Fill = [](WholeDocument Value) {
+    for (int I = 0; I < 2000; ++I)
+      addCustomer(Value, "c" + std::to_string(I), "key-" + std::to_string(I));
+    return Value;
+  };
+  WholeDocument Base = Fill(sample(1));
+  WholeDocument Next = Fill(sample(2));
+  addCustomer(Next, "c7", "key-new");
+  WholeDocumentChange Change = computeChange(Base, Next);
+  CHECK(Change.Changes.Customers.size() == 1);
+  CHECK(Change.CustomerSources.size() == 1);
+  WholeDocument Result = applyChange(Base, Change);
+  CHECK(Result.digest() == Next.digest());
+  std::size_t Copied = 0;
+  for (const auto &[Name, Entry] : Result.CustomerSources)
+    Copied += &Entry.text() != &Base.CustomerSources.at(Name).text() ? 1 : 0;
+  CHECK(Copied == 1);
+}
+
+TEST_CASE_METHOD(WholeDocumentTest, "faults reports each invalid customer") {
+  WholeDocument Value = sample(1);
+  addCustomer(Value, "a", "key-1");
+  addCustomer(Value, "b", "key-2");
+  CHECK(Value.submissionFaults().empty());
+  WholeDocument Shared = Value;
+  addCustomer(Shared, "b", "key-1");
+  CHECK(Shared.faults() ==
+        std::vector<std::string>{"customers a and b have the same key"});
+  addCustomer(Shared, "no name", "key-4");
+  Shared.Content.Customers.edit().begin()->second.Burst = -1;
+  Shared.Content.Services.edit().begin()->second.ColdPeriod = base::Millis(-1);
+  CHECK(Shared.faults().size() == 4);
+  for (std::size_t I = 0; I <= MaxCustomers; ++I)
+    addCustomer(Value, "c" + std::to_string(I), "many-" + std::to_string(I));
+  CHECK(Value.faults().empty());
+  CHECK(Value.submissionFaults().size() == 1);
+}
+
 TEST_CASE_METHOD(WholeDocumentTest,
                  "applyChange rejects another base and a corrupted change") {
   WholeDocumentChange Change = computeChange(sample(1), sample(2));
