Estimate waits from the remaining work of running requests

One median over all requests said when a slot becomes free, and a queue length times that median how long the queue is.

The gate expects the remaining time of each running request from its elapsed time, simulates its slots for the wait, and reports its outstanding work and the service time of the route (new fields at the end of the table Load). A request is refused because of its deadline only if three in four of its route would miss it.

--- a/dataplane/include/amaranth/dataplane/HttpDialect.h
+++ b/dataplane/include/amaranth/dataplane/HttpDialect.h
@@ -43,6 +43,9 @@
   /// The fields about the limit that cannot be read; empty if there are none. A
   /// limit that was named before stays then.
   std::string MalformedLimit;
+  /// Current service times of the upstream in percent of its usual ones; empty
+  /// if it names none that can be read.
+  std::optional<double> Slowness;
   /// The upstream leaves and takes no new requests.
   bool Leaving = false;
 };
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -100,6 +100,12 @@
   base::Millis QueueWait;
   /// Time that the node's link needs for the large responses queued for it.
   base::Millis LinkBacklog;
+  /// Expected time for which the running and the waiting requests will hold
+  /// slots, summed; empty if the gate does not report it.
+  std::optional<base::Millis> Work;
+  /// Expected execution time of a request of the route of the one that this
+  /// load was reported for; 0 if unknown.
+  base::Millis RouteServiceTime;
 };
 
 struct Refusal {
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -4,6 +4,7 @@
 #include "amaranth/base/Clock.h"
 #include "amaranth/dataplane/ExchangeStream.h"
 #include "amaranth/dataplane/RequestRateLimit.h"
+#include "amaranth/scheduling/OutstandingWork.h"
 
 #include <memory>
 #include <optional>
@@ -20,10 +21,12 @@
   base::TimePoint Objective;
   /// Time after which the response is no longer useful.
   base::TimePoint Deadline;
-  /// Expected time between getting a slot and completion.
+  /// Typical time between getting a slot and completion.
   base::Millis ServiceTime;
   /// Position in the order of arrival.
   std::uint64_t Sequence = 0;
+  /// Mean time between getting a slot and completion, for which others wait.
+  base::Millis MeanServiceTime = base::Millis(0);
 };
 
 /// Concurrency limiter of an upstream: an adjustable number of slots, an
@@ -72,10 +75,10 @@
   std::size_t queued() const { return Waiters.size(); }
   /// Number of waiting requests that precede `Work`.
   std::size_t countAhead(const SchedulingParams &Work) const;
-  /// Expected time until `Work` gets a slot at the current rate.
-  /// `MedianServiceTime` is the typical service time of the running requests.
+  /// Expected time until `Work` gets a slot at the current rate. `Running`
+  /// holds the running requests and gets the waiting ones that precede `Work`.
   base::Millis expectedWait(const SchedulingParams &Work,
-                            base::Millis MedianServiceTime) const;
+                            scheduling::OutstandingWork &Running) const;
 
 private:
   struct Waiter {
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -26,6 +26,9 @@
 /// Multiplies the expected link time of a response that may be late, because
 /// responses that can meet their objective are sent before it.
 constexpr std::int64_t LateLinkFactor = 2;
+/// A request is refused because of its deadline only if three in four of its
+/// route would miss it.
+constexpr double LowQuantile = 0.25;
 /// Announcements with more slots are rejected as invalid.
 constexpr std::uint32_t MaxSlots = 100'000;
 
@@ -133,7 +136,7 @@
     Lifecycle = UpstreamLifecycle();
     setRequestLimit(std::nullopt);
     MalformedLimit.clear();
-    ServiceTimes = RouteTimes();
+    Costs = scheduling::CostModel();
     ResponseSizes = RouteSizes();
   }
   if (!LastAnnouncement || Restarted ||
@@ -282,6 +285,8 @@
   if (!LastAnnouncement || LastAnnouncement->Incarnation != Incarnation)
     return;
   UpstreamNotice Notice = Dialect.upstreamNotice(Head);
+  if (Notice.Slowness)
+    Costs.recordSlowness(*Notice.Slowness, Time.now());
   if (Notice.Leaving)
     applyEvent(UpstreamEvent::AnnouncedDraining);
   if (!Notice.MalformedLimit.empty()) {
@@ -316,26 +321,59 @@
   UpstreamLoad Work{Slots.inFlight(),
                     static_cast<std::uint32_t>(Slots.queued()),
                     LastAnnouncement ? LastAnnouncement->Slots : 0};
-  Work.ServiceTime = ServiceTimes.expected().value_or(base::Millis(0));
+  Work.ServiceTime = Costs.mean(Time.now());
   if (Slots.rate())
     Work.Slots = Slots.capacity(Work.ServiceTime);
   SchedulingParams Newest;
   Newest.Priority = std::numeric_limits<std::uint32_t>::max();
   Newest.Objective = Newest.Deadline = Time.now();
-  Work.QueueWait = Slots.expectedWait(Newest, Work.ServiceTime);
+  scheduling::OutstandingWork Outstanding = runningWork();
+  Work.QueueWait = Slots.expectedWait(Newest, Outstanding);
+  Work.Work = Outstanding.total();
   Work.LinkBacklog =
       Egress.backlog(false) + Egress.transmissionTime(PendingLinkBytes);
   return Work;
 }
 
+UpstreamLoad Gate::Impl::loadFor(const RequestHead &Head) const {
+  UpstreamLoad Work = load();
+  Work.RouteServiceTime = Costs.mean(Head.Route, Time.now());
+  return Work;
+}
+
+scheduling::OutstandingWork Gate::Impl::runningWork() const {
+  static const base::RouteName NoRoute;
+  base::TimePoint Now = Time.now();
+  scheduling::OutstandingWork Work(Costs, Slots.limit(), Now);
+  std::uint32_t Counted = 0;
+  for (const ServerExchange *Each : Served) {
+    if (!Each->Started || Each->ResponseRead)
+      continue;
+    Work.addRunning(Each->Head.Route, Now - *Each->Started);
+    ++Counted;
+  }
+  // Granted slots whose requests have not started yet.
+  for (; Counted < Slots.inFlight(); ++Counted)
+    Work.addRunning(NoRoute, base::Millis(0));
+  return Work;
+}
+
 base::Millis Gate::Impl::expectedServiceTime(const RequestHead &Head) const {
-  return ServiceTimes.expected(Head.Route).value_or(base::Millis(0));
+  // The median, unless short requests share the route with long ones. These
+  // must not be refused because of a median that mixes both.
+  base::TimePoint Now = Time.now();
+  return std::min(Costs.quantile(Head.Route, 0.5, Now),
+                  Costs.quantile(Head.Route, LowQuantile, Now) * 2);
 }
 
 SchedulingParams
 Gate::Impl::schedulingParams(const ServerExchange &Exchange) const {
-  return {Exchange.Priority, Exchange.Objective, Exchange.Deadline,
-          expectedServiceTime(Exchange.Head), 0};
+  return {Exchange.Priority,
+          Exchange.Objective,
+          Exchange.Deadline,
+          expectedServiceTime(Exchange.Head),
+          0,
+          Costs.mean(Exchange.Head.Route, Time.now())};
 }
 
 void Gate::Impl::reschedule(const ServerExchange &Exchange) {
@@ -447,16 +485,18 @@
          Egress.transmissionTime(PendingLinkBytes + Size);
 }
 
-bool Gate::Impl::deadlineReachable(const SchedulingParams &Work,
+bool Gate::Impl::deadlineReachable(const ServerExchange &Exchange,
                                    base::Millis Wait, base::Millis Link) const {
-  base::Millis Left = Work.Deadline - Time.now();
+  base::Millis Left = Exchange.Deadline - Time.now();
   if (Left <= base::Millis(0))
     return false;
   // An idle upstream accepts one request regardless of its expected service
   // time; otherwise a median from a slow period would never be updated.
   if (Slots.inFlight() == 0)
     return Wait + Link <= Left;
-  return Wait + Work.ServiceTime + Link <= Left;
+  base::Millis Least =
+      Costs.quantile(Exchange.Head.Route, LowQuantile, Time.now());
+  return Wait + Least + Link <= Left;
 }
 
 /// Returns true if a request is admitted as a probe although it is expected to
@@ -485,8 +525,8 @@
                        RefusalReason::DeadlineExceeded,
                        "the deadline passed on the way to this node");
   SchedulingParams Work = schedulingParams(Exchange);
-  base::Millis Wait = Slots.expectedWait(
-      Work, ServiceTimes.expected().value_or(base::Millis(0)));
+  scheduling::OutstandingWork Running = runningWork();
+  base::Millis Wait = Slots.expectedWait(Work, Running);
   // A request that may be late is sent after all waiting bodies, and newer
   // requests overtake it.
   bool MayBeLate = !Head.MaxQueueWait && Exchange.Objective < Exchange.Deadline;
@@ -498,7 +538,7 @@
     Refused->RetryAfter = std::max(Wait + Link, BusyRetryAfter);
     return Refused;
   };
-  if (!deadlineReachable(Work, Wait, Link) && !admitsProbe(Wait + Link))
+  if (!deadlineReachable(Exchange, Wait, Link) && !admitsProbe(Wait + Link))
     return Busy(RefusalReason::DeadlineUnreachable,
                 "the deadline cannot be met");
   if (Head.MaxQueueWait && Wait + Link > *Head.MaxQueueWait)
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -7,6 +7,8 @@
 #include "amaranth/dataplane/EgressShaper.h"
 #include "amaranth/dataplane/Gate.h"
 #include "amaranth/dataplane/SlotQueue.h"
+#include "amaranth/scheduling/CostModel.h"
+#include "amaranth/scheduling/OutstandingWork.h"
 
 #include <optional>
 #include <set>
@@ -36,6 +38,7 @@
   void applyNotice(const ResponseHead &Head, std::uint64_t Incarnation);
   void setRequestLimit(std::optional<RequestRate> Limit);
   UpstreamLoad load() const;
+  UpstreamLoad loadFor(const RequestHead &Head) const;
   std::optional<Refusal> makeRefusal(ExecutionOutcome What, RefusalReason Why,
                                      std::string Text) const;
   std::optional<Refusal> checkAdmission(const ServerExchange &Exchange);
@@ -45,7 +48,7 @@
   /// one.
   std::optional<Refusal> identityRefusal(const RequestHead &Head) const;
   std::optional<Refusal> quarantineRefusal(const RequestHead &Head) const;
-  bool deadlineReachable(const SchedulingParams &Work, base::Millis Wait,
+  bool deadlineReachable(const ServerExchange &Exchange, base::Millis Wait,
                          base::Millis Link) const;
   /// Expected response size in bytes if the response is subject to egress
   /// shaping; 0 otherwise.
@@ -76,7 +79,10 @@
   /// Records that the upstream answered the request, which clears it as a
   /// suspect.
   void recordAnswer(const RequestHead &Head, bool Suspect);
+  /// Time that a request of the route typically needs.
   base::Millis expectedServiceTime(const RequestHead &Head) const;
+  /// The running requests; the waiting ones depend on the order.
+  scheduling::OutstandingWork runningWork() const;
   SchedulingParams schedulingParams(const ServerExchange &Exchange) const;
   /// Applies a new deadline and priority to an exchange that waits for a slot
   /// or for the link.
@@ -180,7 +186,7 @@
   std::size_t OngoingSends = 0;
   /// Expected bytes of the large responses of admitted requests.
   std::size_t PendingLinkBytes = 0;
-  RouteTimes ServiceTimes;
+  scheduling::CostModel Costs;
   RouteSizes ResponseSizes;
   UpstreamLifecycle Lifecycle;
   std::optional<Announcement> LastAnnouncement;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -228,6 +228,7 @@
   if (!Refused || Exchange->Body.ended())
     co_return;
   Counters.countRefusal("gate", *Refused);
+  Refused->Load.RouteServiceTime = Costs.mean(Exchange->Head.Route, Time.now());
   postAndRecord(Exchange->Body, MessageType::Refusal, encode(*Refused));
 }
 
@@ -524,7 +525,7 @@
   // Timed-out requests count as well; otherwise an upstream that became slow
   // would keep its low median. Requests that were not run are not measured.
   if (Verdict == ResponseClass::Executed)
-    ServiceTimes.add(Exchange->Head.Route, Time.now() - Started);
+    Costs.add(Exchange->Head.Route, Time.now() - Started, Time.now());
   if (HeadFailure)
     std::rethrow_exception(HeadFailure);
   if (Verdict == ResponseClass::Indeterminate)
@@ -557,7 +558,7 @@
                         Execution &State) {
   eraseConnectionHeaders(Head.Fields);
   Dialect.removeInternalFields(Head.Fields);
-  Head.Load = load();
+  Head.Load = loadFor(Exchange->Head);
   State.Response.release();
   if (isShaped(*Exchange, Head) && !State.RunsToCompletion) {
     auto Refused = co_await forwardShapedBody(
@@ -695,7 +696,7 @@
   Head.Status = Stored.Status;
   Head.Fields = std::move(Stored.Headers);
   Head.BodyLength = static_cast<std::int64_t>(Stored.Body.size());
-  Head.Load = load();
+  Head.Load = loadFor(Exchange->Head);
   ExchangeStream &Body = Exchange->Body;
   postAndRecord(Body, MessageType::ResponseHead, encode(Head));
   base::ByteView Data = base::asBytes(Stored.Body);
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -57,10 +57,13 @@
 
 Offset<wire::Load> encodeLoad(FlatBufferBuilder &Out,
                               const UpstreamLoad &Load) {
-  return wire::CreateLoad(Out, Load.InFlight, Load.Queued, Load.Slots,
-                          static_cast<std::uint32_t>(Load.ServiceTime.count()),
-                          static_cast<std::uint32_t>(Load.QueueWait.count()),
-                          static_cast<std::uint32_t>(Load.LinkBacklog.count()));
+  return wire::CreateLoad(
+      Out, Load.InFlight, Load.Queued, Load.Slots,
+      static_cast<std::uint32_t>(Load.ServiceTime.count()),
+      static_cast<std::uint32_t>(Load.QueueWait.count()),
+      static_cast<std::uint32_t>(Load.LinkBacklog.count()),
+      Load.Work ? Load.Work->count() : -1,
+      static_cast<std::uint32_t>(Load.RouteServiceTime.count()));
 }
 
 UpstreamLoad decodeLoad(const wire::Load *Load) {
@@ -71,7 +74,10 @@
           Load->slots(),
           base::Millis(Load->service_ms()),
           base::Millis(Load->wait_ms()),
-          base::Millis(Load->link_ms())};
+          base::Millis(Load->link_ms()),
+          Load->work_ms() < 0 ? std::nullopt
+                              : std::optional(base::Millis(Load->work_ms())),
+          base::Millis(Load->route_service_ms())};
 }
 
 template <typename Table> BodyPiece decodePiece(base::ByteView Payload) {
--- a/dataplane/src/MovingMedian.h
+++ b/dataplane/src/MovingMedian.h
@@ -1,7 +1,6 @@
 #ifndef AMARANTH_DATAPLANE_SRC_MOVINGMEDIAN_H
 #define AMARANTH_DATAPLANE_SRC_MOVINGMEDIAN_H
 
-#include "amaranth/base/Millis.h"
 #include "amaranth/base/StrongId.h"
 
 #include <algorithm>
@@ -43,8 +42,8 @@
   Value Median{};
 };
 
-/// Medians of one upstream per route, because execution times and response
-/// sizes of different routes differ by a multiple.
+/// Medians of one upstream per route, because response sizes of different
+/// routes differ by a multiple.
 template <typename Value> class RouteMedians {
 public:
   void add(const base::RouteName &Route, Value Newest) {
@@ -75,8 +74,6 @@
   std::map<base::RouteName, MovingMedian<Value>> Routes;
 };
 
-/// Time from the start of a request to its response.
-using RouteTimes = RouteMedians<base::Millis>;
 /// Bytes of response bodies.
 using RouteSizes = RouteMedians<std::size_t>;
 
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -106,22 +106,21 @@
       }));
 }
 
-base::Millis SlotQueue::expectedWait(const SchedulingParams &Work,
-                                     base::Millis MedianServiceTime) const {
-  if (Limit == 0)
-    return MedianServiceTime;
-  base::Millis RateWait = RateLimit.timeUntil(countAhead(Work) + 1, Time.now());
-  if (Running + Waiters.size() < Limit)
-    return RateWait;
+base::Millis
+SlotQueue::expectedWait(const SchedulingParams &Work,
+                        scheduling::OutstandingWork &Running) const {
+  base::TimePoint Now = Time.now();
   SchedulingParams New = Work;
   New.Sequence = NextSequence;
-  base::TimePoint Now = Time.now();
-  base::Millis TotalAhead = MedianServiceTime;
-  for (const auto &Entry : Waiters)
-    if (precedes(Entry->Work, New, Now))
-      TotalAhead =
-          TotalAhead + std::max(Entry->Work.ServiceTime, base::Millis(1));
-  return std::max(RateWait, TotalAhead / Limit);
+  std::size_t Ahead = 0;
+  for (const auto &Entry : Waiters) {
+    if (!precedes(Entry->Work, New, Now))
+      continue;
+    ++Ahead;
+    Running.addWaiting(Entry->Work.MeanServiceTime);
+  }
+  base::Millis RateWait = RateLimit.timeUntil(Ahead + 1, Now);
+  return std::max(RateWait, Running.untilSlot());
 }
 
 SlotQueue::WaiterList::iterator SlotQueue::nextWaiter() {
