Place requests by expected completion

The cost of an endpoint was the median service time of all its requests times its queue length, divided by its success rate. It now is the outstanding work that the gate reports, plus what this node has sent since, over the slots, plus the request's own expected time at that upstream by route. Shed requests cost a retry, failed ones ten service times; shedding no longer ejects an endpoint.

A selection samples eight endpoints instead of scanning all of the version.

--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -5,21 +5,28 @@
 #include "amaranth/dataplane/Messages.h"
 #include "amaranth/dataplane/Metrics.h"
 #include "amaranth/document/MeshSnapshot.h"
+#include "amaranth/scheduling/RouteCosts.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
 
 namespace amaranth::dataplane {
 
-/// Selects an endpoint by zone, expected response time, slow start and the
-/// results that this node has seen. Single-threaded.
+/// Selects an endpoint by zone, expected completion, slow start and the results
+/// that this node has seen. Answers upstreams of different speed and requests
+/// of very different cost, where queue lengths say little. Single-threaded.
 ///
-/// The cost of an endpoint is its expected response time, queueing included,
-/// because queue lengths do not compare between upstreams of different speed.
-/// An endpoint that refuses or fails fast looks idle, so its cost is divided by
-/// its success rate.
+/// The cost of an endpoint is the time until a request would be complete: the
+/// outstanding work there, over its slots, plus the request's own expected
+/// time. An endpoint that refuses or fails fast looks idle, so both have their
+/// price: a shed request costs a retry, a failed one the result.
+///
+/// A selection looks at a few endpoints at random, however many there are. If
+/// all nodes took the cheapest endpoint by the same reports, they would
+/// overload it together.
 class Balancer {
 public:
   struct Settings {
@@ -54,6 +61,8 @@
     /// has free slots. So the few requests of a new version show how it behaves
     /// under the load that it will have.
     bool Concentrate = false;
+    /// Route of the request, for its expected time.
+    base::RouteName Route = base::RouteName();
   };
 
   /// Returns an endpoint of the version that is not in `Excluded`, or null.
@@ -66,31 +75,59 @@
                                    const std::set<base::EndpointId> &Excluded,
                                    const RequestTraits &Request);
 
-  void requestStarted(const base::EndpointId &Id);
+  void requestStarted(const base::EndpointId &Id,
+                      const base::RouteName &Route = base::RouteName());
   void requestFinished(const base::EndpointId &Id);
-  /// Stores the load that a response or refusal reported.
-  void recordLoad(const base::EndpointId &Id, const UpstreamLoad &NewLoad);
+  /// Stores the load that a response or refusal of a request of the route
+  /// reported.
+  void recordLoad(const base::EndpointId &Id, const UpstreamLoad &NewLoad,
+                  const base::RouteName &Route = base::RouteName());
   void recordSuccess(const base::EndpointId &Id);
+  /// Records that the upstream refused a request without executing it.
+  void recordShed(const base::EndpointId &Id);
   /// Records a failed or incomplete response. A `HardFault`, such as a refused
   /// connection, ejects the endpoint immediately.
   void recordFailure(const document::MeshSnapshot &Mesh,
                      const base::EndpointId &Id, bool HardFault);
   bool isEjected(const base::EndpointId &Id) const;
-  /// Expected service time of a request at the endpoint; 0 when unknown.
-  base::Millis expectedServiceTime(const base::EndpointId &Id) const;
+  /// Expected service time of a request of the route at the endpoint; 0 when
+  /// unknown.
+  base::Millis
+  expectedServiceTime(const base::EndpointId &Id,
+                      const base::RouteName &Route = base::RouteName()) const;
   /// Removes endpoints that the snapshot no longer contains.
   void prune(const document::MeshSnapshot &Mesh);
 
 private:
+  struct VersionIndex;
+  /// Moving average of the requests with one result, which fades with time.
+  class ResultRate {
+  public:
+    void record(bool Happened, base::TimePoint Now);
+    double at(base::TimePoint Now) const;
+
+  private:
+    double Rate = 0;
+    base::TimePoint RecordedAt{0};
+  };
   struct EndpointStats {
     std::uint32_t InFlight = 0;
     UpstreamLoad Reported;
+    /// Reported work divided by the slots, in milliseconds.
+    double ReportedWorkMs = 0;
+    bool HasReport = false;
     base::TimePoint ReportedAt;
     /// Requests of this node that `Reported` includes.
     std::uint32_t InFlightAtReport = 0;
+    /// Requests of this node since the report and their expected time.
+    std::uint32_t SentSinceReport = 0;
+    double SentWorkMs = 0;
+    scheduling::RelativeSpeed Speed;
+    /// The version of the endpoint; null if the snapshot does not contain it.
+    VersionIndex *Index = nullptr;
     unsigned ConsecutiveFailures = 0;
-    /// Exponential moving average of successful requests.
-    double SuccessRate = 1;
+    ResultRate Failures;
+    ResultRate Sheds;
     unsigned EjectionCount = 0;
     base::TimePoint EjectedUntil{0};
   };
@@ -101,18 +138,30 @@
     bool Local = false;
   };
   using CandidateList = std::vector<Candidate>;
+  /// The endpoints of one version in the order of their ids.
+  struct VersionIndex {
+    CandidateList All;
+    CandidateList Ready;
+    CandidateList ReadyLocal;
+    /// Mean of the reported work over the slots, in milliseconds.
+    double MeanWorkMs = 0;
+  };
   /// What one selection depends on beside the endpoints. The time is read once
   /// for all of them.
   struct Selection {
     const RequestTraits &Request;
+    const std::set<base::EndpointId> &Excluded;
     base::TimePoint Now;
     base::WallTime WallNow;
+    /// Logarithm of the usual time of the route.
+    std::optional<double> RouteLog;
   };
   using VersionKey = std::pair<base::ServiceName, base::VersionName>;
 
-  /// Rebuilds `CandidatesByVersion` if the endpoints have changed.
+  /// Rebuilds `IndexByVersion` if the endpoints have changed.
   void updateIndex(const document::MeshSnapshot &Mesh);
-  /// Expected time of one more request, comparable between candidates only.
+  /// Expected time until one more request is complete, with a price for
+  /// failures.
   double cost(const Candidate &Option, const Selection &Pick) const;
   /// Requests at the endpoint, from this node and from all others.
   static double outstandingRequests(const EndpointStats &Stats,
@@ -121,18 +170,33 @@
   /// fewer if its upstream limits its requests.
   static double slotsOf(const Candidate &Option);
   static double serviceTimeMs(const EndpointStats &Stats);
+  /// Time that the request itself is expected to take at the endpoint.
+  static double ownTimeMs(const EndpointStats &Stats,
+                          const std::optional<double> &RouteLog);
+  /// Work of all nodes at the endpoint, over its slots.
+  static double outstandingWorkMs(const Candidate &Option, base::TimePoint Now);
   /// Time that a large response waits for the node's link, estimated from the
   /// last report.
   static double linkBacklogMs(const EndpointStats &Stats, base::TimePoint Now);
   static double expectedWaitMs(const Candidate &Option, const Selection &Pick);
+  /// Returns the cheapest of a few randomly chosen candidates.
   const document::Endpoint *pickLeastCost(CandidateList Candidates,
                                           const Selection &Pick);
-  /// Returns the preferred endpoints with free slots for
+  static bool isUsable(const Candidate &Option, const Selection &Pick);
+  /// Returns usable candidates among the first `Count`: all of a short list, a
+  /// few random ones of a long list. Empty only if there are none.
+  CandidateList sample(const CandidateList &From, std::size_t Count,
+                       const Selection &Pick);
+  /// Returns a few preferred endpoints with free slots for
   /// `RequestTraits::Concentrate`; empty if there are none.
-  static CandidateList concentrate(const CandidateList &Candidates,
-                                   const Selection &Pick);
-  CandidateList preferLocalZone(CandidateList Candidates,
-                                const Selection &Pick) const;
+  CandidateList concentrate(const CandidateList &Ready, const Selection &Pick);
+  /// Returns a few endpoints of the local zone that are preferred to those of
+  /// other zones; empty if there are none.
+  CandidateList preferLocalZone(const CandidateList &ReadyLocal,
+                                const Selection &Pick);
+  /// Selects an ejected or unreachable endpoint.
+  const document::Endpoint *chooseLastResort(const CandidateList &All,
+                                             const Selection &Pick);
   void eject(const document::MeshSnapshot &Mesh,
              const document::Endpoint &Entry, EndpointStats &Stats);
 
@@ -141,9 +205,10 @@
   Metrics &Counters;
   std::mt19937_64 Random;
   std::map<base::EndpointId, EndpointStats> StatsById;
-  /// The endpoints that `CandidatesByVersion` refers to.
+  scheduling::RouteCosts Costs;
+  /// The endpoints that `IndexByVersion` refers to.
   decltype(document::MeshSnapshot::Endpoints) Indexed;
-  std::map<VersionKey, CandidateList> CandidatesByVersion;
+  std::map<VersionKey, VersionIndex> IndexByVersion;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -4,6 +4,7 @@
 #include "amaranth/base/Log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 using amaranth::document::Endpoint;
@@ -14,18 +15,28 @@
 namespace {
 
 /// The weight of a load report falls to zero over this time, so that an
-/// endpoint without requests since its last report is tried again.
+/// endpoint without requests since its last report is tried again. Its work
+/// counts as that of a usual endpoint then.
 constexpr base::Millis ReportDecayTime = base::Millis::seconds(2);
 /// Fraction of its slots that an endpoint in slow start has at least.
 constexpr double MinSlowStartFraction = 0.1;
 /// Assumed for endpoints that have not reported a service time.
 constexpr double DefaultServiceTimeMs = 100;
-/// Cost that full load adds, as a fraction of the service time, even when no
-/// request waits: some upstreams slow down under load.
-constexpr double LoadWeight = 0.3;
-/// Weight of the newest result in the moving average of the success rate.
-constexpr double SuccessRateSmoothing = 0.1;
-constexpr double MinSuccessRate = 0.05;
+/// Weight of the newest result in the moving averages of the results, and the
+/// time over which an average halves without results.
+constexpr double ResultSmoothing = 0.1;
+constexpr double ResultHalfLifeMs = 5'000;
+constexpr double MaxResultRate = 0.95;
+/// Price of a request that fails, in service times. A shed request is repeated
+/// elsewhere and costs one.
+constexpr double FailurePrice = 10;
+/// Weight of the newest report in the mean work of a version.
+constexpr double MeanWorkSmoothing = 0.05;
+/// Candidates that one selection looks at when there are more than twice as
+/// many, and draws to find them.
+constexpr std::size_t SampleSize = 8;
+constexpr std::size_t MaxDraws = 32;
+/// Candidates whose costs are compared.
 constexpr std::size_t MaxSampledCandidates = 4;
 
 /// Part of the endpoints of a new version that gets most of its requests, and
@@ -35,15 +46,37 @@
 
 } // namespace
 
+double Balancer::ResultRate::at(base::TimePoint Now) const {
+  auto PassedMs = static_cast<double>((Now - RecordedAt).count());
+  return Rate * std::exp2(-PassedMs / ResultHalfLifeMs);
+}
+
+void Balancer::ResultRate::record(bool Happened, base::TimePoint Now) {
+  Rate = at(Now) * (1 - ResultSmoothing) + (Happened ? ResultSmoothing : 0);
+  RecordedAt = Now;
+}
+
+/// Weight of a report that was received `Age` ago.
+static double reportWeight(base::Millis Age) {
+  return std::max(0.0, 1 - static_cast<double>(Age.count()) /
+                               ReportDecayTime.count());
+}
+
 double Balancer::outstandingRequests(const EndpointStats &Stats,
                                      base::TimePoint Now) {
-  base::Millis Age = Now - Stats.ReportedAt;
-  double Weight = 0;
-  if (Age < ReportDecayTime)
-    Weight = 1 - static_cast<double>(Age.count()) / ReportDecayTime.count();
   double Reported = Stats.Reported.InFlight + Stats.Reported.Queued;
-  return Stats.InFlight +
-         Weight * std::max(0.0, Reported - Stats.InFlightAtReport);
+  return Stats.InFlight + reportWeight(Now - Stats.ReportedAt) *
+                              std::max(0.0, Reported - Stats.InFlightAtReport);
+}
+
+double Balancer::outstandingWorkMs(const Candidate &Option,
+                                   base::TimePoint Now) {
+  const EndpointStats &Stats = *Option.Stats;
+  // Others go on sending, so the work tends to the mean and not to zero.
+  double Usual = Stats.Index ? Stats.Index->MeanWorkMs : 0;
+  double Weight = Stats.HasReport ? reportWeight(Now - Stats.ReportedAt) : 0;
+  return Usual + Weight * (Stats.ReportedWorkMs - Usual) +
+         Stats.SentWorkMs / slotsOf(Option);
 }
 
 double Balancer::serviceTimeMs(const EndpointStats &Stats) {
@@ -53,6 +86,12 @@
              : DefaultServiceTimeMs;
 }
 
+double Balancer::ownTimeMs(const EndpointStats &Stats,
+                           const std::optional<double> &RouteLog) {
+  return RouteLog ? std::exp(*RouteLog + Stats.Speed.LogFactor)
+                  : serviceTimeMs(Stats);
+}
+
 double Balancer::slotsOf(const Candidate &Option) {
   std::uint32_t Slots = Option.Entry->Slots;
   if (Option.Stats->Reported.Slots != 0)
@@ -80,30 +119,36 @@
 
 double Balancer::cost(const Candidate &Option, const Selection &Pick) const {
   const EndpointStats &Stats = *Option.Stats;
-  double SuccessRate = std::max(MinSuccessRate, Stats.SuccessRate);
   double Slots = slotsOf(Option);
   std::int64_t ReadyForMs = Pick.WallNow.count() - Option.Entry->ReadySince;
+  double WarmPart = 1;
   if (ReadyForMs < Options.SlowStart.count())
-    Slots *=
+    WarmPart =
         std::clamp(static_cast<double>(ReadyForMs) / Options.SlowStart.count(),
                    MinSlowStartFraction, 1.0);
-  // The new request is included, so that an idle endpoint in slow start costs
+  double Own = ownTimeMs(Stats, Pick.RouteLog);
+  // The work includes the request, so that an idle endpoint in slow start costs
   // more than an idle warm one.
-  double Load = (outstandingRequests(Stats, Pick.Now) + 1) / Slots;
+  double Work = (outstandingWorkMs(Option, Pick.Now) + Own / Slots) / WarmPart;
   double Link = Pick.Request.LargeResponse ? linkBacklogMs(Stats, Pick.Now) : 0;
-  return (serviceTimeMs(Stats) * (std::max(1.0, Load) + LoadWeight * Load) +
-          Link) /
-         SuccessRate;
+  auto Odds = [&](const ResultRate &Result) {
+    double Rate = std::min(MaxResultRate, Result.at(Pick.Now));
+    return Rate / (1 - Rate);
+  };
+  return Work + Own + Link +
+         Own * (Odds(Stats.Sheds) + FailurePrice * Odds(Stats.Failures));
 }
 
-base::Millis Balancer::expectedServiceTime(const base::EndpointId &Id) const {
+base::Millis Balancer::expectedServiceTime(const base::EndpointId &Id,
+                                           const base::RouteName &Route) const {
   auto Found = StatsById.find(Id);
-  return Found == StatsById.end() ? base::Millis(0)
-                                  : Found->second.Reported.ServiceTime;
+  if (Found == StatsById.end())
+    return base::Millis(0);
+  if (auto Known = Costs.expectedMs(Route, Found->second.Speed))
+    return base::Millis(std::llround(*Known));
+  return Found->second.Reported.ServiceTime;
 }
 
-/// Returns the cheapest of a few randomly sampled candidates. If all nodes took
-/// the cheapest candidate by the same reports, they would overload it together.
 const Endpoint *Balancer::pickLeastCost(CandidateList Candidates,
                                         const Selection &Pick) {
   std::size_t Count = std::min(Candidates.size(), MaxSampledCandidates);
@@ -121,45 +166,71 @@
   return Best;
 }
 
-Balancer::CandidateList Balancer::preferLocalZone(CandidateList Candidates,
-                                                  const Selection &Pick) const {
+bool Balancer::isUsable(const Candidate &Option, const Selection &Pick) {
+  return Pick.Now >= Option.Stats->EjectedUntil &&
+         (Pick.Excluded.empty() || !Pick.Excluded.contains(Option.Entry->Id));
+}
+
+Balancer::CandidateList Balancer::sample(const CandidateList &From,
+                                         std::size_t Count,
+                                         const Selection &Pick) {
+  CandidateList Found;
+  if (Count > 2 * SampleSize) {
+    Found.reserve(SampleSize);
+    std::uniform_int_distribution<std::size_t> Draw(0, Count - 1);
+    for (std::size_t I = 0; I < MaxDraws && Found.size() < SampleSize; ++I) {
+      const Candidate &Option = From[Draw(Random)];
+      bool Known =
+          std::any_of(Found.begin(), Found.end(), [&](const Candidate &Each) {
+            return Each.Entry == Option.Entry;
+          });
+      if (!Known && isUsable(Option, Pick))
+        Found.push_back(Option);
+    }
+    if (!Found.empty())
+      return Found;
+  }
+  // A short list, or most of it is ejected.
+  for (std::size_t I = 0; I < Count; ++I)
+    if (isUsable(From[I], Pick))
+      Found.push_back(From[I]);
+  return Found;
+}
+
+Balancer::CandidateList
+Balancer::preferLocalZone(const CandidateList &ReadyLocal,
+                          const Selection &Pick) {
   const RequestTraits &Request = Pick.Request;
   if (Request.AnyZone)
-    return Candidates;
-  CandidateList Local;
+    return {};
+  CandidateList Local = sample(ReadyLocal, ReadyLocal.size(), Pick);
   CandidateList WithinWait;
   double Outstanding = 0;
   double Slots = 0;
   auto MaxWaitMs = static_cast<double>(Request.MaxLocalWait.count());
-  for (const Candidate &Option : Candidates) {
-    if (!Option.Local)
-      continue;
-    Local.push_back(Option);
+  for (const Candidate &Option : Local) {
     Outstanding += outstandingRequests(*Option.Stats, Pick.Now);
     Slots += slotsOf(Option);
     if (expectedWaitMs(Option, Pick) <= MaxWaitMs)
       WithinWait.push_back(Option);
   }
   // Free slots do not imply free link capacity.
-  if (!Request.LargeResponse && !Local.empty() &&
-      Outstanding <= Options.ZoneLoadLimit * Slots)
+  if (!Request.LargeResponse && Outstanding <= Options.ZoneLoadLimit * Slots)
     return Local;
-  if (!WithinWait.empty() &&
-      (Request.MaxLocalWait > base::Millis(0) || Request.LargeResponse))
+  if (Request.MaxLocalWait > base::Millis(0) || Request.LargeResponse)
     return WithinWait;
-  return Candidates;
+  return {};
 }
 
-Balancer::CandidateList Balancer::concentrate(const CandidateList &Candidates,
+Balancer::CandidateList Balancer::concentrate(const CandidateList &Ready,
                                               const Selection &Pick) {
-  // The candidates are in the order of their ids.
   std::size_t Count =
-      (Candidates.size() + ConcentrationDivisor - 1) / ConcentrationDivisor;
-  CandidateList Preferred;
-  for (std::size_t I = 0; I < Count; ++I)
-    if (outstandingRequests(*Candidates[I].Stats, Pick.Now) + 1 <=
-        MaxConcentratedLoad * slotsOf(Candidates[I]))
-      Preferred.push_back(Candidates[I]);
+      (Ready.size() + ConcentrationDivisor - 1) / ConcentrationDivisor;
+  CandidateList Preferred = sample(Ready, Count, Pick);
+  std::erase_if(Preferred, [&](const Candidate &Option) {
+    return outstandingRequests(*Option.Stats, Pick.Now) + 1 >
+           MaxConcentratedLoad * slotsOf(Option);
+  });
   return Preferred;
 }
 
@@ -167,10 +238,24 @@
   if (Mesh.Endpoints.sharesWith(Indexed))
     return;
   Indexed = Mesh.Endpoints;
-  CandidatesByVersion.clear();
-  for (const auto &[Id, Entry] : Indexed)
-    CandidatesByVersion[{Entry.Service, Entry.Version}].push_back(
-        {&Entry, &StatsById[Id], Entry.Zone == Options.Zone});
+  for (auto &[Id, Stats] : StatsById)
+    Stats.Index = nullptr;
+  for (auto &[Key, Index] : IndexByVersion)
+    Index = {{}, {}, {}, Index.MeanWorkMs};
+  for (const auto &[Id, Entry] : Indexed) {
+    VersionIndex &Index = IndexByVersion[{Entry.Service, Entry.Version}];
+    EndpointStats &Stats = StatsById[Id];
+    Stats.Index = &Index;
+    Candidate Option{&Entry, &Stats, Entry.Zone == Options.Zone};
+    Index.All.push_back(Option);
+    if (Entry.State != EndpointState::Ready)
+      continue;
+    Index.Ready.push_back(Option);
+    if (Option.Local)
+      Index.ReadyLocal.push_back(Option);
+  }
+  std::erase_if(IndexByVersion,
+                [](const auto &Each) { return Each.second.All.empty(); });
 }
 
 const Endpoint *Balancer::choose(const document::MeshSnapshot &Mesh,
@@ -179,72 +264,107 @@
                                  const std::set<base::EndpointId> &Excluded,
                                  const RequestTraits &Request) {
   updateIndex(Mesh);
-  Selection Pick{Request, Time.now(), Time.wallNow()};
-  auto Found = CandidatesByVersion.find({Service, Version});
-  if (Found == CandidatesByVersion.end())
+  auto Found = IndexByVersion.find({Service, Version});
+  if (Found == IndexByVersion.end())
     return nullptr;
-  CandidateList Usable;
-  CandidateList Ejected;
-  CandidateList Unreachable;
-  Usable.reserve(Found->second.size());
-  for (const Candidate &Option : Found->second) {
-    const Endpoint &Entry = *Option.Entry;
-    if (!Excluded.empty() && Excluded.contains(Entry.Id))
-      continue;
-    if (Entry.State == EndpointState::Unreachable)
-      Unreachable.push_back(Option);
-    else if (Entry.State == EndpointState::Ready)
-      (Pick.Now < Option.Stats->EjectedUntil ? Ejected : Usable)
-          .push_back(Option);
-  }
+  const VersionIndex &Index = Found->second;
+  Selection Pick{Request, Excluded, Time.now(), Time.wallNow(),
+                 Costs.meanLog(Request.Route)};
   const Endpoint *Chosen = nullptr;
   if (Request.Concentrate)
-    Chosen = pickLeastCost(concentrate(Usable, Pick), Pick);
+    Chosen = pickLeastCost(concentrate(Index.Ready, Pick), Pick);
   if (!Chosen)
-    Chosen = pickLeastCost(preferLocalZone(std::move(Usable), Pick), Pick);
+    Chosen = pickLeastCost(preferLocalZone(Index.ReadyLocal, Pick), Pick);
   if (!Chosen)
-    Chosen = pickLeastCost(std::move(Ejected), Pick);
+    Chosen = pickLeastCost(sample(Index.Ready, Index.Ready.size(), Pick), Pick);
   if (!Chosen)
-    Chosen = pickLeastCost(std::move(Unreachable), Pick);
+    Chosen = chooseLastResort(Index.All, Pick);
   AMARANTH_INVARIANT(!Chosen || (Chosen->State != EndpointState::Draining &&
                                  Chosen->State != EndpointState::Starting),
                      "a draining or starting endpoint was chosen");
   return Chosen;
 }
 
-void Balancer::requestStarted(const base::EndpointId &Id) {
-  ++StatsById[Id].InFlight;
+const Endpoint *Balancer::chooseLastResort(const CandidateList &All,
+                                           const Selection &Pick) {
+  CandidateList Ejected;
+  CandidateList Unreachable;
+  for (const Candidate &Option : All) {
+    if (Pick.Excluded.contains(Option.Entry->Id))
+      continue;
+    if (Option.Entry->State == EndpointState::Unreachable)
+      Unreachable.push_back(Option);
+    else if (Option.Entry->State == EndpointState::Ready)
+      Ejected.push_back(Option);
+  }
+  const Endpoint *Chosen = pickLeastCost(std::move(Ejected), Pick);
+  return Chosen ? Chosen : pickLeastCost(std::move(Unreachable), Pick);
+}
+
+void Balancer::requestStarted(const base::EndpointId &Id,
+                              const base::RouteName &Route) {
+  EndpointStats &Stats = StatsById[Id];
+  ++Stats.InFlight;
+  ++Stats.SentSinceReport;
+  Stats.SentWorkMs += ownTimeMs(Stats, Costs.meanLog(Route));
 }
 
 void Balancer::requestFinished(const base::EndpointId &Id) {
   auto Found = StatsById.find(Id);
-  if (Found != StatsById.end() && Found->second.InFlight > 0)
-    --Found->second.InFlight;
+  if (Found == StatsById.end() || Found->second.InFlight == 0)
+    return;
+  EndpointStats &Stats = Found->second;
+  --Stats.InFlight;
+  // It ended without a report.
+  if (Stats.SentSinceReport > Stats.InFlight) {
+    Stats.SentWorkMs *=
+        static_cast<double>(Stats.InFlight) / Stats.SentSinceReport;
+    Stats.SentSinceReport = Stats.InFlight;
+  }
 }
 
 void Balancer::recordLoad(const base::EndpointId &Id,
-                          const UpstreamLoad &NewLoad) {
+                          const UpstreamLoad &NewLoad,
+                          const base::RouteName &Route) {
   EndpointStats &Stats = StatsById[Id];
   Stats.Reported = NewLoad;
+  Stats.HasReport = true;
   Stats.ReportedAt = Time.now();
   Stats.InFlightAtReport = Stats.InFlight;
+  Stats.SentSinceReport = 0;
+  Stats.SentWorkMs = 0;
+  Costs.add(Route, Stats.Speed, NewLoad.RouteServiceTime);
+  // A gate that does not report its work: running requests have half of their
+  // time left on average.
+  double Work = NewLoad.Work ? static_cast<double>(NewLoad.Work->count())
+                             : (NewLoad.InFlight * 0.5 + NewLoad.Queued) *
+                                   serviceTimeMs(Stats);
+  Stats.ReportedWorkMs = Work / std::max(1U, NewLoad.Slots);
+  if (Stats.Index)
+    Stats.Index->MeanWorkMs +=
+        MeanWorkSmoothing * (Stats.ReportedWorkMs - Stats.Index->MeanWorkMs);
 }
 
 void Balancer::recordSuccess(const base::EndpointId &Id) {
   EndpointStats &Stats = StatsById[Id];
+  base::TimePoint Now = Time.now();
   Stats.ConsecutiveFailures = 0;
-  Stats.SuccessRate += SuccessRateSmoothing * (1 - Stats.SuccessRate);
+  Stats.Failures.record(false, Now);
+  Stats.Sheds.record(false, Now);
   constexpr base::Millis EjectionCountReset = base::Millis::seconds(60);
-  if (Stats.EjectionCount != 0 &&
-      Time.now() - Stats.EjectedUntil > EjectionCountReset)
+  if (Stats.EjectionCount != 0 && Now - Stats.EjectedUntil > EjectionCountReset)
     Stats.EjectionCount = 0;
 }
 
+void Balancer::recordShed(const base::EndpointId &Id) {
+  StatsById[Id].Sheds.record(true, Time.now());
+}
+
 void Balancer::recordFailure(const document::MeshSnapshot &Mesh,
                              const base::EndpointId &Id, bool HardFault) {
   EndpointStats &Stats = StatsById[Id];
   ++Stats.ConsecutiveFailures;
-  Stats.SuccessRate -= SuccessRateSmoothing * Stats.SuccessRate;
+  Stats.Failures.record(true, Time.now());
   if (!HardFault &&
       Stats.ConsecutiveFailures < Options.ConsecutiveFailuresToEject)
     return;
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -74,9 +74,10 @@
 /// Counts the attempt as in flight at its endpoint.
 class InFlightGuard {
 public:
-  InFlightGuard(Balancer &Owner, base::EndpointId Id)
+  InFlightGuard(Balancer &Owner, base::EndpointId Id,
+                const base::RouteName &Route)
       : Owner(Owner), Id(std::move(Id)) {
-    this->Owner.requestStarted(this->Id);
+    this->Owner.requestStarted(this->Id, Route);
   }
   ~InFlightGuard() { Owner.requestFinished(Id); }
   InFlightGuard(const InFlightGuard &) = delete;
@@ -280,7 +281,8 @@
   std::set<base::VersionName> WithoutEndpoint;
   // Downloads stay in their zone; see `DownloadLocalWaitPercent`.
   Balancer::RequestTraits Traits{maxLocalWait(), isDownload(),
-                                 !isDownload() && Retries.asksAllZones()};
+                                 !isDownload() && Retries.asksAllZones(), false,
+                                 MatchedRoute.Name};
   const document::Service &Wanted = Entry->second;
   // Repeats the selection without the versions that have no usable endpoint.
   while (const document::VersionShare *Version = chooseVersion(
@@ -307,7 +309,7 @@
   document::Endpoint Target = *Found;
   Retries.beginAttempt(Target.Id);
   EvidenceCounted = false;
-  InFlightGuard Tracked(Context->LoadBalancer, Target.Id);
+  InFlightGuard Tracked(Context->LoadBalancer, Target.Id, MatchedRoute.Name);
   base::TimePoint Started = Context->Time.now();
   LastAttempt = Started;
   AttemptHistory += fmt::format("{}{}@{}", AttemptHistory.empty() ? "" : ",",
@@ -360,7 +362,7 @@
   Head.Suspect = Context->Quarantine.isSuspect(Fingerprint);
   if (Retries.limitsQueueWait() && Objective < Deadline) {
     base::Millis ServiceTime =
-        Context->LoadBalancer.expectedServiceTime(Target.Id);
+        Context->LoadBalancer.expectedServiceTime(Target.Id, MatchedRoute.Name);
     base::Millis Patience = Objective - Context->Time.now() - ServiceTime;
     if (Target.Zone == Context->Options.LoadBalancing.Zone)
       Patience = std::min(Patience, maxLocalWait());
@@ -406,7 +408,7 @@
     if (Context->Quarantine.isSuspect(Fingerprint))
       Context->Quarantine.recordAnswer(Fingerprint);
     bool Error = Head->Status >= 500;
-    Context->LoadBalancer.recordLoad(Target.Id, Head->Load);
+    Context->LoadBalancer.recordLoad(Target.Id, Head->Load, MatchedRoute.Name);
     countEvidence(*Snapshot, Target, Error, Started);
     EvidenceCounted = true;
     if (Error)
@@ -608,11 +610,14 @@
                                  const Refusal &Refused,
                                  base::TimePoint Started) {
   if (Refused.Load.Slots != 0)
-    Context->LoadBalancer.recordLoad(Target.Id, Refused.Load);
+    Context->LoadBalancer.recordLoad(Target.Id, Refused.Load,
+                                     MatchedRoute.Name);
   recordCrash(Refused);
   if (CallerGone)
     return;
-  if (isEndpointFault(Refused.Reason))
+  if (Refused.Reason == RefusalReason::UpstreamShed)
+    Context->LoadBalancer.recordShed(Target.Id);
+  else if (isEndpointFault(Refused.Reason))
     Context->LoadBalancer.recordFailure(Snapshot, Target.Id,
                                         isHardFault(Refused.Reason));
   if (reachedUpstream(Refused) && !EvidenceCounted &&
--- a/scheduling/include/amaranth/scheduling/RouteCosts.h
+++ b/scheduling/include/amaranth/scheduling/RouteCosts.h
@@ -29,6 +29,8 @@
   /// Adds the service time that an upstream reports for a route.
   void add(const base::RouteName &Route, RelativeSpeed &Speed,
            base::Millis Reported);
+  /// Logarithm of the usual service time; empty for an unknown route.
+  std::optional<double> meanLog(const base::RouteName &Route) const;
   /// Expected service time in milliseconds; empty for an unknown route.
   std::optional<double> expectedMs(const base::RouteName &Route,
                                    const RelativeSpeed &Speed) const;
--- a/scheduling/src/RouteCosts.cpp
+++ b/scheduling/src/RouteCosts.cpp
@@ -47,12 +47,19 @@
       std::clamp(Speed.LogFactor * SpeedRetention, -MaxLogFactor, MaxLogFactor);
 }
 
-std::optional<double> RouteCosts::expectedMs(const base::RouteName &Route,
-                                             const RelativeSpeed &Speed) const {
+std::optional<double> RouteCosts::meanLog(const base::RouteName &Route) const {
   auto Found = Routes.find(Route);
   if (Found == Routes.end())
     return std::nullopt;
-  return std::exp(Found->second.MeanLog + Speed.LogFactor);
+  return Found->second.MeanLog;
+}
+
+std::optional<double> RouteCosts::expectedMs(const base::RouteName &Route,
+                                             const RelativeSpeed &Speed) const {
+  auto Log = meanLog(Route);
+  if (!Log)
+    return std::nullopt;
+  return std::exp(*Log + Speed.LogFactor);
 }
 
 } // namespace amaranth::scheduling
