Limit requests to cold upstreams and empty evacuated zones

A cold upstream crashes above its rate. After a restart, or when a whole zone returns, it got the traffic of a warm one until its responses slowed down.

ColdLimit decides from announcements, notices in responses and events at the gate (new process, all connections closed, absence, silence, end of an evacuation) whether the upstream is cold. The gate grants slots at the lower one of its rate and a limit that the upstream names, and checks the requests of the last second again before each send. Load reports and the published slots show the smaller capacity; the balancer uses the reported wait. Waiting requests are refused as not run when it becomes cold.

The balancer skips evacuated zones; the gate refuses new and waiting requests of its zone as not run, and a request avoids a zone whose gate said so.

--- a/dataplane/include/amaranth/dataplane/AnnounceServer.h
+++ b/dataplane/include/amaranth/dataplane/AnnounceServer.h
@@ -44,7 +44,8 @@
 
 /// Native announcement protocol: `POST /v1/announce` with a JSON object that
 /// contains service, version, address, slots, state (starting, ready, draining,
-/// stopped), incarnation and sequence. Replies with 204, 400 and an error
+/// stopped), incarnation and sequence; optionally `cold-ms`, how much longer
+/// the upstream is cold. Replies with 204, 400 and an error
 /// message, 401, 403, or 409 for an outdated announcement. Accepts loopback
 /// peers only and requires `Key` as a bearer token unless it is empty.
 class AnnounceHandler final : public LocalHandler {
--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -54,12 +54,15 @@
     /// has free slots. So the few requests of a new version show how it behaves
     /// under the load that it will have.
     bool Concentrate = false;
+    /// Zones whose gates have said that they are evacuated, which this node's
+    /// snapshot does not name yet; may be null.
+    const std::set<base::AvailabilityZone> *AvoidedZones = nullptr;
   };
 
   /// Returns an endpoint of the version that is not in `Excluded`, or null.
   /// Draining and starting endpoints are never returned. Ejected and
   /// unreachable endpoints are returned only when no other one outside
-  /// `Excluded` is left.
+  /// `Excluded` is left, those of an evacuated zone never.
   const document::Endpoint *choose(const document::MeshSnapshot &Mesh,
                                    const base::ServiceName &Service,
                                    const base::VersionName &Version,
@@ -121,6 +124,9 @@
   /// fewer if its upstream limits its requests.
   static double slotsOf(const Candidate &Option);
   static double serviceTimeMs(const EndpointStats &Stats);
+  /// What is left of the wait in the last report. A cold upstream, or one that
+  /// names a limit, makes requests wait although few are running.
+  static double reportedWaitMs(const EndpointStats &Stats, base::TimePoint Now);
   /// Time that a large response waits for the node's link, estimated from the
   /// last report.
   static double linkBacklogMs(const EndpointStats &Stats, base::TimePoint Now);
--- a/dataplane/include/amaranth/dataplane/HttpDialect.h
+++ b/dataplane/include/amaranth/dataplane/HttpDialect.h
@@ -45,6 +45,9 @@
   std::string MalformedLimit;
   /// The upstream leaves and takes no new requests.
   bool Leaving = false;
+  /// How much longer the upstream is cold, 0 if it is warm; empty if the
+  /// response does not say.
+  std::optional<base::Millis> ColdFor;
 };
 
 /// Classification of an upstream response by its headers.
--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -40,6 +40,12 @@
   void setGateLoad(const UpstreamLoad &Load);
   /// `Limit`: the requests that the local upstream takes; empty if unlimited.
   void setRequestLimit(std::optional<RequestRate> Limit);
+  /// `Limit`: the requests that the local upstream gets while it is cold; empty
+  /// if it is warm.
+  void setColdLimit(std::optional<RequestRate> Limit);
+  /// Counts that the local upstream is treated as cold because of `Cause`.
+  void countColdPeriod(const std::string &Cause);
+  void setZoneEvacuated(bool Evacuated);
 
 private:
   template <typename Metric> using Cache = std::map<std::string, Metric *>;
@@ -56,6 +62,9 @@
   prometheus::Gauge &Queued;
   prometheus::Gauge &Slots;
   prometheus::Gauge &RequestLimit;
+  prometheus::Gauge &ColdRate;
+  prometheus::Gauge &ZoneEvacuated;
+  prometheus::Family<prometheus::Counter> &ColdPeriods;
   Cache<prometheus::Counter> RequestCache;
   std::map<std::tuple<std::string, ExecutionOutcome, RefusalReason>,
            prometheus::Counter *>
--- a/dataplane/include/amaranth/dataplane/RequestRateLimit.h
+++ b/dataplane/include/amaranth/dataplane/RequestRateLimit.h
@@ -26,8 +26,10 @@
   /// no response that could end its limit.
   static constexpr RequestRate MinRate = {0.5};
 
-  /// Sets the rate, or removes it. Starting a limit grants no burst.
-  void setRate(std::optional<RequestRate> NewRate, base::TimePoint Now);
+  /// Sets the rate, or removes it. Starting a limit grants no burst, and counts
+  /// time only after `Delay`.
+  void setRate(std::optional<RequestRate> NewRate, base::TimePoint Now,
+               base::Millis Delay = base::Millis(0));
   std::optional<RequestRate> rate() const { return Rate; }
   /// Time until `Count` further requests may have been sent; 0 without a rate.
   base::Millis timeUntil(std::size_t Count, base::TimePoint Now) const;
--- a/dataplane/include/amaranth/dataplane/SlotQueue.h
+++ b/dataplane/include/amaranth/dataplane/SlotQueue.h
@@ -53,8 +53,10 @@
   void returnUnused() { RateLimit.giveBack(Time.now()); }
   /// Lowering the limit does not affect exchanges that already hold a slot.
   void setLimit(std::uint32_t Slots);
-  /// Grants at most `Rate` slots a second; no limit if empty.
-  void setRate(std::optional<RequestRate> Rate);
+  /// Grants at most `Rate` slots a second, the first after `Delay`; no limit if
+  /// empty.
+  void setRate(std::optional<RequestRate> Rate,
+               base::Millis Delay = base::Millis(0));
   std::optional<RequestRate> rate() const { return RateLimit.rate(); }
   /// Completes all pending `acquire` calls with `Dropped`.
   void dropWaiters();
--- a/dataplane/include/amaranth/dataplane/UpstreamClient.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamClient.h
@@ -106,6 +106,12 @@
   /// it is accepted or the result is unknown.
   boost::asio::awaitable<bool> refusesConnections();
   void closeIdleConnections();
+  /// True if the upstream keeps a connection open. A process that ends closes
+  /// all of its connections, so it has not been restarted then.
+  bool hasOpenConnection() const;
+  /// True once after the upstream has closed all connections although the last
+  /// one was used a short time ago: it may have been restarted.
+  bool takeConnectionsLost();
   /// Aborts the calls past their deadline or read timeout. Must be called a few
   /// times a second: one timer for all calls costs less than one per read.
   void abortExpiredCalls();
--- a/dataplane/src/AnnounceServer.cpp
+++ b/dataplane/src/AnnounceServer.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::size_t MaxBodyBytes = 16U << 10U;
+/// A longer time is an error, and would keep the upstream from its load.
+constexpr std::uint64_t MaxColdMillis = 3'600'000;
 
 std::string requireText(const json::object &Fields, const char *Name) {
   const json::value *Found = Fields.if_contains(Name);
@@ -70,6 +72,13 @@
   Result.ReportedState = parseState(requireText(Fields, "state"));
   Result.Incarnation = requireNumber(Fields, "incarnation");
   Result.Sequence = requireNumber(Fields, "sequence");
+  if (Fields.if_contains("cold-ms")) {
+    std::uint64_t Left = requireNumber(Fields, "cold-ms");
+    if (Left > MaxColdMillis)
+      throw base::Error("field 'cold-ms' must be at most " +
+                        std::to_string(MaxColdMillis));
+    Result.ColdFor = base::Millis(static_cast<std::int64_t>(Left));
+  }
   return Result;
 }
 
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -60,6 +60,12 @@
   return std::max<std::uint32_t>(1, Slots);
 }
 
+double Balancer::reportedWaitMs(const EndpointStats &Stats,
+                                base::TimePoint Now) {
+  base::Millis Left = Stats.Reported.QueueWait - (Now - Stats.ReportedAt);
+  return static_cast<double>(std::max(base::Millis(0), Left).count());
+}
+
 double Balancer::linkBacklogMs(const EndpointStats &Stats,
                                base::TimePoint Now) {
   // The link has drained its backlog since the report.
@@ -72,7 +78,9 @@
                                 const Selection &Pick) {
   double Slots = slotsOf(Option);
   double Waiting = outstandingRequests(*Option.Stats, Pick.Now) + 1 - Slots;
-  double Wait = std::max(0.0, Waiting) / Slots * serviceTimeMs(*Option.Stats);
+  double Wait =
+      std::max(std::max(0.0, Waiting) / Slots * serviceTimeMs(*Option.Stats),
+               reportedWaitMs(*Option.Stats, Pick.Now));
   if (Pick.Request.LargeResponse)
     Wait += linkBacklogMs(*Option.Stats, Pick.Now);
   return Wait;
@@ -91,9 +99,10 @@
   // more than an idle warm one.
   double Load = (outstandingRequests(Stats, Pick.Now) + 1) / Slots;
   double Link = Pick.Request.LargeResponse ? linkBacklogMs(Stats, Pick.Now) : 0;
-  return (serviceTimeMs(Stats) * (std::max(1.0, Load) + LoadWeight * Load) +
-          Link) /
-         SuccessRate;
+  double Service = serviceTimeMs(Stats);
+  double Time = std::max(Service * std::max(1.0, Load),
+                         Service + reportedWaitMs(Stats, Pick.Now));
+  return (Time + Service * LoadWeight * Load + Link) / SuccessRate;
 }
 
 base::Millis Balancer::expectedServiceTime(const base::EndpointId &Id) const {
@@ -189,6 +198,11 @@
   Usable.reserve(Found->second.size());
   for (const Candidate &Option : Found->second) {
     const Endpoint &Entry = *Option.Entry;
+    if (!Mesh.EvacuatedZones.empty() &&
+        Mesh.EvacuatedZones.contains(Entry.Zone))
+      continue;
+    if (Request.AvoidedZones && Request.AvoidedZones->contains(Entry.Zone))
+      continue;
     if (!Excluded.empty() && Excluded.contains(Entry.Id))
       continue;
     if (Entry.State == EndpointState::Unreachable)
@@ -258,7 +272,8 @@
   std::size_t Total = 0;
   std::size_t EjectedCount = 0;
   for (const auto &[Id, Other] : Mesh.Endpoints) {
-    if (Other.Service != Entry.Service || Other.State != EndpointState::Ready)
+    if (Other.Service != Entry.Service || Other.State != EndpointState::Ready ||
+        Mesh.EvacuatedZones.contains(Other.Zone))
       continue;
     ++Total;
     EjectedCount += isEjected(Id) ? 1 : 0;
--- a/dataplane/src/EntryRefusal.cpp
+++ b/dataplane/src/EntryRefusal.cpp
@@ -29,7 +29,8 @@
 bool isBusy(RefusalReason Code) {
   return Code == RefusalReason::WaitTooLong ||
          Code == RefusalReason::QueueFull ||
-         Code == RefusalReason::DeadlineUnreachable;
+         Code == RefusalReason::DeadlineUnreachable ||
+         Code == RefusalReason::UpstreamCold;
 }
 
 bool reachedUpstream(const Refusal &Refused) {
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -281,6 +281,7 @@
   // Downloads stay in their zone; see `DownloadLocalWaitPercent`.
   Balancer::RequestTraits Traits{maxLocalWait(), isDownload(),
                                  !isDownload() && Retries.asksAllZones()};
+  Traits.AvoidedZones = &EvacuatedZones;
   const document::Service &Wanted = Entry->second;
   // Repeats the selection without the versions that have no usable endpoint.
   while (const document::VersionShare *Version = chooseVersion(
@@ -609,6 +610,9 @@
                                  base::TimePoint Started) {
   if (Refused.Load.Slots != 0)
     Context->LoadBalancer.recordLoad(Target.Id, Refused.Load);
+  // The other gates of the zone would refuse too, each at the cost of a hop.
+  if (Refused.Reason == RefusalReason::ZoneEvacuated)
+    EvacuatedZones.insert(Target.Zone);
   recordCrash(Refused);
   if (CallerGone)
     return;
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -120,6 +120,8 @@
   /// Some attempt may have run; the final refusal must then not say not-run.
   bool MayHaveRun = false;
   RetryState Retries;
+  /// Zones whose gates refused this request because they are evacuated.
+  std::set<base::AvailabilityZone> EvacuatedZones;
   /// Endpoints and outcomes of the attempts, for the request log.
   std::string AttemptHistory;
 };
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -26,6 +26,9 @@
 /// Multiplies the expected link time of a response that may be late, because
 /// responses that can meet their objective are sent before it.
 constexpr std::int64_t LateLinkFactor = 2;
+/// The upstream counts as silent after this part of the announcement timeout:
+/// two announcements are late, and it may have said that it is cold in them.
+constexpr std::int64_t SilentPercent = 66;
 /// Announcements with more slots are rejected as invalid.
 constexpr std::uint32_t MaxSlots = 100'000;
 
@@ -146,10 +149,16 @@
   bool Changed = !LastAnnouncement || LastAnnouncement->Slots != Update.Slots ||
                  LastAnnouncement->Version != Update.Version ||
                  LastAnnouncement->Service != Update.Service;
+  UpstreamState Before = Lifecycle.state();
+  if (LastAnnouncement && !Restarted &&
+      (Before == UpstreamState::Absent || Before == UpstreamState::Crashed))
+    suspectCold("absent");
   LastAnnouncement = Update;
   LastAnnouncedAt = Time.now();
+  Silent = false;
   Client.setAddress(Update.Upstream);
-  UpstreamState Before = Lifecycle.state();
+  // Before the state changes, which may grant slots.
+  recordAnnouncedCold(Update, Restarted);
   applyEarlyDeparture();
   // An announcement that was sent before the departure may arrive after it.
   if (!HasLeft || isLeaving(Update.ReportedState))
@@ -221,6 +230,99 @@
   publish();
 }
 
+void Gate::Impl::suspectCold(const char *Cause) {
+  if (!IsCold)
+    ColdCause = Cause;
+  Cold.recordEvent(Time.now());
+  updateTerms();
+}
+
+void Gate::Impl::recordAnnouncedCold(const Announcement &Update,
+                                     bool Restarted) {
+  base::TimePoint Now = Time.now();
+  bool SaysCold = Update.ColdFor > base::Millis(0);
+  if (!IsCold)
+    ColdCause = Restarted ? "new-process" : "announced";
+  if (Restarted)
+    Cold.reset(Now);
+  // The new process itself says for how long. That it is warm is believed from
+  // its second announcement on: the field is optional.
+  Cold.recordMessage(
+      Update.ColdFor,
+      Restarted && SaysCold ? Now : Now - ColdLimit::MaxAnnouncementDelay, Now);
+  updateTerms();
+}
+
+void Gate::Impl::updateTerms() {
+  base::TimePoint Now = Time.now();
+  if (auto Snapshot = Snapshots.current()) {
+    std::optional<ColdLimit::Terms> Terms;
+    if (LastAnnouncement)
+      if (auto Found = Snapshot->Services.find(LastAnnouncement->Service);
+          Found != Snapshot->Services.end())
+        Terms = {Found->second.ColdPeriod, Found->second.ColdRequestsPerSecond};
+    Cold.setTerms(Terms);
+    bool Ordered = Snapshot->EvacuatedZones.contains(Options.Zone);
+    if (std::exchange(Evacuated, Ordered) != Ordered) {
+      base::logger("gate")->info(
+          "evacuation of the zone {} zone={} in_flight={} queued={}",
+          Ordered ? "started" : "ended", Options.Zone.value(), Slots.inFlight(),
+          Slots.queued());
+      Counters.setZoneEvacuated(Ordered);
+      if (Ordered)
+        Slots.dropWaiters();
+      else
+        suspectCold("evacuation-ended");
+    }
+  }
+  if (LastAnnouncement && Lifecycle.state() == UpstreamState::Ready &&
+      Now - LastAnnouncedAt > Options.AnnounceTimeout * SilentPercent / 100 &&
+      !std::exchange(Silent, true))
+    suspectCold("silent");
+  bool Before = std::exchange(IsCold, Cold.isCold(Now));
+  auto Rate = Cold.lowerRate(std::nullopt, Now);
+  if (IsCold == Before) {
+    updateRate();
+    return;
+  }
+  if (IsCold) {
+    base::logger("gate")->info(
+        "upstream is cold cause={} per_second={} instance={} in_flight={} "
+        "queued={}",
+        ColdCause, Rate.value_or(RequestRate{}).PerSecond,
+        LastAnnouncement ? LastAnnouncement->Instance : "", Slots.inFlight(),
+        Slots.queued());
+    Counters.countColdPeriod(ColdCause);
+  } else {
+    base::logger("gate")->info("upstream is warm instance={}",
+                               LastAnnouncement ? LastAnnouncement->Instance
+                                                : "");
+  }
+  updateRate();
+  Counters.setColdLimit(Rate);
+  // They were admitted for the rate of a warm upstream, and have not run.
+  if (IsCold)
+    Slots.dropWaiters();
+  if (Lifecycle.state() == UpstreamState::Ready)
+    publish();
+}
+
+void Gate::Impl::updateRate() {
+  base::TimePoint Now = Time.now();
+  auto Rate = Cold.lowerRate(NamedLimit, Now);
+  if (Rate != Slots.rate())
+    Slots.setRate(Rate, Cold.timeUntilPaced(Now));
+}
+
+std::optional<Refusal> Gate::Impl::coldRefusal() const {
+  base::TimePoint Now = Time.now();
+  auto Refused = makeRefusal(ExecutionOutcome::NotRun,
+                             RefusalReason::UpstreamCold, "upstream is cold");
+  Refused->RetryAfter = std::max(
+      {Cold.timeUntilSend(Now), Refused->Load.QueueWait, BusyRetryAfter});
+  return Refused;
+}
+
 void Gate::Impl::publish() {
   if (!LastAnnouncement)
     return;
@@ -244,7 +346,10 @@
   Entry.Service = LastAnnouncement->Service;
   Entry.Version = LastAnnouncement->Version;
   Entry.Zone = Options.Zone;
-  Entry.Slots = LastAnnouncement->Slots;
+  // Tells entry nodes that have sent nothing here yet.
+  Entry.Slots = std::max<std::uint32_t>(
+      1, IsCold ? std::min(LastAnnouncement->Slots, load().Slots)
+                : LastAnnouncement->Slots);
   Entry.State = endpointState(Lifecycle.state(), NodeDraining || LameDuck);
   Entry.Incarnation = Incarnation;
   Entry.Sequence = ++Sequence;
@@ -273,17 +378,25 @@
   if (LastAnnouncement &&
       Time.now() - LastAnnouncedAt >= Options.AnnounceTimeout)
     applyEvent(UpstreamEvent::AnnouncementTimeout);
+  updateTerms();
   updateLimit();
 }
 
 void Gate::Impl::applyNotice(const ResponseHead &Head,
-                             std::uint64_t Incarnation) {
+                             std::uint64_t Incarnation,
+                             base::TimePoint RequestSent) {
   // A late response of an earlier process says nothing about the current one.
   if (!LastAnnouncement || LastAnnouncement->Incarnation != Incarnation)
     return;
   UpstreamNotice Notice = Dialect.upstreamNotice(Head);
   if (Notice.Leaving)
     applyEvent(UpstreamEvent::AnnouncedDraining);
+  if (Notice.ColdFor) {
+    if (!IsCold)
+      ColdCause = "response";
+    Cold.recordMessage(*Notice.ColdFor, RequestSent, Time.now());
+    updateTerms();
+  }
   if (!Notice.MalformedLimit.empty()) {
     if (std::exchange(MalformedLimit, Notice.MalformedLimit) !=
         Notice.MalformedLimit)
@@ -308,7 +421,7 @@
 
 void Gate::Impl::setRequestLimit(std::optional<RequestRate> Limit) {
   NamedLimit = Limit;
-  Slots.setRate(Limit);
+  updateRate();
   Counters.setRequestLimit(Limit);
 }
 
@@ -360,6 +473,9 @@
   if (NodeDraining)
     return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::NodeDraining,
                        "node is draining");
+  if (Evacuated)
+    return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::ZoneEvacuated,
+                       "the zone is evacuated");
   switch (Lifecycle.state()) {
   case UpstreamState::Ready:
     return std::nullopt;
@@ -415,6 +531,9 @@
     return makeRefusal(ExecutionOutcome::NotRun,
                        RefusalReason::DeadlineExceeded,
                        "the deadline passed before the request was sent");
+  // A grant may be older than the cold period, or be used late.
+  if (Cold.timeUntilSend(Time.now()) > base::Millis(0))
+    return coldRefusal();
   return std::nullopt;
 }
 
@@ -474,6 +593,7 @@
 std::optional<Refusal>
 Gate::Impl::checkAdmission(const ServerExchange &Exchange) {
   const RequestHead &Head = Exchange.Head;
+  updateTerms();
   if (auto Refused = stateRefusal())
     return Refused;
   if (auto Refused = identityRefusal(Head))
@@ -494,6 +614,8 @@
   if (MayBeLate)
     Link = Link * LateLinkFactor;
   auto Busy = [&](RefusalReason Why, const char *Text) {
+    if (IsCold)
+      Why = RefusalReason::UpstreamCold;
     auto Refused = makeRefusal(ExecutionOutcome::NotRun, Why, Text);
     Refused->RetryAfter = std::max(Wait + Link, BusyRetryAfter);
     return Refused;
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -4,6 +4,7 @@
 #include "CrashDetector.h"
 #include "MovingMedian.h"
 #include "amaranth/dataplane/ClaimClient.h"
+#include "amaranth/dataplane/ColdLimit.h"
 #include "amaranth/dataplane/EgressShaper.h"
 #include "amaranth/dataplane/Gate.h"
 #include "amaranth/dataplane/SlotQueue.h"
@@ -33,8 +34,21 @@
   void updateLimit();
   void tick();
   /// Applies what the upstream process `Incarnation` says in a response.
-  void applyNotice(const ResponseHead &Head, std::uint64_t Incarnation);
+  /// `RequestSent`: when its request was sent.
+  void applyNotice(const ResponseHead &Head, std::uint64_t Incarnation,
+                   base::TimePoint RequestSent);
   void setRequestLimit(std::optional<RequestRate> Limit);
+  /// Applies what the configuration says about this zone and about cold
+  /// upstreams, and the end of a cold period. Called before each decision about
+  /// a request, since a snapshot must not take effect a tick later.
+  void updateTerms();
+  /// Sets the lower one of the rate of a cold upstream and the limit that the
+  /// upstream names.
+  void updateRate();
+  /// The upstream may have restarted or become cold unseen.
+  void suspectCold(const char *Cause);
+  void recordAnnouncedCold(const Announcement &Update, bool Restarted);
+  std::optional<Refusal> coldRefusal() const;
   UpstreamLoad load() const;
   std::optional<Refusal> makeRefusal(ExecutionOutcome What, RefusalReason Why,
                                      std::string Text) const;
@@ -192,6 +206,16 @@
     std::optional<std::uint64_t> Incarnation;
   };
   std::optional<Departure> EarlyDeparture;
+  ColdLimit Cold;
+  /// As of the last `updateTerms`.
+  bool IsCold = false;
+  /// Why the upstream was last treated as cold.
+  const char *ColdCause = "announced";
+  /// The announcements are late; the next one ends this.
+  bool Silent = false;
+  bool Evacuated = false;
+  /// Last time at which the upstream sent a response head.
+  base::TimePoint LastResponse{0};
   /// Limit in the last response of the upstream that could be read.
   std::optional<RequestRate> NamedLimit;
   /// The last malformed limit, which is logged once.
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -293,11 +293,12 @@
     co_return makeRefusal(ExecutionOutcome::NotRun,
                           RefusalReason::DeadlineExceeded,
                           "no slot was free early enough for the deadline");
-  auto Refused = stateRefusal();
-  co_return Refused
-      ? Refused
-      : makeRefusal(ExecutionOutcome::NotRun, RefusalReason::Overloaded,
-                    "upstream changed its state");
+  if (auto Refused = stateRefusal())
+    co_return Refused;
+  if (IsCold)
+    co_return coldRefusal();
+  co_return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::Overloaded,
+                        "upstream changed its state");
 }
 
 Gate::Impl::RefusalTask Gate::Impl::executeWithSlot(ExchangePtr Exchange,
@@ -352,9 +353,13 @@
   std::string Method = Head.Method;
   std::string Target = Head.Target;
   UpstreamClient::FieldSource Fields = [this, Exchange] {
+    if (Client.takeConnectionsLost())
+      suspectCold("connections-lost");
+    updateTerms();
     // The request may have expired or been cancelled during the connect.
     if (auto Refused = refusalBeforeSend(*Exchange))
       throw UpstreamError(false, Refused->Reason, Refused->Text);
+    Cold.recordSent(Time.now());
     return requestFields(*Exchange);
   };
   co_return co_await Client.begin(std::move(Method), std::move(Target),
@@ -425,6 +430,11 @@
   bool Cancelled = Exchange->Body.ended() && !State.RunsToCompletion;
   bool MayBeCrash = Failure.reason() == RefusalReason::UpstreamBroken ||
                     Failure.reason() == RefusalReason::UpstreamUnreachable;
+  if (!Cancelled && MayBeCrash && !Client.hasOpenConnection())
+    suspectCold("connections-lost");
+  if (Failure.reason() == RefusalReason::UpstreamSilent &&
+      Time.now() - LastResponse >= Options.Client.ReadTimeout)
+    suspectCold("silent");
   CrashRole Role = CrashRole::NoCrash;
   // The entry node repeats other requests itself, and names them as suspects.
   bool CallerResends = Head.AtMostOnce;
@@ -437,6 +447,8 @@
     auto Reason = Failure.reason() == RefusalReason::UpstreamBroken
                       ? RefusalReason::UpstreamUnreachable
                       : Failure.reason();
+    if (Reason == RefusalReason::UpstreamCold)
+      co_return coldRefusal();
     co_return makeRefusal(ExecutionOutcome::NotRun, Reason, Failure.what());
   }
   switch (Role) {
@@ -470,6 +482,7 @@
                         std::uint64_t Incarnation) {
   for (;;) {
     ResponseHead Received = co_await Call->readHead();
+    LastResponse = Time.now();
     if (Dialect.classifyResponse(Received, Exchange->Head.CallerAttempt,
                                  Call->isFirstResponse()) !=
         ResponseClass::Mismatched)
@@ -478,7 +491,7 @@
     // not end a limit.
     UpstreamNotice Notice = Dialect.upstreamNotice(Received);
     if (Notice.Limit || Notice.Leaving)
-      applyNotice(Received, Incarnation);
+      applyNotice(Received, Incarnation, base::TimePoint(0));
     base::logger("gate")->warn(
         "skipped a response that belongs to another request id={}",
         Exchange->Head.CallerAttempt);
@@ -532,7 +545,7 @@
                         "response without a sign of this upstream");
   State.HeadReceived = true;
   if (Verdict != ResponseClass::OtherInstance)
-    applyNotice(Head, State.Incarnation);
+    applyNotice(Head, State.Incarnation, Started);
   if (Verdict == ResponseClass::Executed) {
     recordAnswer(Exchange->Head, State.Suspect);
     auto Refused =
--- a/dataplane/src/Metrics.cpp
+++ b/dataplane/src/Metrics.cpp
@@ -49,7 +49,15 @@
                   "Requests that the local upstream may run at once")),
       RequestLimit(gauge(Registry, "amaranth_gate_request_limit",
                          "Requests a second that the local upstream takes; 0 "
-                         "without a limit")) {}
+                         "without a limit")),
+      ColdRate(gauge(Registry, "amaranth_gate_cold_limit",
+                     "Requests a second that the local upstream gets while it "
+                     "is cold; 0 while it is warm")),
+      ZoneEvacuated(gauge(Registry, "amaranth_gate_zone_evacuated",
+                          "1 while the zone of this node is evacuated")),
+      ColdPeriods(counters(Registry, "amaranth_gate_cold_periods_total",
+                           "Times that the local upstream became cold, by "
+                           "cause")) {}
 
 void Metrics::countRequest(const base::ServiceName &Service,
                            const std::string &Outcome, base::Millis Duration) {
@@ -91,6 +99,18 @@
             : 0);
 }
 
+void Metrics::setColdLimit(std::optional<RequestRate> Limit) {
+  ColdRate.Set(Limit ? Limit->PerSecond : 0);
+}
+
+void Metrics::countColdPeriod(const std::string &Cause) {
+  ColdPeriods.Add({{"cause", Cause}}).Increment();
+}
+
+void Metrics::setZoneEvacuated(bool Evacuated) {
+  ZoneEvacuated.Set(Evacuated ? 1 : 0);
+}
+
 void Metrics::countConviction() { Convictions.Increment(); }
 
 void Metrics::countCrash() { Crashes.Increment(); }
--- a/dataplane/src/RequestRateLimit.cpp
+++ b/dataplane/src/RequestRateLimit.cpp
@@ -19,10 +19,14 @@
 } // namespace
 
 void RequestRateLimit::setRate(std::optional<RequestRate> NewRate,
-                               base::TimePoint Now) {
+                               base::TimePoint Now, base::Millis Delay) {
   if (NewRate)
     NewRate->PerSecond = std::max(NewRate->PerSecond, MinRate.PerSecond);
   Tokens = Rate && NewRate ? std::min(tokensAt(Now), burstOf(*NewRate)) : 0;
+  if (NewRate && Delay > base::Millis(0))
+    Tokens = std::min(Tokens, -NewRate->PerSecond *
+                                  static_cast<double>(Delay.count()) /
+                                  MillisPerSecond);
   Rate = NewRate;
   UpdatedAt = Now;
 }
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -74,8 +74,8 @@
   grantNext();
 }
 
-void SlotQueue::setRate(std::optional<RequestRate> Rate) {
-  RateLimit.setRate(Rate, Time.now());
+void SlotQueue::setRate(std::optional<RequestRate> Rate, base::Millis Delay) {
+  RateLimit.setRate(Rate, Time.now(), Delay);
   grantNext();
 }
 
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -36,6 +37,11 @@
 constexpr unsigned MaxSkippedResponses = 8;
 constexpr std::size_t MaxSkippedBytes = 1U << 20U;
 
+/// A restart is known by the announcement of the new process after this time,
+/// so that a connection that was idle for longer says nothing more. Upstreams
+/// close idle connections for other reasons too.
+constexpr base::Millis RestartNoticeTime = base::Millis::seconds(2);
+
 struct PooledConnection {
   explicit PooledConnection(tcp::socket Connected)
       : Socket(std::move(Connected)) {}
@@ -43,9 +49,10 @@
   /// False if the upstream has closed the connection or sent data that belongs
   /// to no request.
   bool usable() {
+    if (!Socket.is_open())
+      return false;
     char Byte = 0;
-    return Socket.is_open() &&
-           ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+    return ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <
                0 &&
            (errno == EAGAIN || errno == EWOULDBLOCK);
   }
@@ -63,6 +70,7 @@
       : Executor(std::move(Executor)), Options(Options), Time(Time) {}
 
   asio::awaitable<std::shared_ptr<PooledConnection>> connect();
+  bool hasOpenConnection() const;
 
   asio::any_io_executor Executor;
   Settings Options;
@@ -72,6 +80,7 @@
   /// generation do not return to the pool.
   std::uint64_t Generation = 0;
   std::deque<std::shared_ptr<PooledConnection>> IdleConnections;
+  bool ConnectionsLost = false;
   std::shared_ptr<ActiveCalls> Calls = std::make_shared<ActiveCalls>();
 };
 
@@ -108,6 +117,8 @@
 
   void setDeadline(base::TimePoint Value) override { Deadline = Value; }
 
+  bool isOpen() const { return Connection && Connection->usable(); }
+
   void abortIfExpired() {
     base::TimePoint Now = Time.now();
     if (Now < std::min(Deadline, ReadDeadline))
@@ -356,16 +367,21 @@
   for (;;) {
     std::shared_ptr<PooledConnection> Connection;
     std::optional<base::Millis> IdleFor;
+    bool Closed = false;
     while (!Keep->IdleConnections.empty() && !Connection) {
       // The most recently used connection is the least likely to be closed.
       Connection = std::move(Keep->IdleConnections.back());
       Keep->IdleConnections.pop_back();
       base::TimePoint Now = Keep->Time.now();
       IdleFor = Now - Connection->LastUsed;
+      bool Usable = Connection->usable();
+      Closed = Closed || (!Usable && *IdleFor <= RestartNoticeTime);
       if (*IdleFor > MaxAge || !Keep->Calls->ReuseLimit.allows(Now, *IdleFor) ||
-          !Connection->usable())
+          !Usable)
         Connection.reset();
     }
+    if (Closed && !Connection && !Keep->hasOpenConnection())
+      Keep->ConnectionsLost = true;
     bool Reused = Connection != nullptr;
     if (!Reused)
       IdleFor.reset();
@@ -397,6 +413,21 @@
   }
 }
 
+bool UpstreamClient::Impl::hasOpenConnection() const {
+  return std::ranges::any_of(IdleConnections,
+                             [](const auto &Idle) { return Idle->usable(); }) ||
+         std::ranges::any_of(Calls->Open,
+                             [](const Call *Each) { return Each->isOpen(); });
+}
+
+bool UpstreamClient::hasOpenConnection() const {
+  return Shared->hasOpenConnection();
+}
+
+bool UpstreamClient::takeConnectionsLost() {
+  return std::exchange(Shared->ConnectionsLost, false);
+}
+
 asio::awaitable<bool> UpstreamClient::refusesConnections() {
   auto Keep = Shared;
   tcp::endpoint Peer(asio::ip::make_address(Keep->Upstream.Ip),
--- a/dataplane/test/Parts_test.cpp
+++ b/dataplane/test/Parts_test.cpp
@@ -155,6 +155,46 @@
   CHECK(chooseMany(50)["warm"] == 50);
 }
 
+// Guards against hops to cold upstreams that must refuse, while a warm one has
+// a shorter queue.
+TEST_CASE_METHOD(BalancerTest, "choose compares the wait for a cold upstream") {
+  UpstreamLoad Cold{0, 0, 1, base::Millis(50), base::Millis(400)};
+  for (const char *Id : {"c1", "c2", "c3"}) {
+    add(Id, "a");
+    Balance.recordLoad(base::EndpointId(Id), Cold);
+  }
+  add("w", "b");
+  Request.AnyZone = true;
+  Balance.recordLoad(base::EndpointId("w"),
+                     {10, 20, 10, base::Millis(50), base::Millis(100)});
+  CHECK(chooseMany(50)["w"] == 50);
+  Balance.recordLoad(base::EndpointId("w"),
+                     {10, 150, 10, base::Millis(50), base::Millis(800)});
+  CHECK(chooseMany(50)["w"] == 0);
+  // A request that may not wait has no use for a local cold one either.
+  Request = {base::Millis(100)};
+  Balance.recordLoad(base::EndpointId("w"), {1, 0, 10, base::Millis(50)});
+  for (const char *Id : {"c1", "c2", "c3"})
+    Balance.requestStarted(base::EndpointId(Id));
+  CHECK(chooseMany(50)["w"] == 50);
+}
+
+// Guards against requests in an evacuated zone as a last resort.
+TEST_CASE_METHOD(BalancerTest, "choose never selects an evacuated zone") {
+  add("near", "a");
+  add("lost", "a", EndpointState::Unreachable);
+  add("far", "b");
+  Mesh.EvacuatedZones = {base::AvailabilityZone("a")};
+  CHECK(chooseMany(50)["far"] == 50);
+  CHECK(choose({base::EndpointId("far")}) == "none");
+  // The only endpoint left is not ejected, as it is all of the service.
+  Balance.recordFailure(Mesh, base::EndpointId("far"), true);
+  CHECK_FALSE(Balance.isEjected(base::EndpointId("far")));
+  std::set<base::AvailabilityZone> Refused = {base::AvailabilityZone("b")};
+  Request.AvoidedZones = &Refused;
+  CHECK(choose() == "none");
+}
+
 TEST_CASE_METHOD(
     BalancerTest,
     "Ejection leaves at least half of the endpoints of a service") {
