--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -63,12 +63,15 @@
     bool Concentrate = false;
     /// Route of the request, for its expected time.
     base::RouteName Route = base::RouteName();
+    /// Zones whose gates have said that they are evacuated, which this node's
+    /// snapshot does not name yet; may be null.
+    const std::set<base::AvailabilityZone> *AvoidedZones = nullptr;
   };
 
   /// Returns an endpoint of the version that is not in `Excluded`, or null.
   /// Draining and starting endpoints are never returned. Ejected and
   /// unreachable endpoints are returned only when no other one outside
-  /// `Excluded` is left.
+  /// `Excluded` is left, those of an evacuated zone never.
   const document::Endpoint *choose(const document::MeshSnapshot &Mesh,
                                    const base::ServiceName &Service,
                                    const base::VersionName &Version,
@@ -151,6 +154,7 @@
   struct Selection {
     const RequestTraits &Request;
     const std::set<base::EndpointId> &Excluded;
+    const std::set<base::AvailabilityZone> &EvacuatedZones;
     base::TimePoint Now;
     base::WallTime WallNow;
     /// Logarithm of the usual time of the route.
@@ -175,6 +179,9 @@
                           const std::optional<double> &RouteLog);
   /// Work of all nodes at the endpoint, over its slots.
   static double outstandingWorkMs(const Candidate &Option, base::TimePoint Now);
+  /// What is left of the wait in the last report. A cold upstream, or one that
+  /// names a limit, makes requests wait although few are running.
+  static double reportedWaitMs(const EndpointStats &Stats, base::TimePoint Now);
   /// Time that a large response waits for the node's link, estimated from the
   /// last report.
   static double linkBacklogMs(const EndpointStats &Stats, base::TimePoint Now);
@@ -182,6 +189,8 @@
   /// Returns the cheapest of a few randomly chosen candidates.
   const document::Endpoint *pickLeastCost(CandidateList Candidates,
                                           const Selection &Pick);
+  /// Whether the request may be sent to the endpoint at all.
+  static bool isAllowed(const Candidate &Option, const Selection &Pick);
   static bool isUsable(const Candidate &Option, const Selection &Pick);
   /// Returns usable candidates among the first `Count`: all of a short list, a
   /// few random ones of a long list. Empty only if there are none.
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -99,6 +99,12 @@
   return std::max<std::uint32_t>(1, Slots);
 }
 
+double Balancer::reportedWaitMs(const EndpointStats &Stats,
+                                base::TimePoint Now) {
+  base::Millis Left = Stats.Reported.QueueWait - (Now - Stats.ReportedAt);
+  return static_cast<double>(std::max(base::Millis(0), Left).count());
+}
+
 double Balancer::linkBacklogMs(const EndpointStats &Stats,
                                base::TimePoint Now) {
   // The link has drained its backlog since the report.
@@ -111,7 +117,9 @@
                                 const Selection &Pick) {
   double Slots = slotsOf(Option);
   double Waiting = outstandingRequests(*Option.Stats, Pick.Now) + 1 - Slots;
-  double Wait = std::max(0.0, Waiting) / Slots * serviceTimeMs(*Option.Stats);
+  double Wait =
+      std::max(std::max(0.0, Waiting) / Slots * serviceTimeMs(*Option.Stats),
+               reportedWaitMs(*Option.Stats, Pick.Now));
   if (Pick.Request.LargeResponse)
     Wait += linkBacklogMs(*Option.Stats, Pick.Now);
   return Wait;
@@ -129,7 +137,9 @@
   double Own = ownTimeMs(Stats, Pick.RouteLog);
   // The work includes the request, so that an idle endpoint in slow start costs
   // more than an idle warm one.
-  double Work = (outstandingWorkMs(Option, Pick.Now) + Own / Slots) / WarmPart;
+  double Work =
+      std::max((outstandingWorkMs(Option, Pick.Now) + Own / Slots) / WarmPart,
+               reportedWaitMs(Stats, Pick.Now));
   double Link = Pick.Request.LargeResponse ? linkBacklogMs(Stats, Pick.Now) : 0;
   auto Odds = [&](const ResultRate &Result) {
     double Rate = std::min(MaxResultRate, Result.at(Pick.Now));
@@ -166,9 +176,17 @@
   return Best;
 }
 
+bool Balancer::isAllowed(const Candidate &Option, const Selection &Pick) {
+  const Endpoint &Entry = *Option.Entry;
+  const auto *Avoided = Pick.Request.AvoidedZones;
+  return (Pick.Excluded.empty() || !Pick.Excluded.contains(Entry.Id)) &&
+         (Pick.EvacuatedZones.empty() ||
+          !Pick.EvacuatedZones.contains(Entry.Zone)) &&
+         (!Avoided || Avoided->empty() || !Avoided->contains(Entry.Zone));
+}
+
 bool Balancer::isUsable(const Candidate &Option, const Selection &Pick) {
-  return Pick.Now >= Option.Stats->EjectedUntil &&
-         (Pick.Excluded.empty() || !Pick.Excluded.contains(Option.Entry->Id));
+  return Pick.Now >= Option.Stats->EjectedUntil && isAllowed(Option, Pick);
 }
 
 Balancer::CandidateList Balancer::sample(const CandidateList &From,
@@ -268,8 +286,8 @@
   if (Found == IndexByVersion.end())
     return nullptr;
   const VersionIndex &Index = Found->second;
-  Selection Pick{Request, Excluded, Time.now(), Time.wallNow(),
-                 Costs.meanLog(Request.Route)};
+  Selection Pick{Request,    Excluded,       Mesh.EvacuatedZones,
+                 Time.now(), Time.wallNow(), Costs.meanLog(Request.Route)};
   const Endpoint *Chosen = nullptr;
   if (Request.Concentrate)
     Chosen = pickLeastCost(concentrate(Index.Ready, Pick), Pick);
@@ -290,7 +308,7 @@
   CandidateList Ejected;
   CandidateList Unreachable;
   for (const Candidate &Option : All) {
-    if (Pick.Excluded.contains(Option.Entry->Id))
+    if (!isAllowed(Option, Pick))
       continue;
     if (Option.Entry->State == EndpointState::Unreachable)
       Unreachable.push_back(Option);
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -283,6 +283,7 @@
   Balancer::RequestTraits Traits{maxLocalWait(), isDownload(),
                                  !isDownload() && Retries.asksAllZones(), false,
                                  MatchedRoute.Name};
+  Traits.AvoidedZones = &EvacuatedZones;
   const document::Service &Wanted = Entry->second;
   // Repeats the selection without the versions that have no usable endpoint.
   while (const document::VersionShare *Version = chooseVersion(
@@ -628,6 +629,9 @@
   if (Refused.Load.Slots != 0)
     Context->LoadBalancer.recordLoad(Target.Id, Refused.Load,
                                      MatchedRoute.Name);
+  // The other gates of the zone would refuse too, each at the cost of a hop.
+  if (Refused.Reason == RefusalReason::ZoneEvacuated)
+    EvacuatedZones.insert(Target.Zone);
   recordCrash(Refused);
   if (CallerGone)
     return;
