Authenticate customers at the entry node

A document may name customers with API keys. Until now the entry node passed Authorization on and the upstream could not tell who sent a request.

A request without a valid key is refused as not run with 401, after the route is found. Requests from this VM's own address need no key and belong to no customer. The key is removed before the request leaves the node, and the dialects replace what the caller says about the customer. The request hash of a claim contains the customer, so that a stored response is not replayed to another one. A short body behind a 401 is read, because closing a connection with unread data resets it and loses the refusal and the requests behind it.

--- a/dataplane/include/amaranth/dataplane/HttpConnection.h
+++ b/dataplane/include/amaranth/dataplane/HttpConnection.h
@@ -97,6 +97,7 @@
   void abort();
   /// Aborts if a read from or a write to the client has timed out.
   void abortIfStalled();
+  boost::asio::ip::tcp::endpoint local() const;
   boost::asio::ip::tcp::endpoint peer() const;
 
 private:
--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTH_DATAPLANE_SRC_ENTRYCONTEXT_H
 #define AMARANTH_DATAPLANE_SRC_ENTRYCONTEXT_H
 
+#include "amaranth/dataplane/CustomerIndex.h"
 #include "amaranth/dataplane/EntryServer.h"
 #include "amaranth/dataplane/HttpDialect.h"
 #include "amaranth/dataplane/RetryBudget.h"
@@ -36,6 +37,14 @@
     return Routes;
   }
 
+  /// The index of the customers of `Snapshot`, which is the current one.
+  std::shared_ptr<const CustomerIndex>
+  customers(const document::MeshSnapshot &Snapshot) {
+    if (!Customers || !Customers->isFor(Snapshot.Customers))
+      Customers = std::make_shared<const CustomerIndex>(Snapshot.Customers);
+    return Customers;
+  }
+
   RetryBudget &retryBudget(const base::ServiceName &Service) {
     auto Found = Budgets.find(Service);
     if (Found != Budgets.end())
@@ -75,6 +84,7 @@
   std::map<base::ServiceName, RetryBudget> Budgets;
   rollout::EvidenceReport Evidence;
   std::shared_ptr<const document::RouteIndex> Routes;
+  std::shared_ptr<const CustomerIndex> Customers;
   /// Requests that are being served.
   std::set<EntryRequest *> Requests;
   /// Time by which the responses must be complete because the node shuts down.
--- a/dataplane/src/EntryRefusal.cpp
+++ b/dataplane/src/EntryRefusal.cpp
@@ -16,6 +16,8 @@
   case RefusalReason::Malformed:
   case RefusalReason::TooLarge:
   case RefusalReason::NoEndpoint:
+  case RefusalReason::Unauthenticated:
+  case RefusalReason::QuotaExceeded:
     return true;
   default:
     return false;
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -4,6 +4,7 @@
 #include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
 #include "amaranth/base/Log.h"
+#include "amaranth/dataplane/ApiKey.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -106,6 +107,9 @@
   if (!Refused) {
     Context->retryBudget(Service).recordRequest(Arrived);
     Refused = co_await readBodyPrefix();
+  } else if (Refused->Reason == RefusalReason::Unauthenticated &&
+             hasShortBody()) {
+    co_await readBodyPrefix();
   }
   if (!Refused)
     Refused = quarantineRefusal();
@@ -143,10 +147,13 @@
     return notRun(RefusalReason::Malformed, Fault.what());
   }
   RequestId = Terms.Attempt;
+  ApiKey = Terms.ApiKey;
   // A refusal without a route has a Retry-After time too.
   Deadline = Arrived + Terms.Timeout.value_or(DefaultTimeout);
   if (auto Refused = findRoute())
     return Refused;
+  if (auto Refused = authenticate(Routes->mesh()))
+    return Refused;
   if (auto Refused = checkLimits())
     return Refused;
   computeDeadlines(Terms);
@@ -173,6 +180,23 @@
   return std::nullopt;
 }
 
+Sender EntryRequest::identify(const CustomerIndex &Index) const {
+  // Only processes of this VM connect from the address that they connect to.
+  bool Local = Caller->peer().address() == Caller->local().address();
+  return Index.identify(ApiKey, MatchedRoute.Public, Local);
+}
+
+EntryRequest::MaybeRefusal
+EntryRequest::authenticate(const document::MeshSnapshot &Snapshot) {
+  auto Index = Context->customers(Snapshot);
+  Sender Found = identify(*Index);
+  if (Found.Who == Sender::Kind::Refused)
+    return notRun(RefusalReason::Unauthenticated, std::string(Found.Fault));
+  From = Found;
+  Customers = std::move(Index);
+  return std::nullopt;
+}
+
 EntryRequest::MaybeRefusal EntryRequest::checkLimits() {
   if (const std::string *Value = findHeader(Request.Fields, "Idempotency-Key"))
     IdempotencyKey = *Value;
@@ -243,6 +267,12 @@
   }
 }
 
+bool EntryRequest::hasShortBody() const {
+  return Request.BodyLength >= 0 &&
+         Request.BodyLength <= static_cast<std::int64_t>(MaxPrefixBytes) &&
+         !findHeader(Request.Fields, "Expect");
+}
+
 asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::readBodyPrefix() {
   base::Bytes Buffer(Request.BodyLength == 0 ? 0 : MaxPrefixBytes);
   std::size_t Filled = 0;
@@ -266,7 +296,11 @@
   BodyPrefixComplete = Caller->bodyComplete();
   Buffer.resize(Filled);
   BodyPrefix = std::move(Buffer);
-  RequestHash = hashOf({Request.Method, Request.Target});
+  // A stored response must not go to another customer that uses the same
+  // idempotency key.
+  RequestHash = From.Customer ? hashOf({Request.Method, Request.Target,
+                                        From.Customer->Name.value()})
+                              : hashOf({Request.Method, Request.Target});
   Fingerprint = hashOf({Service.value(), Request.Method, Request.Target,
                         base::asText(BodyPrefix)});
   co_return std::nullopt;
@@ -299,6 +333,10 @@
 asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::runAttempt() {
   // A retry uses the newest configuration.
   SnapshotPtr Snapshot = Context->Snapshots.current();
+  // The key may have been taken away while the body was read or an earlier
+  // attempt was running.
+  if (auto Refused = authenticate(*Snapshot))
+    co_return Refused;
   const document::Endpoint *Found = chooseEndpoint(*Snapshot);
   if (!Found && Retries.readmitBusyEndpoints())
     Found = chooseEndpoint(*Snapshot);
@@ -343,6 +381,11 @@
   Head.Target = Request.Target;
   Head.Fields = Request.Fields;
   eraseConnectionHeaders(Head.Fields);
+  Head.CustomersInForce = Customers->inForce();
+  if (Head.CustomersInForce)
+    eraseHeader(Head.Fields, ApiKeyField);
+  if (From.Customer)
+    Head.Customer = From.Customer->Name;
   // Only a claim needs a separate id for each attempt.
   Head.Attempt = IdempotencyKey ? base::randomHexId() : RequestId;
   Head.IdempotencyKey = IdempotencyKey;
@@ -574,7 +617,11 @@
       !Context->retryBudget(Service).hasToken(Context->Time.now()))
     return false;
   auto Snapshot = Context->Snapshots.current();
-  return chooseEndpoint(*Snapshot) != nullptr;
+  // The response is worth more than the refusal of a repeat whose key was taken
+  // away.
+  return identify(*Context->customers(*Snapshot)).Who !=
+             Sender::Kind::Refused &&
+         chooseEndpoint(*Snapshot) != nullptr;
 }
 
 bool EntryRequest::prepareRetry(const Refusal &Refused) {
@@ -652,9 +699,11 @@
 }
 
 asio::awaitable<void> EntryRequest::sendRefusal(Refusal Refused) {
-  // A convicted request is refused for a known time.
+  // A convicted request is refused for a known time, and time does not help a
+  // request without a valid key.
   if (Refused.Outcome == ExecutionOutcome::NotRun &&
       Refused.Reason != RefusalReason::NoRoute &&
+      Refused.Reason != RefusalReason::Unauthenticated &&
       Refused.Reason != RefusalReason::Quarantined) {
     std::uniform_real_distribution<double> Jitter(-1, 1);
     Refused.RetryAfter =
@@ -678,11 +727,13 @@
 void EntryRequest::logCompletion(const std::string &Outcome, unsigned Status) {
   auto Log = base::logger(base::RequestLog);
   const document::MeshSnapshot *Snapshot = Routes ? &Routes->mesh() : nullptr;
-  Log->info("request id={} from={} route={} service={} method={} document={} "
+  Log->info("request id={} from={} customer={} route={} service={} method={} "
+            "document={} "
             "state={} "
             "attempts={} trail={} last_attempt_ms={} took_ms={} left_ms={} "
             "status={} outcome={}",
             RequestId, Caller->peer().address().to_string(),
+            From.Customer ? From.Customer->Name.value() : std::string(),
             MatchedRoute.Name.value(), Service.value(), Request.Method,
             Snapshot ? Snapshot->Document.value() : 0,
             Snapshot ? Snapshot->State.value() : 0, Retries.attempts(),
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -40,10 +40,19 @@
   /// Sets route, deadline and limits from the request head only.
   MaybeRefusal prepare();
   MaybeRefusal findRoute();
+  /// Who sent the request according to `Index`.
+  Sender identify(const CustomerIndex &Index) const;
+  /// Sets `From` by the API key and the customers of `Snapshot`, which is the
+  /// current one. Refuses a key that no customer has, or has no longer; `From`
+  /// then stays.
+  MaybeRefusal authenticate(const document::MeshSnapshot &Snapshot);
   MaybeRefusal checkLimits();
   void computeDeadlines(const CallerMetadata &Terms);
   void chooseSplitService();
   boost::asio::awaitable<MaybeRefusal> readBodyPrefix();
+  /// True if the rest of the body is short and the caller sends it in any case,
+  /// so that reading it keeps the connection and the refusal.
+  bool hasShortBody() const;
   boost::asio::awaitable<MaybeRefusal> runAttempt();
   boost::asio::awaitable<MaybeRefusal> runExchange(SnapshotPtr Snapshot,
                                                    document::Endpoint Target);
@@ -97,6 +106,11 @@
   /// The route's service, or the one selected by its traffic split.
   base::ServiceName Service;
   std::string RequestId;
+  /// API key of the caller as the dialect reads it. Never logged.
+  std::string ApiKey;
+  /// Index that `From` refers to.
+  std::shared_ptr<const CustomerIndex> Customers;
+  Sender From;
   base::TimePoint Arrived;
   base::TimePoint Deadline;
   base::TimePoint Objective;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -683,6 +683,8 @@
   Terms.Instance =
       LastAnnouncement ? LastAnnouncement->Instance : std::string();
   Terms.CallerService = Exchange.Head.CallerService.value();
+  Terms.Customer = Exchange.Head.Customer.value();
+  Terms.CustomersInForce = Exchange.Head.CustomersInForce;
   Dialect.setUpstreamFields(Fields, Terms);
   if (!findHeader(Fields, "Host"))
     Fields.emplace_back("Host", Exchange.Head.Service.value());
--- a/dataplane/src/HttpConnection.cpp
+++ b/dataplane/src/HttpConnection.cpp
@@ -335,6 +335,11 @@
     abort();
 }
 
+tcp::endpoint HttpConnection::local() const {
+  boost::system::error_code Ignored;
+  return Self->Socket.local_endpoint(Ignored);
+}
+
 tcp::endpoint HttpConnection::peer() const {
   boost::system::error_code Ignored;
   return Self->Socket.remote_endpoint(Ignored);
--- a/dataplane/src/NativeDialect.cpp
+++ b/dataplane/src/NativeDialect.cpp
@@ -1,4 +1,5 @@
 #include "amaranth/base/Digest.h"
+#include "amaranth/dataplane/ApiKey.h"
 #include "amaranth/dataplane/HttpConnection.h"
 #include "amaranth/dataplane/HttpDialect.h"
 
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr const char *DeadlineHeader = "X-Request-Deadline-Ms";
+constexpr const char *CustomerHeader = "X-Amaranth-Customer";
 
 } // namespace
 
@@ -27,6 +29,7 @@
   Metadata.Attempt = base::randomHexId();
   if (const std::string *Value = findHeader(Fields, DeadlineHeader))
     Metadata.Timeout = parseMillisHeader(DeadlineHeader, *Value);
+  Metadata.ApiKey = apiKeyOf(Fields);
   return Metadata;
 }
 
@@ -37,6 +40,12 @@
   removeInternalFields(Fields);
   Fields.emplace_back(DeadlineHeader,
                       std::to_string(Metadata.Remaining.count()));
+  if (!Metadata.CustomersInForce)
+    return;
+  eraseHeader(Fields, ApiKeyField);
+  eraseHeader(Fields, CustomerHeader);
+  if (!Metadata.Customer.empty())
+    Fields.emplace_back(CustomerHeader, Metadata.Customer);
 }
 
 ResponseClass
@@ -59,6 +68,12 @@
 }
 
 unsigned NativeDialect::statusOf(const Refusal &Refused) const {
+  if (Refused.Outcome == ExecutionOutcome::NotRun &&
+      Refused.Reason == RefusalReason::Unauthenticated)
+    return 401;
+  if (Refused.Outcome == ExecutionOutcome::NotRun &&
+      Refused.Reason == RefusalReason::QuotaExceeded)
+    return 429;
   switch (Refused.Reason) {
   case RefusalReason::NoRoute:
     return 404;
@@ -85,6 +100,8 @@
       {"Content-Type", "text/plain"},
       {"X-Amaranth-Outcome", std::string(outcomeText(Refused.Outcome))},
       {"X-Amaranth-Reason", reasonText(Refused.Reason)}};
+  if (statusOf(Refused) == 401)
+    Fields.emplace_back("WWW-Authenticate", "Bearer");
   if (Refused.RetryAfter > base::Millis(0))
     Fields.emplace_back(
         "Retry-After",
--- /dev/null
+++ b/dataplane/test/Customers_test.cpp
@@ -0,0 +1,242 @@
+#include "MeshFixture.h"
+#include "amaranth/base/Log.h"
+#include "amaranth/dataplane/ApiKey.h"
+#include "amaranth/dataplane/CustomerIndex.h"
+
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+
+#include <sstream>
+
+namespace amaranth::dataplane::testing {
+
+namespace {
+
+std::string bearer(const std::string &Key) {
+  return "Authorization: Bearer " + Key + "\r\n";
+}
+
+std::string pipelined(const std::string &Target, const std::string &Fields) {
+  return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n" + Fields + "\r\n";
+}
+
+std::size_t count(const std::string &Text, const std::string &Part) {
+  std::size_t Found = 0;
+  for (std::size_t At = 0; (At = Text.find(Part, At)) != std::string::npos;
+       At += Part.size())
+    ++Found;
+  return Found;
+}
+
+} // namespace
+
+/// A node whose document names customers with one key each, and callers on
+/// another VM.
+class CustomersTest : public OneNodeFixture {
+protected:
+  CustomersTest() {
+    CallerIp = "127.0.0.2";
+    addCustomer("acme", "key-a");
+    addCustomer("brevo", "key-b");
+  }
+
+  document::Customer &addCustomer(const std::string &Name,
+                                  const std::string &Key) {
+    document::Customer &Added = Mesh.Customers[base::CustomerName(Name)];
+    Added.Name = base::CustomerName(Name);
+    Added.Keys = {document::digestOfKey(Key)};
+    Snapshots.set(Mesh);
+    return Added;
+  }
+
+  void removeCustomer(const std::string &Name) {
+    Mesh.Customers.erase(base::CustomerName(Name));
+    Snapshots.set(Mesh);
+  }
+
+  void makePublic(const std::string &Path) {
+    document::Route Open = Mesh.Routes.begin()->second;
+    Open.Name = base::RouteName("open");
+    Open.PathPrefix = Path;
+    Open.Public = true;
+    Mesh.Routes[Open.Name] = Open;
+    Snapshots.set(Mesh);
+  }
+
+  std::shared_ptr<CallerResult> ask(const std::string &Target,
+                                    const std::string &Fields) {
+    auto Result = get(Node, Target, Fields);
+    runUntil([&] { return Result->Done; });
+    return Result;
+  }
+
+  /// The field of the last request that the upstream received.
+  std::string seen(const std::string &Name) const {
+    REQUIRE_FALSE(Upstream.SeenFields.empty());
+    const std::string *Value = findHeader(Upstream.SeenFields.back(), Name);
+    return Value ? *Value : "none";
+  }
+};
+
+// Credentials that are no key must not pass for a request without one.
+TEST_CASE("apiKeyOf reads one bearer key and nothing else") {
+  CHECK(apiKeyOf({}).empty());
+  CHECK(apiKeyOf({{"authorization", "bEARER  k-1 "}}) == "k-1");
+  std::vector<Headers> Malformed = {
+      {{"Authorization", "Basic k"}},
+      {{"Authorization", "Bearer"}},
+      {{"Authorization", "Bearer "}},
+      {{"Authorization", "Bearer a b"}},
+      {{"Authorization", "Bearerk"}},
+      {{"Authorization", ""}},
+      {{"Authorization", "Bearer k"}, {"authorization", "Bearer k"}}};
+  for (const Headers &Fields : Malformed)
+    CHECK_FALSE((apiKeyOf(Fields).empty() || isApiKey(apiKeyOf(Fields))));
+}
+
+TEST_CASE_METHOD(CustomersTest,
+                 "Requests without a valid key are refused with 401 not-run") {
+  std::vector<std::string> Faults = {"",
+                                     bearer("other"),
+                                     bearer(""),
+                                     "Authorization: Basic key-a\r\n",
+                                     bearer("key-a") + bearer("key-a"),
+                                     bearer("key-a") + bearer("key-b"),
+                                     bearer("k\xc3\xa9y\xff"),
+                                     bearer(std::string(60'000, 'k'))};
+  for (const std::string &Fields : Faults) {
+    auto Result = ask("/a", Fields);
+    CHECK(Result->status() == 401);
+    CHECK(Result->has("X-Amaranth-Outcome: not-run"));
+    CHECK(Result->has("X-Amaranth-Reason: unauthenticated"));
+    CHECK(Result->has("WWW-Authenticate: Bearer"));
+    CHECK_FALSE(Result->has("Retry-After"));
+  }
+  CHECK(ask("/a", bearer(std::string(70'000, 'k')))->status() == 431);
+  CHECK(Upstream.Seen.empty());
+  Mesh.Routes.edit().begin()->second.PathPrefix = "/a";
+  Snapshots.set(Mesh);
+  CHECK(ask("/b", "")->status() == 404);
+}
+
+TEST_CASE_METHOD(CustomersTest,
+                 "Upstream gets the customer's name and never the key") {
+  std::string Forged =
+      "X-Amaranth-Customer: acme\r\nx-amaranth-customer: x\r\n";
+  CHECK(ask("/a", "Authorization: bearer key-b\r\n" + Forged)->status() == 200);
+  CHECK(seen("Authorization") == "none");
+  CHECK(findHeaders(Upstream.SeenFields.back(), "X-Amaranth-Customer") ==
+        std::vector<std::string>{"brevo"});
+  // A route without keys, and a call of the upstream beside the node.
+  makePublic("/open");
+  for (const std::string &Key :
+       {bearer("other"), bearer("key-a"), std::string()}) {
+    CHECK(ask("/open", Key + Forged)->status() == 200);
+    CHECK(seen("X-Amaranth-Customer") == "none");
+    CHECK(seen("Authorization") == "none");
+  }
+  CallerIp.clear();
+  CHECK(ask("/a", Forged)->status() == 200);
+  CHECK(seen("X-Amaranth-Customer") == "none");
+  CHECK(ask("/a", bearer("other"))->status() == 401);
+  CHECK(ask("/a", bearer("key-a"))->status() == 200);
+  CHECK(seen("X-Amaranth-Customer") == "acme");
+}
+
+TEST_CASE_METHOD(CustomersTest,
+                 "Without customers the caller's fields are passed on") {
+  removeCustomer("acme");
+  removeCustomer("brevo");
+  CHECK(ask("/a", bearer("x") + "X-Amaranth-Customer: y\r\n")->status() == 200);
+  CHECK(seen("Authorization") == "Bearer x");
+  CHECK(seen("X-Amaranth-Customer") == "y");
+}
+
+// Guards against a key that stays valid on a connection that is open when the
+// key is taken away.
+TEST_CASE_METHOD(CustomersTest,
+                 "Key that was taken away is refused on open connections") {
+  auto Result =
+      send(Node.Entry.local(),
+           pipelined("/hold", bearer("key-a")) +
+               pipelined("/second", bearer("key-a")) +
+               pipelined("/third", bearer("key-b") + "Connection: close"
+                                                     "\r\n"));
+  runUntil([&] { return !Upstream.Seen.empty(); });
+  removeCustomer("acme");
+  Held = false;
+  Release.notifyAll();
+  runUntil([&] { return Result->Done; });
+  CHECK(Upstream.Seen == std::vector<std::string>{"GET /hold", "GET /third"});
+  CHECK(count(Result->Text, "HTTP/1.1 200") == 2);
+  CHECK(count(Result->Text, "HTTP/1.1 401") == 1);
+}
+
+// The request is repeatable and another endpoint is ready, so that only the key
+// can stop the repeat.
+TEST_CASE_METHOD(CustomersTest, "Key that was taken away stops repeats") {
+  addUpstream(addNode("m"));
+  auto Result = get(Node, "/hold", bearer("key-a"));
+  auto Seen = [&] {
+    return Upstreams[0]->Seen.size() + Upstreams[1]->Seen.size();
+  };
+  runUntil([&] { return Seen() == 1; });
+  removeCustomer("acme");
+  for (auto &Each : Upstreams)
+    for (auto &Link : Each->Connections)
+      if (auto Open = Link.lock())
+        Open->abort();
+  runUntil([&] { return Result->Done; });
+  CHECK(Seen() == 1);
+  // The first attempt may have run.
+  CHECK(Result->status() == 502);
+  CHECK(Result->has("X-Amaranth-Reason: unauthenticated"));
+}
+
+// Guards against lost refusals: a connection that is closed with an unread body
+// is reset, and takes the requests behind it with it.
+TEST_CASE_METHOD(CustomersTest, "Refusal with 401 keeps the connection") {
+  auto Result =
+      send(Node.Entry.local(),
+           "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+           "3\r\n\r\nabc" +
+               pipelined("/b", bearer("key-a") + "Connection: close\r\n"));
+  runUntil([&] { return Result->Done; });
+  CHECK(Result->status() == 401);
+  CHECK(Upstream.Seen == std::vector<std::string>{"GET /b"});
+}
+
+// A stored response must not go to another customer.
+TEST_CASE_METHOD(CustomersTest,
+                 "Idempotency key of one customer replays nothing to another") {
+  std::string Key = "Idempotency-Key: 1\r\n";
+  auto First = post(Node, "/pay", "x", Key + bearer("key-a"));
+  runUntil([&] { return First->Done; });
+  auto Other = post(Node, "/pay", "x", Key + bearer("key-b"));
+  auto Same = post(Node, "/pay", "x", Key + bearer("key-a"));
+  runUntil([&] { return Other->Done && Same->Done; });
+  CHECK(First->status() == 200);
+  CHECK(Other->status() == 409);
+  CHECK(Same->status() == 200);
+  CHECK(Upstream.Seen.size() == 1);
+}
+
+TEST_CASE_METHOD(CustomersTest, "API keys are not logged") {
+  std::ostringstream Lines;
+  auto Sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(Lines);
+  std::vector<std::string> Components = {base::RequestLog, "gate", "dataplane"};
+  for (const std::string &Name : Components)
+    base::logger(Name)->sinks().push_back(Sink);
+  std::string Refused = ask("/a", bearer("secret-1"))->Text;
+  Refused += ask("/a", bearer("secret-2") + bearer("key-a"))->Text;
+  ask("/a", bearer("key-a"));
+  for (const std::string &Name : Components)
+    base::logger(Name)->sinks().pop_back();
+  CHECK(count(Lines.str(), "unauthenticated") == 2);
+  CHECK(count(Lines.str(), "customer=acme") > 0);
+  CHECK((Lines.str() + Refused).find("secret") == std::string::npos);
+  CHECK((Lines.str() + Refused).find("key-a") == std::string::npos);
+}
+
+} // namespace amaranth::dataplane::testing
--- a/dataplane/test/Fakes.h
+++ b/dataplane/test/Fakes.h
@@ -3,6 +3,7 @@
 
 #include "amaranth/base/Clock.h"
 #include "amaranth/base/Error.h"
+#include "amaranth/dataplane/QuotaLimiter.h"
 #include "amaranth/follower/ControlCalls.h"
 #include "amaranth/follower/SnapshotSource.h"
 #include "amaranth/replication/ReplicatedLog.h"
@@ -38,6 +39,20 @@
   base::Signal Signal;
 };
 
+/// Admits every request until the test sets another verdict, and notes who
+/// asked.
+class FakeQuotas final : public QuotaLimiter {
+public:
+  boost::asio::awaitable<Verdict> admit(const document::Customer &Sender,
+                                        base::Millis /*MaxWait*/) override {
+    Asked.push_back(Sender.Name.value());
+    co_return Next;
+  }
+
+  Verdict Next;
+  std::vector<std::string> Asked;
+};
+
 /// In-memory control with the rules for claims, without replication.
 class FakeControl final : public follower::ControlCalls {
 public:
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -276,6 +276,9 @@
     boost::system::error_code Failure;
     auto Token = asio::redirect_error(asio::use_awaitable, Failure);
     tcp::endpoint Peer(asio::ip::make_address(To.Ip), To.Port);
+    Socket.open(tcp::v4());
+    if (!Mesh.CallerIp.empty())
+      Socket.bind({asio::ip::make_address(Mesh.CallerIp), 0});
     co_await Socket.async_connect(Peer, Token);
     co_await asio::async_write(Socket, asio::buffer(Raw), Token);
     std::vector<char> Buffer(256U << 10U);
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -112,7 +112,7 @@
   Gate UpstreamGate;
   ExchangeServer Exchanges;
   PeerPool Peers;
-  UnlimitedQuotas Quotas;
+  FakeQuotas Quotas;
   EntryServer Entry;
   AnnounceHandler Announcements;
   AnnounceServer Announce;
@@ -183,6 +183,8 @@
   /// Releases requests to `/hold` when `Held` is false.
   base::Signal Release{Context.get_executor()};
   bool Held = true;
+  /// Address that callers connect from; empty for that of the nodes.
+  std::string CallerIp;
   /// Callers stop reading until this is false and `Release` is notified.
   bool PauseReading = false;
   std::uint64_t NextSequence = 1;
