Ask the limiter for customers with a limit and rank by customer

A customer that sends seven times its usual must not use more than its limit, and under load the customer's priority decides before the route's.

The entry node asks QuotaLimiter once for each request of a customer with a limit, after the quarantine check and before the first attempt. A refusal is 429 with the limiter's Retry-After. Requests that are refused for another reason take no token, and the retry budget counts admitted requests only. The rank in RequestHead::Priority puts calls first, then customers by priority and route. Metrics count requests by customer and outcome for at most 256 customers.

--- a/dataplane/include/amaranth/dataplane/CustomerIndex.h
+++ b/dataplane/include/amaranth/dataplane/CustomerIndex.h
@@ -58,10 +58,21 @@
   Sender identify(std::string_view Key, bool PublicRoute,
                   bool FromLocalUpstream) const;
 
+  /// Rank of a request in queues, 0 first: calls of upstreams, which hold the
+  /// slot of their caller, by the priority of the route; then the requests of
+  /// customers by the priority of the customer and, within it, of the route.
+  /// Requests without a customer on public routes rank with the least urgent
+  /// customers: callers whom nobody knows must not displace customers. Without
+  /// customers, the rank is the priority of the route.
+  std::uint32_t rank(const Sender &From, std::uint32_t RoutePriority) const;
+  /// Larger priorities of a customer or a route rank like this one.
+  static constexpr std::uint32_t MaxPriority = 1000;
+
 private:
   /// Keeps the customers that the entries of `ByDigest` refer to.
   Customers Content;
   std::map<document::KeyDigest, const document::Customer *> ByDigest;
+  std::uint32_t LowestPriority = 0;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -18,8 +18,9 @@
 
 namespace amaranth::dataplane {
 
-/// Data plane metrics. The registry must outlive them. Label values are service
-/// names from the document and constants, never request data.
+/// Data plane metrics. The registry must outlive them. Label values are names
+/// of services and customers from the document and constants, never request
+/// data.
 class Metrics {
 public:
   explicit Metrics(prometheus::Registry &Registry);
@@ -28,6 +29,13 @@
   /// `refused` or `broken`.
   void countRequest(const base::ServiceName &Service,
                     const std::string &Outcome, base::Millis Duration);
+  /// Counts a request of a customer at the entry node. `Outcome` is `answered`,
+  /// `over-limit`, `refused` or `broken`. Customers beyond the first
+  /// `MaxCustomers` are counted together as `other`, because a document may
+  /// replace its customers any number of times and a label value stays.
+  void countCustomerRequest(const base::CustomerName &Name,
+                            const std::string &Outcome);
+  static constexpr std::size_t MaxCustomers = 256;
   /// `Place` is `entry` or `gate`.
   void countRefusal(const std::string &Place, const Refusal &Refused);
   void countRetry(const base::ServiceName &Service);
@@ -45,6 +53,7 @@
   template <typename Metric> using Cache = std::map<std::string, Metric *>;
 
   prometheus::Family<prometheus::Counter> &Requests;
+  prometheus::Family<prometheus::Counter> &CustomerRequests;
   prometheus::Family<prometheus::Counter> &Refusals;
   prometheus::Family<prometheus::Counter> &Retries;
   prometheus::Family<prometheus::Counter> &Ejections;
@@ -57,6 +66,8 @@
   prometheus::Gauge &Slots;
   prometheus::Gauge &RequestLimit;
   Cache<prometheus::Counter> RequestCache;
+  /// By customer and outcome.
+  std::map<std::string, Cache<prometheus::Counter>> CustomerCache;
   std::map<std::tuple<std::string, ExecutionOutcome, RefusalReason>,
            prometheus::Counter *>
       RefusalCache;
--- a/dataplane/src/CustomerIndex.cpp
+++ b/dataplane/src/CustomerIndex.cpp
@@ -2,12 +2,16 @@
 
 #include "amaranth/dataplane/ApiKey.h"
 
+#include <algorithm>
+
 namespace amaranth::dataplane {
 
 CustomerIndex::CustomerIndex(Customers From) : Content(std::move(From)) {
-  for (const auto &[Name, Customer] : Content)
+  for (const auto &[Name, Customer] : Content) {
+    LowestPriority = std::max(LowestPriority, Customer.Priority);
     for (const document::KeyDigest &Digest : Customer.Keys)
       ByDigest.emplace(Digest, &Customer);
+  }
 }
 
 Sender CustomerIndex::identify(std::string_view Key, bool PublicRoute,
@@ -29,4 +33,18 @@
   return {Sender::Kind::Customer, Found->second, {}};
 }
 
+std::uint32_t CustomerIndex::rank(const Sender &From,
+                                  std::uint32_t RoutePriority) const {
+  if (!inForce())
+    return RoutePriority;
+  std::uint32_t Route = std::min(RoutePriority, MaxPriority);
+  if (From.Who == Sender::Kind::LocalUpstream)
+    return Route;
+  std::uint32_t Customer = std::min(
+      From.Customer ? From.Customer->Priority : LowestPriority, MaxPriority);
+  constexpr std::uint32_t RoutePriorities = MaxPriority + 1;
+  // The first `RoutePriorities` ranks are those of calls.
+  return (Customer + 1) * RoutePriorities + Route;
+}
+
 } // namespace amaranth::dataplane
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -30,6 +30,9 @@
 constexpr std::int64_t DownloadLocalWaitPercent = 100;
 /// Responses up to this size are buffered completely while the node shuts down.
 constexpr std::size_t MaxShutdownBufferBytes = 1U << 20U;
+/// Longest wait for a decision about a customer's limit. A limiter asks at most
+/// two other nodes, each for about 50 ms; a late process may take longer.
+constexpr base::Millis MaxQuotaWait = base::Millis(500);
 /// Applies when neither the route nor the caller sets a limit.
 constexpr base::Millis DefaultTimeout = base::Millis::seconds(60);
 
@@ -105,7 +108,6 @@
   Deadline = LastAttempt = Arrived;
   MaybeRefusal Refused = prepare();
   if (!Refused) {
-    Context->retryBudget(Service).recordRequest(Arrived);
     Refused = co_await readBodyPrefix();
   } else if (Refused->Reason == RefusalReason::Unauthenticated &&
              hasShortBody()) {
@@ -120,6 +122,11 @@
       // connection together.
       CallerGone = Caller->closed();
     }
+    Refused = co_await takeQuota();
+  }
+  if (!Refused) {
+    // Requests above a customer's limit must not enlarge the retry budget.
+    Context->retryBudget(Service).recordRequest(Arrived);
     do
       Refused = co_await runAttempt();
     while (Refused && prepareRetry(*Refused));
@@ -131,6 +138,7 @@
     logCompletion("caller-gone", 0);
     Context->Counters.countRequest(Service, "broken",
                                    Context->Time.now() - Arrived);
+    countCustomer("broken");
     Caller->abort();
     co_return;
   }
@@ -330,6 +338,31 @@
   return nullptr;
 }
 
+asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::takeQuota() {
+  // The key may have been taken away, or the limit changed, while the body was
+  // read.
+  SnapshotPtr Snapshot = Context->Snapshots.current();
+  if (auto Refused = authenticate(*Snapshot))
+    co_return Refused;
+  if (!From.Customer || From.Customer->RequestsPerSecond <= 0 || CallerGone)
+    co_return std::nullopt;
+  base::Millis Left = Deadline - Context->Time.now();
+  if (Left <= base::Millis(0))
+    co_return notRun(RefusalReason::DeadlineExceeded,
+                     "the deadline passed before the request was sent");
+  QuotaLimiter::Verdict Verdict = co_await Context->Quotas.admit(
+      *From.Customer, std::min(Left, MaxQuotaWait));
+  if (Verdict.Admitted)
+    co_return std::nullopt;
+  Refusal Refused = notRun(
+      RefusalReason::QuotaExceeded,
+      fmt::format("customer {} has used up its limit of {:g} requests a second",
+                  From.Customer->Name.value(),
+                  From.Customer->RequestsPerSecond));
+  Refused.RetryAfter = Verdict.RetryAfter;
+  co_return Refused;
+}
+
 asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::runAttempt() {
   // A retry uses the newest configuration.
   SnapshotPtr Snapshot = Context->Snapshots.current();
@@ -398,7 +431,8 @@
   Head.Objective = Objective - Context->Time.now();
   // At its gate, a response that is late waits for the link behind all that are
   // not, and would be cut off by the end of this node.
-  Head.Priority = EndsWithNode ? HighestPriority : MatchedRoute.Priority;
+  Head.Priority = EndsWithNode ? HighestPriority
+                               : Customers->rank(From, MatchedRoute.Priority);
   Head.AtMostOnce = !isRepeatable();
   Head.Suspect = Context->Quarantine.isSuspect(Fingerprint);
   if (Retries.limitsQueueWait() && Objective < Deadline) {
@@ -502,6 +536,7 @@
   std::string StatusClass =
       Complete ? std::to_string(Status / 100) + "xx" : std::string("broken");
   Context->Counters.countRequest(Service, StatusClass, Elapsed);
+  countCustomer(Complete ? "answered" : "broken");
   logCompletion(Complete ? "answered" : "broken", Status);
   co_return std::nullopt;
 }
@@ -699,11 +734,12 @@
 }
 
 asio::awaitable<void> EntryRequest::sendRefusal(Refusal Refused) {
-  // A convicted request is refused for a known time, and time does not help a
-  // request without a valid key.
+  // A convicted request and one above a limit are refused for a known time, and
+  // time does not help a request without a valid key.
   if (Refused.Outcome == ExecutionOutcome::NotRun &&
       Refused.Reason != RefusalReason::NoRoute &&
       Refused.Reason != RefusalReason::Unauthenticated &&
+      Refused.Reason != RefusalReason::QuotaExceeded &&
       Refused.Reason != RefusalReason::Quarantined) {
     std::uniform_real_distribution<double> Jitter(-1, 1);
     Refused.RetryAfter =
@@ -714,6 +750,8 @@
   Context->Counters.countRefusal("entry", Refused);
   Context->Counters.countRequest(Service, "refused",
                                  Context->Time.now() - Arrived);
+  countCustomer(Refused.Reason == RefusalReason::QuotaExceeded ? "over-limit"
+                                                               : "refused");
   logCompletion(fmt::format("{} {} \"{}\"", outcomeText(Refused.Outcome),
                             reasonText(Refused.Reason), Refused.Text),
                 Status);
@@ -724,6 +762,11 @@
   co_await Caller->respond(Status, std::move(Fields), std::move(Body));
 }
 
+void EntryRequest::countCustomer(const std::string &Outcome) {
+  if (From.Customer)
+    Context->Counters.countCustomerRequest(From.Customer->Name, Outcome);
+}
+
 void EntryRequest::logCompletion(const std::string &Outcome, unsigned Status) {
   auto Log = base::logger(base::RequestLog);
   const document::MeshSnapshot *Snapshot = Routes ? &Routes->mesh() : nullptr;
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -53,6 +53,9 @@
   /// True if the rest of the body is short and the caller sends it in any case,
   /// so that reading it keeps the connection and the refusal.
   bool hasShortBody() const;
+  /// Takes the right to send this request if its customer has a limit. Asked
+  /// once, when nothing else that is known speaks against the request.
+  boost::asio::awaitable<MaybeRefusal> takeQuota();
   boost::asio::awaitable<MaybeRefusal> runAttempt();
   boost::asio::awaitable<MaybeRefusal> runExchange(SnapshotPtr Snapshot,
                                                    document::Endpoint Target);
@@ -96,6 +99,7 @@
   /// Cancels the running attempt when the caller disconnects.
   void watchCaller();
   void logCompletion(const std::string &Outcome, unsigned Status);
+  void countCustomer(const std::string &Outcome);
 
   std::shared_ptr<EntryContext> Context;
   std::shared_ptr<HttpConnection> Caller;
--- a/dataplane/src/Metrics.cpp
+++ b/dataplane/src/Metrics.cpp
@@ -23,6 +23,8 @@
 Metrics::Metrics(prometheus::Registry &Registry)
     : Requests(counters(Registry, "amaranth_requests_total",
                         "Requests of callers by service and outcome")),
+      CustomerRequests(counters(Registry, "amaranth_customer_requests_total",
+                                "Requests by customer and outcome")),
       Refusals(counters(Registry, "amaranth_refusals_total",
                         "Refusals by place, outcome and reason")),
       Retries(counters(Registry, "amaranth_retries_total",
@@ -63,6 +65,17 @@
   Times->Observe(static_cast<double>(Duration.count()));
 }
 
+void Metrics::countCustomerRequest(const base::CustomerName &Name,
+                                   const std::string &Outcome) {
+  bool Known = CustomerCache.contains(Name.value()) ||
+               CustomerCache.size() < MaxCustomers;
+  std::string Label = Known ? Name.value() : "other";
+  auto &Count = CustomerCache[Label][Outcome];
+  if (!Count)
+    Count = &CustomerRequests.Add({{"customer", Label}, {"outcome", Outcome}});
+  Count->Increment();
+}
+
 void Metrics::countRefusal(const std::string &Place, const Refusal &Refused) {
   auto &Count = RefusalCache[{Place, Refused.Outcome, Refused.Reason}];
   if (!Count)
--- a/dataplane/test/Customers_test.cpp
+++ b/dataplane/test/Customers_test.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 #include <spdlog/sinks/ostream_sink.h>
 
+#include <algorithm>
+#include <functional>
 #include <sstream>
 
 namespace amaranth::dataplane::testing {
@@ -41,13 +43,12 @@
     addCustomer("brevo", "key-b");
   }
 
-  document::Customer &addCustomer(const std::string &Name,
-                                  const std::string &Key) {
-    document::Customer &Added = Mesh.Customers[base::CustomerName(Name)];
-    Added.Name = base::CustomerName(Name);
-    Added.Keys = {document::digestOfKey(Key)};
+  void addCustomer(const std::string &Name, const std::string &Key,
+                   std::uint32_t Priority = 0, double RequestsPerSecond = 0) {
+    base::CustomerName Id(Name);
+    Mesh.Customers[Id] = {
+        Id, {document::digestOfKey(Key)}, Priority, RequestsPerSecond, 0};
     Snapshots.set(Mesh);
-    return Added;
   }
 
   void removeCustomer(const std::string &Name) {
@@ -222,6 +223,79 @@
   CHECK(Upstream.Seen.size() == 1);
 }
 
+// The limiter counts the request of a caller, not our repeats of it, and no
+// request that is refused for another reason.
+TEST_CASE_METHOD(CustomersTest, "Limit of a customer is asked once a request") {
+  addCustomer("acme", "key-a", 0, 5);
+  makePublic("/open");
+  Mesh.Routes[base::RouteName("keyed")] = Mesh.Routes.begin()->second;
+  document::Route &Keyed = Mesh.Routes[base::RouteName("keyed")];
+  Keyed.Name = base::RouteName("keyed");
+  Keyed.PathPrefix = "/keyed";
+  Keyed.RequireIdempotencyKey = true;
+  Snapshots.set(Mesh);
+  ask("/a", "");
+  ask("/open", bearer("key-a"));
+  ask("/a", bearer("key-b"));
+  post(Node, "/keyed", "", bearer("key-a"));
+  sendRaw("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000000\r\n" +
+          bearer("key-a") + "\r\n");
+  CHECK(Node.Quotas.Asked.empty());
+  addUpstream(addNode("m"));
+  // Breaks at each upstream, so that it is repeated.
+  ask("/break", bearer("key-a"));
+  CHECK(Upstreams[0]->Seen.size() + Upstreams[1]->Seen.size() > 3);
+  CHECK(Node.Quotas.Asked == std::vector<std::string>{"acme"});
+}
+
+TEST_CASE_METHOD(CustomersTest, "Requests above a limit are refused with 429") {
+  addCustomer("acme", "key-a", 0, 5);
+  Node.Quotas.Next = {false, base::Millis(40'000)};
+  auto Result = ask("/a", bearer("key-a"));
+  CHECK(Result->status() == 429);
+  CHECK(Result->has("X-Amaranth-Outcome: not-run"));
+  CHECK(Result->has("X-Amaranth-Reason: quota-exceeded"));
+  CHECK(Result->has("Retry-After: 40\r\n"));
+  CHECK(Result->has("customer acme has used up its limit of 5 requests"));
+  CHECK(Upstream.Seen.empty());
+  CHECK(ask("/a", bearer("key-b"))->status() == 200);
+}
+
+// Guards against metrics that grow with each replacement of the customers.
+TEST_CASE("Metrics bounds the number of customers") {
+  prometheus::Registry Registry;
+  Metrics Counters(Registry);
+  for (std::size_t I = 0; I < 2 * Metrics::MaxCustomers; ++I)
+    Counters.countCustomerRequest(base::CustomerName(std::to_string(I)),
+                                  "answered");
+  std::size_t Series = 0;
+  for (const auto &Family : Registry.Collect())
+    if (Family.name == "amaranth_customer_requests_total")
+      Series = Family.metric.size();
+  CHECK(Series == Metrics::MaxCustomers + 1);
+}
+
+TEST_CASE_METHOD(CustomersTest,
+                 "Rank orders by customer, then by route, calls first") {
+  addCustomer("acme", "key-a", 0);
+  addCustomer("brevo", "key-b", 1);
+  addCustomer("calm", "key-c", 1000);
+  CustomerIndex Index(Mesh.Customers);
+  auto Rank = [&](const char *Key, std::uint32_t Route) {
+    return Index.rank(Index.identify(Key, false, true), Route);
+  };
+  std::vector<std::uint32_t> Ranks = {
+      Rank("", 0),      Rank("", 1000),      Rank("key-a", 0),
+      Rank("key-a", 1), Rank("key-a", 1000), Rank("key-b", 0),
+      Rank("key-b", 1), Rank("key-c", 0),    Rank("key-c", 1000)};
+  CHECK(std::ranges::adjacent_find(Ranks, std::greater_equal<>()) ==
+        Ranks.end());
+  CHECK(Rank("", 7) == 7);
+  CHECK(Index.rank(Index.identify("", true, false), 7) == Rank("key-c", 7));
+  CustomerIndex None({});
+  CHECK(None.rank(None.identify("", false, false), 5000) == 5000);
+}
+
 TEST_CASE_METHOD(CustomersTest, "API keys are not logged") {
   std::ostringstream Lines;
   auto Sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(Lines);
