--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -4,6 +4,7 @@
 #include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
 #include "amaranth/base/Log.h"
+#include "amaranth/dataplane/ApiKey.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,6 +30,9 @@
 constexpr std::int64_t DownloadLocalWaitPercent = 100;
 /// Responses up to this size are buffered completely while the node shuts down.
 constexpr std::size_t MaxShutdownBufferBytes = 1U << 20U;
+/// Longest wait for a decision about a customer's limit. A limiter asks at most
+/// two other nodes, each for about 50 ms; a late process may take longer.
+constexpr base::Millis MaxQuotaWait = base::Millis(500);
 /// Applies when neither the route nor the caller sets a limit.
 constexpr base::Millis DefaultTimeout = base::Millis::seconds(60);
 
@@ -105,8 +109,10 @@
   Deadline = LastAttempt = Arrived;
   MaybeRefusal Refused = prepare();
   if (!Refused) {
-    Context->retryBudget(Service).recordRequest(Arrived);
     Refused = co_await readBodyPrefix();
+  } else if (Refused->Reason == RefusalReason::Unauthenticated &&
+             hasShortBody()) {
+    co_await readBodyPrefix();
   }
   if (!Refused)
     Refused = quarantineRefusal();
@@ -117,6 +123,11 @@
       // connection together.
       CallerGone = Caller->closed();
     }
+    Refused = co_await takeQuota();
+  }
+  if (!Refused) {
+    // Requests above a customer's limit must not enlarge the retry budget.
+    Context->retryBudget(Service).recordRequest(Arrived);
     do
       Refused = co_await runAttempt();
     while (Refused && prepareRetry(*Refused));
@@ -128,6 +139,7 @@
     logCompletion("caller-gone", 0);
     Context->Counters.countRequest(Service, "broken",
                                    Context->Time.now() - Arrived);
+    countCustomer("broken");
     Caller->abort();
     co_return;
   }
@@ -144,10 +156,13 @@
     return notRun(RefusalReason::Malformed, Fault.what());
   }
   RequestId = Terms.Attempt;
+  ApiKey = Terms.ApiKey;
   // A refusal without a route has a Retry-After time too.
   Deadline = Arrived + Terms.Timeout.value_or(DefaultTimeout);
   if (auto Refused = findRoute())
     return Refused;
+  if (auto Refused = authenticate(Routes->mesh()))
+    return Refused;
   if (auto Refused = checkLimits())
     return Refused;
   computeDeadlines(Terms);
@@ -174,6 +189,23 @@
   return std::nullopt;
 }
 
+Sender EntryRequest::identify(const CustomerIndex &Index) const {
+  // Only processes of this VM connect from the address that they connect to.
+  bool Local = Caller->peer().address() == Caller->local().address();
+  return Index.identify(ApiKey, MatchedRoute.Public, Local);
+}
+
+EntryRequest::MaybeRefusal
+EntryRequest::authenticate(const document::MeshSnapshot &Snapshot) {
+  auto Index = Context->customers(Snapshot);
+  Sender Found = identify(*Index);
+  if (Found.Who == Sender::Kind::Refused)
+    return notRun(RefusalReason::Unauthenticated, std::string(Found.Fault));
+  From = Found;
+  Customers = std::move(Index);
+  return std::nullopt;
+}
+
 EntryRequest::MaybeRefusal EntryRequest::checkLimits() {
   if (const std::string *Value = findHeader(Request.Fields, "Idempotency-Key"))
     IdempotencyKey = *Value;
@@ -244,6 +276,12 @@
   }
 }
 
+bool EntryRequest::hasShortBody() const {
+  return Request.BodyLength >= 0 &&
+         Request.BodyLength <= static_cast<std::int64_t>(MaxPrefixBytes) &&
+         !findHeader(Request.Fields, "Expect");
+}
+
 asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::readBodyPrefix() {
   base::Bytes Buffer(Request.BodyLength == 0 ? 0 : MaxPrefixBytes);
   std::size_t Filled = 0;
@@ -267,7 +305,11 @@
   BodyPrefixComplete = Caller->bodyComplete();
   Buffer.resize(Filled);
   BodyPrefix = std::move(Buffer);
-  RequestHash = hashOf({Request.Method, Request.Target});
+  // A stored response must not go to another customer that uses the same
+  // idempotency key.
+  RequestHash = From.Customer ? hashOf({Request.Method, Request.Target,
+                                        From.Customer->Name.value()})
+                              : hashOf({Request.Method, Request.Target});
   Fingerprint = hashOf({Service.value(), Request.Method, Request.Target,
                         base::asText(BodyPrefix)});
   co_return std::nullopt;
@@ -299,9 +341,38 @@
   return nullptr;
 }
 
+asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::takeQuota() {
+  // The key may have been taken away, or the limit changed, while the body was
+  // read.
+  SnapshotPtr Snapshot = Context->Snapshots.current();
+  if (auto Refused = authenticate(*Snapshot))
+    co_return Refused;
+  if (!From.Customer || From.Customer->RequestsPerSecond <= 0 || CallerGone)
+    co_return std::nullopt;
+  base::Millis Left = Deadline - Context->Time.now();
+  if (Left <= base::Millis(0))
+    co_return notRun(RefusalReason::DeadlineExceeded,
+                     "the deadline passed before the request was sent");
+  QuotaLimiter::Verdict Verdict = co_await Context->Quotas.admit(
+      *From.Customer, std::min(Left, MaxQuotaWait));
+  if (Verdict.Admitted)
+    co_return std::nullopt;
+  Refusal Refused = notRun(
+      RefusalReason::QuotaExceeded,
+      fmt::format("customer {} has used up its limit of {:g} requests a second",
+                  From.Customer->Name.value(),
+                  From.Customer->RequestsPerSecond));
+  Refused.RetryAfter = Verdict.RetryAfter;
+  co_return Refused;
+}
+
 asio::awaitable<EntryRequest::MaybeRefusal> EntryRequest::runAttempt() {
   // A retry uses the newest configuration.
   SnapshotPtr Snapshot = Context->Snapshots.current();
+  // The key may have been taken away while the body was read or an earlier
+  // attempt was running.
+  if (auto Refused = authenticate(*Snapshot))
+    co_return Refused;
   if (Retries.attempts() == 0 &&
       Context->Odds[Service].advice(Context->Time.now()) ==
           SlotOdds::Advice::AskAllZones)
@@ -355,6 +426,11 @@
   Head.Target = Request.Target;
   Head.Fields = Request.Fields;
   eraseConnectionHeaders(Head.Fields);
+  Head.CustomersInForce = Customers->inForce();
+  if (Head.CustomersInForce)
+    eraseHeader(Head.Fields, ApiKeyField);
+  if (From.Customer)
+    Head.Customer = From.Customer->Name;
   // Only a claim needs a separate id for each attempt.
   Head.Attempt = IdempotencyKey ? base::randomHexId() : RequestId;
   Head.IdempotencyKey = IdempotencyKey;
@@ -367,7 +443,8 @@
   Head.Objective = Objective - Context->Time.now();
   // At its gate, a response that is late waits for the link behind all that are
   // not, and would be cut off by the end of this node.
-  Head.Priority = EndsWithNode ? HighestPriority : MatchedRoute.Priority;
+  Head.Priority = EndsWithNode ? HighestPriority
+                               : Customers->rank(From, MatchedRoute.Priority);
   Head.AtMostOnce = !isRepeatable();
   Head.Suspect = Context->Quarantine.isSuspect(Fingerprint);
   if (Retries.limitsQueueWait() && Objective < Deadline) {
@@ -471,6 +548,7 @@
   std::string StatusClass =
       Complete ? std::to_string(Status / 100) + "xx" : std::string("broken");
   Context->Counters.countRequest(Service, StatusClass, Elapsed);
+  countCustomer(Complete ? "answered" : "broken");
   logCompletion(Complete ? "answered" : "broken", Status);
   co_return std::nullopt;
 }
@@ -586,7 +664,11 @@
       !Context->retryBudget(Service).hasToken(Context->Time.now()))
     return false;
   auto Snapshot = Context->Snapshots.current();
-  return chooseEndpoint(*Snapshot) != nullptr;
+  // The response is worth more than the refusal of a repeat whose key was taken
+  // away.
+  return identify(*Context->customers(*Snapshot)).Who !=
+             Sender::Kind::Refused &&
+         chooseEndpoint(*Snapshot) != nullptr;
 }
 
 bool EntryRequest::prepareRetry(const Refusal &Refused) {
@@ -677,9 +759,12 @@
 }
 
 asio::awaitable<void> EntryRequest::sendRefusal(Refusal Refused) {
-  // A convicted request is refused for a known time.
+  // A convicted request and one above a limit are refused for a known time, and
+  // time does not help a request without a valid key.
   if (Refused.Outcome == ExecutionOutcome::NotRun &&
       Refused.Reason != RefusalReason::NoRoute &&
+      Refused.Reason != RefusalReason::Unauthenticated &&
+      Refused.Reason != RefusalReason::QuotaExceeded &&
       Refused.Reason != RefusalReason::Quarantined) {
     std::uniform_real_distribution<double> Jitter(-1, 1);
     Refused.RetryAfter =
@@ -690,6 +775,8 @@
   Context->Counters.countRefusal("entry", Refused);
   Context->Counters.countRequest(Service, "refused",
                                  Context->Time.now() - Arrived);
+  countCustomer(Refused.Reason == RefusalReason::QuotaExceeded ? "over-limit"
+                                                               : "refused");
   logCompletion(fmt::format("{} {} \"{}\"", outcomeText(Refused.Outcome),
                             reasonText(Refused.Reason), Refused.Text),
                 Status);
@@ -700,14 +787,21 @@
   co_await Caller->respond(Status, std::move(Fields), std::move(Body));
 }
 
+void EntryRequest::countCustomer(const std::string &Outcome) {
+  if (From.Customer)
+    Context->Counters.countCustomerRequest(From.Customer->Name, Outcome);
+}
+
 void EntryRequest::logCompletion(const std::string &Outcome, unsigned Status) {
   auto Log = base::logger(base::RequestLog);
   const document::MeshSnapshot *Snapshot = Routes ? &Routes->mesh() : nullptr;
-  Log->info("request id={} from={} route={} service={} method={} document={} "
+  Log->info("request id={} from={} customer={} route={} service={} method={} "
+            "document={} "
             "state={} "
             "attempts={} trail={} last_attempt_ms={} took_ms={} left_ms={} "
             "status={} outcome={}",
             RequestId, Caller->peer().address().to_string(),
+            From.Customer ? From.Customer->Name.value() : std::string(),
             MatchedRoute.Name.value(), Service.value(), Request.Method,
             Snapshot ? Snapshot->Document.value() : 0,
             Snapshot ? Snapshot->State.value() : 0, Retries.attempts(),
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -486,6 +486,8 @@
           Exchange.Deadline,
           expectedServiceTime(Exchange.Head),
           0,
+          shareIdOf(Exchange.Head.Customer),
+          0,
           Costs.mean(Exchange.Head.Route, Time.now())};
 }
 
--- a/dataplane/src/SlotQueue.cpp
+++ b/dataplane/src/SlotQueue.cpp
@@ -96,46 +96,62 @@
   }
 }
 
-std::size_t SlotQueue::countAhead(const SchedulingParams &Work) const {
+std::vector<SchedulingParams>
+SlotQueue::withTurns(const SchedulingParams *New) const {
+  std::vector<SchedulingParams> All;
+  All.reserve(Waiters.size() + 1);
+  for (const auto &Entry : Waiters)
+    All.push_back(Entry->Work);
+  if (New)
+    All.push_back(*New);
+  Shares.assignTurns(All, Time.now());
+  return All;
+}
+
+std::vector<SchedulingParams>
+SlotQueue::ahead(const SchedulingParams &Work) const {
   SchedulingParams New = Work;
   New.Sequence = NextSequence;
+  std::vector<SchedulingParams> All = withTurns(&New);
+  New = All.back();
+  All.pop_back();
   base::TimePoint Now = Time.now();
-  return static_cast<std::size_t>(
-      std::count_if(Waiters.begin(), Waiters.end(), [&](const auto &Entry) {
-        return precedes(Entry->Work, New, Now);
-      }));
+  std::erase_if(All, [&](const SchedulingParams &Each) {
+    return !precedes(Each, New, Now);
+  });
+  return All;
+}
+
+std::size_t SlotQueue::countAhead(const SchedulingParams &Work) const {
+  return ahead(Work).size();
 }
 
 base::Millis
 SlotQueue::expectedWait(const SchedulingParams &Work,
                         scheduling::OutstandingWork &Running) const {
-  base::TimePoint Now = Time.now();
-  SchedulingParams New = Work;
-  New.Sequence = NextSequence;
-  std::size_t Ahead = 0;
-  for (const auto &Entry : Waiters) {
-    if (!precedes(Entry->Work, New, Now))
-      continue;
-    ++Ahead;
-    Running.addWaiting(Entry->Work.MeanServiceTime);
-  }
-  base::Millis RateWait = RateLimit.timeUntil(Ahead + 1, Now);
+  std::vector<SchedulingParams> Ahead = ahead(Work);
+  for (const SchedulingParams &Each : Ahead)
+    Running.addWaiting(Each.MeanServiceTime);
+  base::Millis RateWait = RateLimit.timeUntil(Ahead.size() + 1, Time.now());
   return std::max(RateWait, Running.untilSlot());
 }
 
 SlotQueue::WaiterList::iterator SlotQueue::nextWaiter() {
   base::TimePoint Now = Time.now();
-  auto First = Waiters.end();
-  for (auto It = Waiters.begin(); It != Waiters.end(); ++It)
-    if (!((*It)->Suspect && SuspectRunning) &&
-        (First == Waiters.end() || precedes((*It)->Work, (*First)->Work, Now)))
-      First = It;
-  return First;
+  std::vector<SchedulingParams> Work = withTurns(nullptr);
+  std::size_t First = Waiters.size();
+  for (std::size_t I = 0; I < Waiters.size(); ++I)
+    if (!(Waiters[I]->Suspect && SuspectRunning) &&
+        (First == Waiters.size() || precedes(Work[I], Work[First], Now)))
+      First = I;
+  return Waiters.begin() + static_cast<std::ptrdiff_t>(First);
 }
 
 base::TimePoint SlotQueue::nextGrant(const Waiter &Own) {
+  if (Running >= Limit)
+    return base::TimePoint::max();
   auto First = nextWaiter();
-  if (Running >= Limit || First == Waiters.end() || First->get() != &Own)
+  if (First == Waiters.end() || First->get() != &Own)
     return base::TimePoint::max();
   return Time.now() + RateLimit.timeUntil(1, Time.now());
 }
@@ -153,6 +169,7 @@
     }
     Waiters.erase(First);
     ++Running;
+    Shares.recordService(Entry->Work, Time.now());
     SuspectRunning = SuspectRunning || Entry->Suspect;
     AMARANTH_INVARIANT(Running <= Limit, "more work than slots");
     Entry->Granted = true;
