--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -182,6 +182,8 @@
   /// What is left of the wait in the last report. A cold upstream, or one that
   /// names a limit, makes requests wait although few are running.
   static double reportedWaitMs(const EndpointStats &Stats, base::TimePoint Now);
+  /// Time that the request will be on its way, according to the last report.
+  static double transitMs(const EndpointStats &Stats, base::TimePoint Now);
   /// Time that a large response waits for the node's link, estimated from the
   /// last report.
   static double linkBacklogMs(const EndpointStats &Stats, base::TimePoint Now);
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -106,6 +106,9 @@
   /// Expected execution time of a request of the route of the one that this
   /// load was reported for; 0 if unknown.
   base::Millis RouteServiceTime;
+  /// Recent mean of the time that requests are on their way to the node. Rises
+  /// when more arrives for its link than that carries.
+  base::Millis Transit;
 };
 
 struct Refusal {
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -113,13 +113,19 @@
   return static_cast<double>(std::max(base::Millis(0), Remaining).count());
 }
 
+double Balancer::transitMs(const EndpointStats &Stats, base::TimePoint Now) {
+  return static_cast<double>(Stats.Reported.Transit.count()) *
+         reportWeight(Now - Stats.ReportedAt);
+}
+
 double Balancer::expectedWaitMs(const Candidate &Option,
                                 const Selection &Pick) {
   double Slots = slotsOf(Option);
   double Waiting = outstandingRequests(*Option.Stats, Pick.Now) + 1 - Slots;
   double Wait =
       std::max(std::max(0.0, Waiting) / Slots * serviceTimeMs(*Option.Stats),
-               reportedWaitMs(*Option.Stats, Pick.Now));
+               reportedWaitMs(*Option.Stats, Pick.Now)) +
+      transitMs(*Option.Stats, Pick.Now);
   if (Pick.Request.LargeResponse)
     Wait += linkBacklogMs(*Option.Stats, Pick.Now);
   return Wait;
@@ -145,7 +151,7 @@
     double Rate = std::min(MaxResultRate, Result.at(Pick.Now));
     return Rate / (1 - Rate);
   };
-  return Work + Own + Link +
+  return Work + Own + Link + transitMs(Stats, Pick.Now) +
          Own * (Odds(Stats.Sheds) + FailurePrice * Odds(Stats.Failures));
 }
 
@@ -396,7 +402,8 @@
   std::size_t Total = 0;
   std::size_t EjectedCount = 0;
   for (const auto &[Id, Other] : Mesh.Endpoints) {
-    if (Other.Service != Entry.Service || Other.State != EndpointState::Ready)
+    if (Other.Service != Entry.Service || Other.State != EndpointState::Ready ||
+        Mesh.EvacuatedZones.contains(Other.Zone))
       continue;
     ++Total;
     EjectedCount += isEjected(Id) ? 1 : 0;
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace asio = boost::asio;
@@ -445,6 +446,7 @@
   Work.Work = Outstanding.total();
   Work.LinkBacklog =
       Egress.backlog(false) + Egress.transmissionTime(PendingLinkBytes);
+  Work.Transit = base::Millis(std::llround(Transit.at(Time.now())));
   return Work;
 }
 
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -2,6 +2,7 @@
 #define AMARANTH_DATAPLANE_SRC_GATEIMPL_H
 
 #include "CrashDetector.h"
+#include "FadingMean.h"
 #include "MovingMedian.h"
 #include "amaranth/dataplane/ClaimClient.h"
 #include "amaranth/dataplane/ColdLimit.h"
@@ -198,6 +199,8 @@
   EgressShaper Egress;
   base::TimePoint NextProbe{0};
   std::size_t OngoingSends = 0;
+  /// Time that requests of other nodes are on their way.
+  FadingMean Transit;
   /// Expected bytes of the large responses of admitted requests.
   std::size_t PendingLinkBytes = 0;
   scheduling::CostModel Costs;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -209,6 +209,8 @@
   std::optional<Refusal> Refused;
   Exchange->OnReschedule = [this, Raw = Exchange.get()] { reschedule(*Raw); };
   Served.insert(Exchange.get());
+  if (!isLocal(Exchange->Body))
+    Transit.record(Exchange->TransitDelay, Time.now());
   Exchange->limitDeadline(ShutdownEnd);
   try {
     Refused = co_await admitAndExecute(Exchange);
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -63,7 +63,8 @@
       static_cast<std::uint32_t>(Load.QueueWait.count()),
       static_cast<std::uint32_t>(Load.LinkBacklog.count()),
       Load.Work ? Load.Work->count() : -1,
-      static_cast<std::uint32_t>(Load.RouteServiceTime.count()));
+      static_cast<std::uint32_t>(Load.RouteServiceTime.count()),
+      static_cast<std::uint32_t>(Load.Transit.count()));
 }
 
 UpstreamLoad decodeLoad(const wire::Load *Load) {
@@ -77,7 +78,8 @@
           base::Millis(Load->link_ms()),
           Load->work_ms() < 0 ? std::nullopt
                               : std::optional(base::Millis(Load->work_ms())),
-          base::Millis(Load->route_service_ms())};
+          base::Millis(Load->route_service_ms()),
+          base::Millis(Load->transit_ms())};
 }
 
 template <typename Table> BodyPiece decodePiece(base::ByteView Payload) {
