Let operators evacuate a zone and take it back

An operator had no way to take the upstreams of a zone out of use, other than draining each of them.

The native interface, amaranthctl and the platform's calls give the orders through DocumentService. An order carries the log index that its process had applied after a read index, so that a copy that is committed after the opposite order has no effect.

--- a/control/include/amaranth/control/Commands.h
+++ b/control/include/amaranth/control/Commands.h
@@ -201,12 +201,31 @@
   std::string Reason;
 };
 
+/// Orders that the upstreams of a zone get no requests, or takes that back.
+/// Safe to retry.
+struct SetEvacuation {
+  base::OperatorName Operator;
+  base::AvailabilityZone Zone;
+  bool Active = false;
+  /// Log index that the process had applied when it received the order, after
+  /// it had confirmed that it was current. An order that was under way while
+  /// the opposite one was committed has no effect.
+  base::LogIndex Seen;
+  /// The process knows a node or control process of the zone.
+  bool ZoneKnown = false;
+};
+
+/// A repeated order has no effect within this time after the first one if
+/// another operator has ordered the opposite since.
+inline constexpr base::Millis EvacuationResendWindow =
+    base::Millis::seconds(30);
+
 /// The alternatives are in the order of the `CommandBody` union in the schema.
 using Command =
     std::variant<ApplySections, PutEndpoint, ExpireEndpoints, Claim,
                  FinishClaim, ReleaseClaim, RolloutDecision, ReportCrash,
                  BeginSuspectRun, EndSuspectRun, ReplaceDocument, StartRollout,
-                 TimedDecision, LiftQuarantine>;
+                 TimedDecision, LiftQuarantine, SetEvacuation>;
 
 /// Outcome of a command, in order of severity.
 enum class ResultCode : std::uint8_t {
--- a/control/include/amaranth/control/ControlState.h
+++ b/control/include/amaranth/control/ControlState.h
@@ -35,7 +35,8 @@
   std::uint64_t Digest = 0;
   std::string Operation;
   /// One of `accepted`, `conflict`, `forbidden`, `invalid`, `refused`,
-  /// `started`, `convicted`, `lifted`, or a rollout phase.
+  /// `started`, `convicted`, `lifted`, `evacuated`, `taken-back`, or a rollout
+  /// phase.
   std::string Result;
   std::string Reason;
 };
@@ -58,6 +59,14 @@
   std::string Body;
 };
 
+/// A zone that is evacuated by order of an operator.
+struct Evacuation {
+  base::AvailabilityZone Zone;
+  base::OperatorName Operator;
+  /// Entry time of the order.
+  base::WallTime Since;
+};
+
 /// State of a rollout that an operator started with `StartRollout`.
 struct TimedRollout {
   base::ServiceName Service;
@@ -111,6 +120,8 @@
                          std::uint64_t Digest) const;
   /// The most recent timed rollout of each service.
   std::vector<TimedRollout> timedRollouts() const;
+  /// In the order of the zones' names.
+  std::vector<Evacuation> evacuations() const;
 
   /// Snapshot of the mesh for nodes. Built lazily and cached until the state
   /// changes; changes to claims do not invalidate it.
--- a/control/include/amaranth/control/DocumentService.h
+++ b/control/include/amaranth/control/DocumentService.h
@@ -2,6 +2,7 @@
 #define AMARANTH_CONTROL_DOCUMENTSERVICE_H
 
 #include "amaranth/control/ControlState.h"
+#include "amaranth/control/StatusSource.h"
 #include "amaranth/document/WholeDocument.h"
 #include "amaranth/replication/ReplicatedLog.h"
 
@@ -46,14 +47,23 @@
   base::Millis Propose = base::Millis::seconds(3);
 };
 
-/// Replaces the whole document and manages timed rollouts on behalf of the
-/// operators' interfaces. Every outcome is logged. Not thread-safe.
+/// Replaces the whole document, manages timed rollouts and evacuates zones on
+/// behalf of the operators' interfaces. Every outcome is logged. Not
+/// thread-safe.
 class DocumentService {
 public:
   /// The references must outlive the object.
   DocumentService(replication::ReplicatedLog &Log, const ControlState &State,
                   DocumentTimeouts Timeouts)
       : Log(Log), State(State), Timeouts(Timeouts) {}
+  /// `Nodes` tells the zones of the nodes that follow this process, `OwnZone`
+  /// is the zone of this process: both can be evacuated before an endpoint has
+  /// named them.
+  DocumentService(replication::ReplicatedLog &Log, const ControlState &State,
+                  const StatusSource &Nodes, base::AvailabilityZone OwnZone,
+                  DocumentTimeouts Timeouts)
+      : Log(Log), State(State), Nodes(&Nodes), OwnZone(std::move(OwnZone)),
+        Timeouts(Timeouts) {}
 
   /// Replaces the document labeled `Base` by `Next`. The call is idempotent: a
   /// document that was accepted before is accepted again, even if later
@@ -70,12 +80,22 @@
 
   boost::asio::awaitable<RolloutLookup> rollout(base::ServiceName Service);
 
+  /// Evacuates a zone, or takes it back if `Active` is false. The call is
+  /// idempotent.
+  boost::asio::awaitable<ChangeResult>
+  setEvacuation(base::OperatorName Requester, base::AvailabilityZone Zone,
+                bool Active);
+
 private:
   boost::asio::awaitable<bool> confirmCurrent(const char *Purpose);
   boost::asio::awaitable<ChangeResult> propose(Command Request);
+  bool knowsZone(const base::AvailabilityZone &Zone) const;
 
   replication::ReplicatedLog &Log;
   const ControlState &State;
+  /// May be null.
+  const StatusSource *Nodes = nullptr;
+  base::AvailabilityZone OwnZone;
   DocumentTimeouts Timeouts;
 };
 
--- a/control/include/amaranth/control/OperatorApi.h
+++ b/control/include/amaranth/control/OperatorApi.h
@@ -35,6 +35,7 @@
 ///                         `"delete": true` instead of `body` deletes
 ///     POST /v1/replace-voter {"lost": "ID", "replacement": "ID"}
 ///     POST /v1/lift-quarantine {"fingerprint": "16 hexadecimal digits"}
+///     POST /v1/evacuate, /v1/evacuate/finish {"zone": NAME}
 ///     GET  /v1/document, /v1/status, /v1/versions, /v1/audit?limit=N
 ///     GET  /metrics, /health, /ready (without a key)
 ///
@@ -59,6 +60,9 @@
                                                    const Operator &Requester);
   boost::asio::awaitable<ApiResponse> liftQuarantine(const ApiRequest &Request,
                                                      const Operator &Requester);
+  boost::asio::awaitable<ApiResponse> setEvacuation(const ApiRequest &Request,
+                                                    const Operator &Requester,
+                                                    bool Active);
   boost::asio::awaitable<ApiResponse> read(const ApiRequest &Request);
   ApiResponse servePublic(const std::string &Path) const;
   ApiResponse ready() const;
--- a/control/src/Commands.cpp
+++ b/control/src/Commands.cpp
@@ -114,6 +114,14 @@
   return wire::CreateLiftQuarantine(Out, Operator, Value.Fingerprint).Union();
 }
 
+Offset<void> write(Builder &Out, const SetEvacuation &Value) {
+  auto Operator = writeString(Out, Value.Operator);
+  auto Zone = writeString(Out, Value.Zone);
+  return wire::CreateSetEvacuation(Out, Operator, Zone, Value.Active,
+                                   Value.Seen.value(), Value.ZoneKnown)
+      .Union();
+}
+
 Offset<void> write(Builder &Out, const ReplaceDocument &Value) {
   const document::WholeDocumentChange &Change = Value.Change;
   auto Operator = writeString(Out, Value.Operator);
@@ -234,6 +242,12 @@
   return {idOf<base::OperatorName>(Value.operator_name()), Value.fingerprint()};
 }
 
+SetEvacuation read(const wire::SetEvacuation &Value) {
+  return {idOf<base::OperatorName>(Value.operator_name()),
+          idOf<base::AvailabilityZone>(Value.zone()), Value.active(),
+          base::LogIndex(Value.seen()), Value.zone_known()};
+}
+
 ReplaceDocument read(const wire::ReplaceDocument &Value) {
   ReplaceDocument Result;
   Result.Operator = idOf<base::OperatorName>(Value.operator_name());
@@ -313,6 +327,8 @@
     return read(*Root.body_as_TimedDecision());
   case wire::CommandBody::LiftQuarantine:
     return read(*Root.body_as_LiftQuarantine());
+  case wire::CommandBody::SetEvacuation:
+    return read(*Root.body_as_SetEvacuation());
   case wire::CommandBody::NONE:
     break;
   }
--- a/control/src/ControlState.cpp
+++ b/control/src/ControlState.cpp
@@ -5,6 +5,7 @@
 #include "CommandResults.h"
 #include "DocumentStore.h"
 #include "EndpointTable.h"
+#include "EvacuationTable.h"
 #include "QuarantineTable.h"
 #include "RolloutTable.h"
 #include "SectionStore.h"
@@ -39,6 +40,7 @@
   detail::QuarantineTable Quarantine;
   detail::DocumentStore Documents;
   detail::ServiceVersions Versions;
+  detail::EvacuationTable Zones;
   /// Cached result of `buildMesh`; null after a change.
   mutable std::shared_ptr<const document::MeshSnapshot> Mesh;
 
@@ -148,9 +150,11 @@
                        detail::EntryContext Context) {
     bool Changed = false;
     CommandResult Result = Endpoints.put(Request, Changed);
-    if (Result.Code == ResultCode::Accepted)
+    if (Result.Code == ResultCode::Accepted) {
       Changed |= Versions.recordAnnouncement(Request.Entry.Service,
                                              Request.Entry.Version);
+      Zones.recordZone(Request.Entry.Zone, Context.Time);
+    }
     markChangedIf(Changed, Context);
     return Result;
   }
@@ -233,6 +237,26 @@
     return Result;
   }
 
+  CommandResult handle(const SetEvacuation &Request,
+                       detail::EntryContext Context) {
+    bool Changed = false;
+    CommandResult Result =
+        Zones.set(Request, Context.Index, Context.Time, Changed);
+    AuditEntry Entry = makeSystemEntry(Context);
+    Entry.Actor = Request.Operator.value();
+    Entry.Section = "zone " + Request.Zone.value();
+    if (Changed)
+      Entry.Result = Request.Active ? "evacuated" : "taken-back";
+    else
+      Entry.Result =
+          Result.Code == ResultCode::Accepted ? "accepted" : "refused";
+    if (!Result.Messages.empty())
+      Entry.Reason = Result.Messages.front();
+    Audit.add(std::move(Entry));
+    markChangedIf(Changed, Context);
+    return Result;
+  }
+
   void recordQuarantine(const base::ServiceName &Service,
                         const detail::QuarantineTable::Effect &Effect,
                         detail::EntryContext Context) {
@@ -294,6 +318,8 @@
         Result->Endpoints.emplace(Id, detail::EndpointTable::visible(Record));
     for (const auto &[Fingerprint, Record] : Quarantine.records())
       Result->Quarantine.emplace(Fingerprint, Record.Entry);
+    for (const Evacuation &Each : Zones.evacuations())
+      Result->EvacuatedZones.insert(Each.Zone);
     return Result;
   }
 
@@ -314,11 +340,13 @@
     auto Labels = Documents.writeLabels(Out);
     auto VersionList = Versions.write(Out);
     auto TimedList = Versions.writeRollouts(Out);
+    auto ZoneList = Zones.write(Out);
     Out.Finish(wire::CreateControlSnapshot(
         Out, SnapshotFormat, LastIndex.value(), LastTime.count(),
         documentVersion().value(), State.value(), SectionList, OperationList,
         AuditList, ClaimList, Released, EndpointList, RolloutList, Barred,
-        QuarantineList, Leases, WholeRecord, Labels, VersionList, TimedList));
+        QuarantineList, Leases, WholeRecord, Labels, VersionList, TimedList,
+        ZoneList));
     return protocol::takeBuffer(Out);
   }
 
@@ -339,6 +367,7 @@
     Quarantine.read(From);
     Documents.read(From);
     Versions.read(From);
+    Zones.read(From);
     checkConsistency();
   }
 
@@ -424,6 +453,10 @@
   return Result;
 }
 
+std::vector<Evacuation> ControlState::evacuations() const {
+  return Self->Zones.evacuations();
+}
+
 base::StateIndex ControlState::stateIndex() const { return Self->State; }
 
 std::vector<StoredSection> ControlState::sections() const {
--- a/control/src/DocumentService.cpp
+++ b/control/src/DocumentService.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/ranges.h>
 
+#include <algorithm>
+
 namespace asio = boost::asio;
 
 namespace amaranth::control {
@@ -136,6 +138,37 @@
   co_return Result;
 }
 
+bool DocumentService::knowsZone(const base::AvailabilityZone &Zone) const {
+  if (Zone == OwnZone)
+    return true;
+  if (!Nodes)
+    return false;
+  auto Known = Nodes->nodes();
+  return std::any_of(Known.begin(), Known.end(),
+                     [&](const NodeStatus &Node) { return Node.Zone == Zone; });
+}
+
+asio::awaitable<ChangeResult>
+DocumentService::setEvacuation(base::OperatorName Requester,
+                               base::AvailabilityZone Zone, bool Active) {
+  ChangeResult Result{ChangeOutcome::Unavailable,
+                      "this process cannot prove that it is current"};
+  // `SetEvacuation::Seen` must cover all orders acknowledged before this one.
+  bool IsCurrent = co_await confirmCurrent("evacuation");
+  if (IsCurrent) {
+    SetEvacuation Request{Requester, Zone, Active, Log.appliedIndex(),
+                          knowsZone(Zone)};
+    Command Proposal(std::move(Request));
+    Result = co_await propose(std::move(Proposal));
+  }
+  base::logger("operator")
+      ->info("evacuation order operator={} zone={} active={} outcome={} "
+             "reason=\"{}\"",
+             Requester.value(), Zone.value(), Active,
+             outcomeName(Result.Outcome), Result.Reason);
+  co_return Result;
+}
+
 asio::awaitable<RolloutLookup>
 DocumentService::rollout(base::ServiceName Service) {
   RolloutLookup Result;
--- a/control/src/OperatorApi.cpp
+++ b/control/src/OperatorApi.cpp
@@ -4,6 +4,7 @@
 #include "amaranth/base/Digest.h"
 #include "amaranth/base/Invariant.h"
 #include "amaranth/base/Log.h"
+#include "amaranth/control/DocumentService.h"
 
 #include <fmt/format.h>
 #include <prometheus/text_serializer.h>
@@ -94,9 +95,13 @@
   });
 }
 
+constexpr std::string_view EvacuatePath = "/v1/evacuate";
+constexpr std::string_view FinishEvacuationPath = "/v1/evacuate/finish";
+
 bool isWritePath(std::string_view Path) {
   return Path == "/v1/apply" || Path == "/v1/replace-voter" ||
-         Path == "/v1/lift-quarantine";
+         Path == "/v1/lift-quarantine" || Path == EvacuatePath ||
+         Path == FinishEvacuationPath;
 }
 
 bool isReadPath(std::string_view Path) {
@@ -153,6 +158,9 @@
     co_return co_await replaceVoter(Request, *Requester);
   if (Parsed.Path == "/v1/lift-quarantine")
     co_return co_await liftQuarantine(Request, *Requester);
+  bool Active = Parsed.Path == EvacuatePath;
+  if (Active || Parsed.Path == FinishEvacuationPath)
+    co_return co_await setEvacuation(Request, *Requester, Active);
   if (IsWrite)
     co_return co_await apply(Request, *Requester);
   co_return co_await read(Request);
@@ -290,6 +298,38 @@
   co_return Answer;
 }
 
+asio::awaitable<ApiResponse>
+OperatorApi::setEvacuation(const ApiRequest &Request, const Operator &Requester,
+                           bool Active) {
+  base::AvailabilityZone Zone;
+  try {
+    Zone = base::AvailabilityZone(detail::parseZone(Request.Body));
+  } catch (const detail::BadRequest &Fault) {
+    co_return errorResponse(400, Fault.what());
+  }
+  DocumentService Orders(Log, State, Nodes, {},
+                         {Timeouts.Read, Timeouts.Propose});
+  base::OperatorName Name = Requester.Name;
+  ChangeResult Result =
+      co_await Orders.setEvacuation(std::move(Name), std::move(Zone), Active);
+  switch (Result.Outcome) {
+  case ChangeOutcome::Accepted:
+    co_return ApiResponse{200, "application/json",
+                          detail::acceptedJson(Result.Reason)};
+  case ChangeOutcome::Unavailable:
+    co_return errorResponse(
+        503, fmt::format("nothing was changed: {}; send the order again or to "
+                         "another process",
+                         Result.Reason));
+  case ChangeOutcome::Unknown:
+    co_return errorResponse(
+        504, fmt::format("the outcome is unknown: {}; send the order again",
+                         Result.Reason));
+  default:
+    co_return errorResponse(422, Result.Reason);
+  }
+}
+
 asio::awaitable<ApiResponse> OperatorApi::read(const ApiRequest &Request) {
   Query Parsed = parseTarget(Request.Target);
   if (!Parsed.Fault.empty())
--- a/control/src/OperatorJson.cpp
+++ b/control/src/OperatorJson.cpp
@@ -161,6 +161,18 @@
   return Result;
 }
 
+json::array evacuationsJson(const ControlState &State) {
+  json::array Result;
+  for (const Evacuation &Each : State.evacuations()) {
+    json::object Item;
+    Item["zone"] = Each.Zone.value();
+    Item["operator"] = Each.Operator.value();
+    Item["since"] = document::formatUtcTime(Each.Since);
+    Result.push_back(std::move(Item));
+  }
+  return Result;
+}
+
 json::array membersJson(const replication::ReplicatedLog &Log) {
   json::array Result;
   for (const replication::MemberStatus &Member : Log.members()) {
@@ -241,6 +253,20 @@
   return Result;
 }
 
+std::string parseZone(std::string_view Text) {
+  json::object Root = parseObject(Text);
+  checkMembers(Root, {"zone"}, "body");
+  return stringMember(Root, "zone", "body");
+}
+
+std::string acceptedJson(const std::string &Message) {
+  json::object Result;
+  Result["result"] = "accepted";
+  if (!Message.empty())
+    Result["message"] = Message;
+  return json::serialize(Result);
+}
+
 std::string replacementJson(const VoterReplacement &Replaced) {
   json::object Result;
   Result["result"] = "accepted";
@@ -307,6 +333,7 @@
   Result["claims"] = State.claimCount();
   Result["members"] = membersJson(Log);
   Result["nodes"] = nodesJson(Nodes);
+  Result["evacuated"] = evacuationsJson(State);
   Result["quarantine"] = quarantineJson(State);
   Result["rollouts"] = runningRolloutsJson(State);
   return json::serialize(Result);
--- a/control/src/OperatorJson.h
+++ b/control/src/OperatorJson.h
@@ -32,6 +32,12 @@
 /// Parses the body of `POST /v1/lift-quarantine`. Throws `BadRequest`.
 std::uint64_t parseFingerprint(std::string_view Text);
 
+/// Parses the body of `POST /v1/evacuate`. Throws `BadRequest`.
+std::string parseZone(std::string_view Text);
+/// Returns `{"result": "accepted"}`, with the member `message` if it is not
+/// empty.
+std::string acceptedJson(const std::string &Message);
+
 /// Returns `{"error": TEXT}`, with the member `operation` if it is not empty.
 std::string errorJson(std::string_view Text, std::string_view Operation = {});
 std::string resultJson(const CommandResult &Result,
--- a/control/test/Commands_test.cpp
+++ b/control/test/Commands_test.cpp
@@ -33,7 +33,9 @@
            ReportCrash{Service, base::EndpointId("e1"), {1, 2}, 3},
            BeginSuspectRun{Service, 1, "a"},
            EndSuspectRun{Service, 1, "a", true},
-           LiftQuarantine{base::OperatorName("o"), 5}};
+           LiftQuarantine{base::OperatorName("o"), 5},
+           SetEvacuation{base::OperatorName("o"), base::AvailabilityZone("a"),
+                         true, base::LogIndex(7), true}};
   }
 
   std::vector<Command> All;
--- a/control/test/OperatorServer_test.cpp
+++ b/control/test/OperatorServer_test.cpp
@@ -344,6 +344,24 @@
   CHECK(contains(request(Line, Body), " 409 "));
 }
 
+TEST_CASE_METHOD(OperatorServerTest, "evacuate takes a zone out and back") {
+  const std::string Body = R"({"zone":"a"})";
+  CHECK(contains(request("GET /v1/evacuate"), " 405 "));
+  CHECK(contains(request("POST /v1/evacuate", "{}"), " 400 "));
+  CHECK(
+      contains(request("POST /v1/evacuate", R"({"zone":"no zone"})"), " 422 "));
+  CHECK(contains(request("POST /v1/evacuate", Body), " 200 "));
+  CHECK(contains(request("POST /v1/evacuate", Body), "ordered before"));
+  CHECK(contains(request("GET /v1/status"), R"("evacuated":[{"zone":"a",)"));
+  Log.Behaviour = FakeLog::Mode::Timeout;
+  CHECK(contains(request("POST /v1/evacuate/finish", Body), " 503 "));
+  Log.Behaviour = FakeLog::Mode::AppliedThenTimeout;
+  CHECK(contains(request("POST /v1/evacuate/finish", Body), " 504 "));
+  Log.Behaviour = FakeLog::Mode::Normal;
+  CHECK(contains(request("POST /v1/evacuate/finish", Body), " 200 "));
+  CHECK(contains(request("GET /v1/status"), R"("evacuated":[])"));
+}
+
 TEST_CASE_METHOD(OperatorServerTest,
                  "status lists running rollouts and the quarantine") {
   CHECK(
--- a/dataplane/test/ColdUpstream_test.cpp
+++ b/dataplane/test/ColdUpstream_test.cpp
@@ -1,4 +1,5 @@
 #include "MeshFixture.h"
+#include "RetryState.h"
 
 #include <catch2/catch.hpp>
 
@@ -118,9 +119,9 @@
 // against running ones that are cut off.
 TEST_CASE_METHOD(ColdUpstreamTest, "Waiting requests leave an evacuated zone") {
   TestNode &Far = addNode("far", "y");
-  std::vector<std::shared_ptr<CallerResult>> Running;
-  for (int I = 0; I < 42; ++I)
-    Running.push_back(get(Node, "/hold"));
+  std::vector<std::shared_ptr<CallerResult>> Running(42);
+  for (auto &Call : Running)
+    Call = get(Node, "/hold");
   runUntil([&] { return Upstream.Seen.size() == 40; });
   CHECK(Node.UpstreamGate.load().Queued == 2);
   TestUpstream &Other = addUpstream(Far);
@@ -140,4 +141,27 @@
   CHECK(Other.Seen.size() == 3);
 }
 
+// Guards against requests that are refused by one gate of the zone after
+// another, because the entry node has an older snapshot.
+TEST_CASE_METHOD(ColdUpstreamTest, "Entry node with an older snapshot asks one "
+                                   "gate of an evacuated zone") {
+  FakeSnapshots Newer(Context.get_executor());
+  document::MeshSnapshot Next = Mesh;
+  Next.EvacuatedZones.insert(base::AvailabilityZone("z"));
+  Newer.set(Next);
+  TestNode &Entry = addNode("entry", "z");
+  // Started during the evacuation.
+  NodeSnapshots = &Newer;
+  for (unsigned I = 0; I < RetryState::MaxTotalAttempts; ++I)
+    addUpstream(addNode("z" + std::to_string(I), "z"));
+  NodeSnapshots = &Snapshots;
+  TestUpstream &Far = addUpstream(addNode("far", "y"));
+  Mesh.Endpoints.erase(base::EndpointId("n"));
+  Snapshots.set(Mesh);
+  auto Call = get(Entry, "/x");
+  runUntil([&] { return Call->Done; });
+  CHECK(Call->status() == 200);
+  CHECK(Far.Seen.size() == 1);
+}
+
 } // namespace amaranth::dataplane::testing
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -131,7 +131,7 @@
                                std::size_t ResponseBufferBytes,
                                std::uint64_t LinkBytesPerSecond) {
   Nodes.push_back(std::make_unique<TestNode>(
-      Context, Time, Name, Zone, Snapshots, Control, MakeDialect(),
+      Context, Time, Name, Zone, *NodeSnapshots, Control, MakeDialect(),
       ResponseBufferBytes, LinkBytesPerSecond));
   TestNode &Node = *Nodes.back();
   spawn(Node.Inner.serve([&Node](std::shared_ptr<protocol::Channel> Link) {
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -176,6 +176,8 @@
   boost::asio::io_context Context;
   base::ManualClock Time;
   FakeSnapshots Snapshots{Context.get_executor()};
+  /// What nodes that are added later apply.
+  FakeSnapshots *NodeSnapshots = &Snapshots;
   FakeControl Control{Time};
   document::MeshSnapshot Mesh;
   std::vector<std::unique_ptr<TestUpstream>> Upstreams;
--- a/tools/ctl/src/Client.cpp
+++ b/tools/ctl/src/Client.cpp
@@ -53,8 +53,8 @@
   return Result;
 }
 
-HttpReply Client::apply(const std::string &Body) {
-  HttpRequest Request{"POST", "/v1/apply", Key, Body};
+HttpReply Client::post(const std::string &Target, const std::string &Body) {
+  HttpRequest Request{"POST", Target, Key, Body};
   bool Sent = false;
   HttpReply Reply;
   do {
--- a/tools/ctl/src/Client.h
+++ b/tools/ctl/src/Client.h
@@ -43,7 +43,9 @@
   /// Sends a change and resends the same body while its outcome is unknown.
   /// Throws `Unreachable` when the change was definitely not applied and
   /// `UnknownOutcome` when the time limit expires.
-  HttpReply apply(const std::string &Body);
+  HttpReply apply(const std::string &Body) { return post("/v1/apply", Body); }
+  /// The same for another idempotent change.
+  HttpReply post(const std::string &Target, const std::string &Body);
 
   /// Sends a non-idempotent change, trying the next server only while the
   /// change was definitely not applied. Throws `Unreachable` when no server
--- a/tools/ctl/src/Ctl.cpp
+++ b/tools/ctl/src/Ctl.cpp
@@ -63,6 +63,8 @@
       return replaceVoter();
     if (Opts.Command == "lift-quarantine")
       return liftQuarantine();
+    if (Opts.Command == "evacuate")
+      return evacuate();
     return query();
   }
 
@@ -205,6 +207,23 @@
     return Exit::Ok;
   }
 
+  Exit evacuate() {
+    Client Server = client();
+    const char *Path = Opts.Finish ? "/v1/evacuate/finish" : "/v1/evacuate";
+    // The order is idempotent, so it is sent again until it is acknowledged.
+    HttpReply Reply = Server.post(Path, zoneBody(Opts.Zone));
+    if (Reply.Status != 200)
+      return refused(Reply);
+    std::string Message = messageText(Reply.Body);
+    if (Opts.Json)
+      Out << Reply.Body << '\n';
+    else
+      Out << fmt::format("zone {} {}{}\n", Opts.Zone,
+                         Opts.Finish ? "is taken back" : "is evacuated",
+                         Message.empty() ? "" : ": " + Message);
+    return Exit::Ok;
+  }
+
   /// Queries all servers, because each knows only the nodes that follow it.
   Exit status() {
     Client Server = client();
--- a/tools/ctl/src/Options.cpp
+++ b/tools/ctl/src/Options.cpp
@@ -23,6 +23,7 @@
   amaranthctl audit [options] [--limit=N]
   amaranthctl replace-voter [options] LOST REPLACEMENT
   amaranthctl lift-quarantine [options] FINGERPRINT
+  amaranthctl evacuate [options] [--finish] ZONE
   amaranthctl check [options] FILE
   amaranthctl --help
 
@@ -38,6 +39,7 @@
   --operation=ID       Id of the change. A resend with the same id has no
                        second effect. Random by default.
   --delete=SECTION     Delete a section at a revision, such as 'route x@7'.
+  --finish             Take an evacuated zone back.
   --limit=N            Newest audit entries, 1 to 10000 [default: 100].
   -h --help            Show this text.
 
@@ -50,6 +52,9 @@
 `lift-quarantine` takes a fingerprint that `status` shows. The request is served
 again; it is refused again after the next crash during which it runs.
 
+`evacuate` orders that the upstreams of an availability zone get no requests;
+running requests finish. `status` shows the zones that are evacuated.
+
 Exit codes: 0 done, 1 refused, 2 usage, 3 no server reachable, 4 outcome
 unknown, 5 conflict with another change.
 )";
@@ -122,7 +127,7 @@
   Options Result;
   for (const char *Command :
        {"apply", "get", "diff", "status", "versions", "audit", "check",
-        "replace-voter", "lift-quarantine"})
+        "replace-voter", "lift-quarantine", "evacuate"})
     if (flagOf(Parsed, Command))
       Result.Command = Command;
   Result.Servers = parseServers(textOf(Parsed, "--server"));
@@ -136,6 +141,8 @@
   }
   if (Result.Command == "lift-quarantine")
     Result.Fingerprint = parseFingerprint(textOf(Parsed, "FINGERPRINT"));
+  Result.Zone = textOf(Parsed, "ZONE");
+  Result.Finish = flagOf(Parsed, "--finish");
   Result.Operation = textOf(Parsed, "--operation");
   Result.Json = flagOf(Parsed, "--json");
   Result.Stale = flagOf(Parsed, "--stale");
--- a/tools/ctl/src/Options.h
+++ b/tools/ctl/src/Options.h
@@ -31,7 +31,7 @@
 
 struct Options {
   /// `apply`, `get`, `diff`, `status`, `versions`, `audit`,
-  /// `check`, `replace-voter` or `lift-quarantine`.
+  /// `check`, `replace-voter`, `lift-quarantine` or `evacuate`.
   std::string Command;
   std::vector<base::Address> Servers;
   std::string KeyFile;
@@ -42,6 +42,9 @@
   base::ReplicaId Replacement;
   /// Argument of `lift-quarantine`: 16 hexadecimal digits.
   std::string Fingerprint;
+  /// Arguments of `evacuate`.
+  std::string Zone;
+  bool Finish = false;
   std::vector<Deletion> Deletions;
   std::string Operation;
   std::uint64_t Limit = 0;
--- a/tools/ctl/src/StatusView.cpp
+++ b/tools/ctl/src/StatusView.cpp
@@ -117,6 +117,12 @@
     Out << text(Item, "service") << ": ";
     printRollout(Out, Item);
   }
+  // Absent in the responses of earlier versions.
+  if (Root.get_object().contains("evacuated"))
+    for (const json::value &Item : list(Root, "evacuated"))
+      Out << fmt::format("zone {} is evacuated since {} by {}\n",
+                         text(Item, "zone"), text(Item, "since"),
+                         text(Item, "operator"));
   for (const json::value &Item : list(Root, "quarantine"))
     Out << fmt::format("quarantine {} service {} {} until {}\n",
                        text(Item, "fingerprint"), text(Item, "service"),
--- a/tools/ctl/src/Views.cpp
+++ b/tools/ctl/src/Views.cpp
@@ -100,6 +100,19 @@
   return json::serialize(Root);
 }
 
+std::string zoneBody(const std::string &Zone) {
+  json::object Root;
+  Root["zone"] = Zone;
+  return json::serialize(Root);
+}
+
+std::string messageText(const std::string &Json) {
+  json::value Root = parse(Json);
+  const json::value *Value =
+      Root.is_object() ? Root.get_object().if_contains("message") : nullptr;
+  return Value && Value->is_string() ? std::string(Value->get_string()) : "";
+}
+
 std::string replacementBody(base::ReplicaId Lost, base::ReplicaId Replacement) {
   json::object Root;
   // Ids are sent as strings: they have 64 bits, and many JSON parsers keep only
--- a/tools/ctl/src/Views.h
+++ b/tools/ctl/src/Views.h
@@ -58,6 +58,10 @@
 
 /// Returns the body of `POST /v1/lift-quarantine`.
 std::string fingerprintBody(const std::string &Fingerprint);
+/// Returns the body of `POST /v1/evacuate`.
+std::string zoneBody(const std::string &Zone);
+/// Returns the `message` member; empty when there is none.
+std::string messageText(const std::string &Json);
 /// Returns the body of `POST /v1/replace-voter`.
 std::string replacementBody(base::ReplicaId Lost, base::ReplicaId Replacement);
 
--- a/tools/ctl/test/Ctl_test.cpp
+++ b/tools/ctl/test/Ctl_test.cpp
@@ -230,6 +230,22 @@
   CHECK(call({"lift-quarantine", "00000000000000ab"}) == Exit::Refused);
 }
 
+// Guards against an order that is given up when its answer is lost.
+TEST_CASE_METHOD(CtlTest, "evacuate sends the order until it is acknowledged") {
+  CHECK(call({"evacuate"}) == Exit::Usage);
+  queueResponse(504, R"({"error":"no answer"})");
+  queueResponse(200, R"({"result":"accepted","message":"ordered before"})");
+  CHECK(call({"evacuate", "a"}) == Exit::Ok);
+  REQUIRE(Net.Sent.size() == 2);
+  CHECK(Net.Sent[1].second.Target == "/v1/evacuate");
+  CHECK(Net.Sent[1].second.Body == R"({"zone":"a"})");
+  CHECK(Out.str().find("zone a is evacuated: ordered before") !=
+        std::string::npos);
+  queueResponse(422, R"({"error":"no endpoint is in zone b"})");
+  CHECK(call({"evacuate", "--finish", "b"}) == Exit::Refused);
+  CHECK(Net.Sent.back().second.Target == "/v1/evacuate/finish");
+}
+
 /// Returns a status response with one node.
 std::string statusOf(const std::string &Self, bool Leader,
                      const std::string &Node, int Heard) {
@@ -241,7 +257,8 @@
          R"("converged_after_ms":null,"list":[{"node":")" +
          Node + R"(","zone":"a","document":4,"state":8,"since_heard_ms":)" +
          std::to_string(Heard) +
-         R"(}]},"quarantine":[{"fingerprint":"00000000000000ab",)"
+         R"(}]},"evacuated":[{"zone":"c","operator":"ana",)"
+         R"("since":"2027-01-15T08:00:00Z"}],"quarantine":[{"fingerprint":"00000000000000ab",)"
          R"("service":"plati","convicted":true,"until":"2027-01-15T08:00:00Z"}],)"
          R"("rollouts":[{"service":"plati","from":"v1","to":"v2",)"
          R"("phase":"stepping","share_percent":5,"deadline":"2027-01-16T08:00:00Z",)"
@@ -262,6 +279,7 @@
   CHECK(Has("member 1 127.0.0.1:7 learner match 8\n"));
   CHECK(Has("node n1 zone a document 4 heard 5 ms ago\n"));
   CHECK(Has("node n2 zone a document 4 heard 6 ms ago\n"));
+  CHECK(Has("zone c is evacuated since 2027-01-15T08:00:00Z by ana\n"));
   CHECK(Has("quarantine 00000000000000ab service plati convicted until "
             "2027-01-15T08:00:00Z\n"));
   CHECK(Has("plati: rollout v1 -> v2: stepping at 5 %, deadline "
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -141,7 +141,8 @@
         Log(Disk, State, Net, replicaSettings(Settings), Time, Executor),
         Nodes(
             {}, Executor, Time, Log, [this] { return State.mesh(); }, Registry),
-        Status(Nodes), Members(Log), Documents(Log, State, {}),
+        Status(Nodes), Members(Log),
+        Documents(Log, State, Status, Settings.Zone, {}),
         PlatformApi(Documents), NativeApi(Log, State, Status, Members,
                                           operatorKeys(Settings), Registry, {}),
         Operators(Executor, Time, api(), Registry, operatorSettings(Settings)),
