Take an upstream that closes idle connections for cold only once

An upstream that closes all idle connections looked restarted each time, and got the rate of a cold one for as long as it went on.

An announcement of the same process, made after the connections were closed, shows that it was not restarted; closed idle connections are ignored from then on, until the next process.

Measured: dataplane_test and crash_isolation_test pass; the new test fails without the change.

--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -237,9 +237,25 @@
   updateTerms();
 }
 
+void Gate::Impl::recordConnectionsLost() {
+  if (ClosesConnections)
+    return;
+  ConnectionsLostAt = ConnectionsLostAt.value_or(Time.now());
+  suspectCold("connections-lost");
+}
+
 void Gate::Impl::recordAnnouncedCold(const Announcement &Update,
                                      bool Restarted) {
   base::TimePoint Now = Time.now();
+  // A process that announces itself after it closed its connections was not
+  // restarted, and may close them again. It would count as cold each time.
+  if (Restarted)
+    ClosesConnections = false;
+  else if (ConnectionsLostAt &&
+           Now - *ConnectionsLostAt >= ColdLimit::MaxAnnouncementDelay)
+    ClosesConnections = true;
+  if (Restarted || ClosesConnections)
+    ConnectionsLostAt.reset();
   bool SaysCold = Update.ColdFor > base::Millis(0);
   if (!IsCold)
     ColdCause = Restarted ? "new-process" : "announced";
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -47,6 +47,8 @@
   void updateRate();
   /// The upstream may have restarted or become cold unseen.
   void suspectCold(const char *Cause);
+  /// The upstream has closed all of its idle connections.
+  void recordConnectionsLost();
   void recordAnnouncedCold(const Announcement &Update, bool Restarted);
   std::optional<Refusal> coldRefusal() const;
   UpstreamLoad load() const;
@@ -211,6 +213,10 @@
   bool IsCold = false;
   /// Why the upstream was last treated as cold.
   const char *ColdCause = "announced";
+  /// When all connections were closed; empty once it is known why.
+  std::optional<base::TimePoint> ConnectionsLostAt;
+  /// The upstream closes idle connections without a restart.
+  bool ClosesConnections = false;
   /// The announcements are late; the next one ends this.
   bool Silent = false;
   bool Evacuated = false;
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -354,7 +354,7 @@
   std::string Target = Head.Target;
   UpstreamClient::FieldSource Fields = [this, Exchange] {
     if (Client.takeConnectionsLost())
-      suspectCold("connections-lost");
+      recordConnectionsLost();
     updateTerms();
     // The request may have expired or been cancelled during the connect.
     if (auto Refused = refusalBeforeSend(*Exchange))
--- a/dataplane/test/ColdUpstream_test.cpp
+++ b/dataplane/test/ColdUpstream_test.cpp
@@ -100,6 +100,23 @@
   CHECK(static_cast<double>(burst(40)) <= PerSecond + 2);
 }
 
+// Guards against an upstream that counts as cold all the time because it
+// closes idle connections.
+TEST_CASE_METHOD(ColdUpstreamTest, "Upstream that closes idle connections is "
+                                   "taken for cold once") {
+  for (std::size_t Limited : {1, 0}) {
+    CHECK(burst(10) == 10);
+    for (auto &Weak : Upstream.Connections)
+      if (auto Link = Weak.lock())
+        Link->abort();
+    settle();
+    CHECK((burst(40) < 40) == (Limited == 1));
+    announceCold(0);
+    Time.advance(base::Millis(1500));
+    announceCold(0);
+  }
+}
+
 // Guards against a zone that comes back cold under full load: the last
 // announcement was sent during the evacuation and says "warm".
 TEST_CASE_METHOD(ColdUpstreamTest, "Zone taken back is cold until a later "
