Add customers, public routes and cold limits to the document's sections

[customer NAME] names owner, digests of keys, priority and limits; routes get 'public', services 'cold-period' and 'cold-requests-per-second'. Two customers with one digest are a fault that names both, reported with all others.

The document holds digests, but an operator may write a key in place of one. Errors therefore give the position of a malformed part and hide unknown keys of the section, and diffs hide the same texts.

--- a/control/test/ControlState_test.cpp
+++ b/control/test/ControlState_test.cpp
@@ -321,6 +321,28 @@
   CHECK_FALSE(State.mesh()->Quarantine.contains(8));
 }
 
+TEST_CASE_METHOD(ControlStateTest,
+                 "sections of customers reach the mesh and the snapshot") {
+  std::string Digest(64, 'a');
+  std::string Body = "owner = studio\nkey-digests = " + Digest + "\n";
+  REQUIRE(apply({put("customer a", Body)}).Code == ResultCode::Accepted);
+  auto Refused = apply(
+      {put("customer b", Body), put("customer c", "owner = studio\n"
+                                                  "key-digests = secret")});
+  CHECK(Refused.Code == ResultCode::Invalid);
+  CHECK(Refused.Messages.size() == 2);
+  for (const std::string &Message : Refused.Messages)
+    CHECK(Message.find("secret") == std::string::npos);
+  CHECK(State.mesh()->Customers.size() == 1);
+  ControlState Other;
+  Other.restore(State.snapshot());
+  CHECK(*Other.mesh() == *State.mesh());
+  CHECK(
+      apply({removal("customer a", State.sections().at(0).Rev.value())}).Code ==
+      ResultCode::Accepted);
+  CHECK(State.mesh()->Customers.empty());
+}
+
 TEST_CASE_METHOD(ControlStateTest, "restore older snapshot is refused") {
   base::Bytes Old = State.snapshot();
   run(makeClaim("a"));
--- a/document/include/amaranth/document/Diff.h
+++ b/document/include/amaranth/document/Diff.h
@@ -25,7 +25,8 @@
 };
 
 /// Returns the sections that differ between two documents, sorted by name.
-/// Revisions and line numbers are not compared.
+/// Revisions and line numbers are not compared. In sections of customers, texts
+/// that may be keys are replaced by `(hidden)`.
 std::vector<SectionDiff> diffSections(const std::vector<SectionText> &Old,
                                       const std::vector<SectionText> &New);
 
--- a/document/include/amaranth/document/Document.h
+++ b/document/include/amaranth/document/Document.h
@@ -18,11 +18,16 @@
 inline constexpr std::size_t MaxRoutes = 4096;
 inline constexpr std::size_t MaxServices = 2048;
 inline constexpr std::size_t MaxVersionsPerService = 64;
+/// About four times the target size of 2,000.
+inline constexpr std::size_t MaxCustomers = 8192;
 inline constexpr std::size_t MaxSections = 16'384;
 inline constexpr std::size_t MaxSectionBytes = 16U << 10U;
 /// Total size of all section names and bodies.
 inline constexpr std::size_t MaxDocumentBytes = 4U << 20U;
-/// Limit for the names of routes, services, versions, teams and operators.
+/// Limit for a rate or burst, far above what the target size carries.
+inline constexpr double MaxRequestRate = 1e9;
+/// Limit for the names of routes, services, versions, customers, teams and
+/// operators.
 inline constexpr std::size_t MaxNameBytes = 64;
 inline constexpr std::size_t MaxPathBytes = 256;
 
@@ -42,6 +47,16 @@
   base::TeamName Owner;
   /// Receives all traffic while the service has no rollout.
   base::VersionName Version;
+  /// How long an upstream is cold after its start, and the requests a second
+  /// that it bears meanwhile; 0 if it bears as many as a warm one.
+  base::Millis ColdPeriod;
+  double ColdRequestsPerSecond = 0;
+};
+
+/// `[customer NAME]`. Contains digests of keys and no key.
+struct CustomerSection {
+  base::TeamName Owner;
+  Customer Value;
 };
 
 /// `[version SERVICE/ID]`
@@ -111,9 +126,13 @@
   const std::map<base::ServiceName, RolloutSection> &rollouts() const {
     return Rollouts;
   }
+  const std::map<base::CustomerName, CustomerSection> &customers() const {
+    return Customers;
+  }
 
-  /// Fills the routes and services of `Mesh`. A service with a rollout
-  /// section and no entry in `Traffic` sends all requests to the old version.
+  /// Fills the routes, services and customers of `Mesh`. A service with a
+  /// rollout section and no entry in `Traffic` sends all requests to the old
+  /// version.
   void fillMesh(MeshSnapshot &Mesh, const RolloutTrafficMap &Traffic,
                 const BarredVersions &Barred) const;
 
@@ -124,6 +143,10 @@
   std::map<base::ServiceName, ServiceSection> Services;
   std::map<VersionKey, VersionSection> Versions;
   std::map<base::ServiceName, RolloutSection> Rollouts;
+  std::map<base::CustomerName, CustomerSection> Customers;
+  /// The values of `Customers`, which successive snapshots share: an endpoint
+  /// changes far more often than a customer.
+  SharedMap<base::CustomerName, Customer> CustomerValues;
 };
 
 /// Returns the owner of a section; empty if it is missing or malformed.
--- a/document/include/amaranth/document/WholeDocument.h
+++ b/document/include/amaranth/document/WholeDocument.h
@@ -12,10 +12,6 @@
 
 namespace amaranth::document {
 
-/// Largest number of customers in a new document; about four times the target
-/// size.
-inline constexpr std::size_t MaxCustomers = 8192;
-
 /// The text of a customer as the operator sent it. It contains the customer's
 /// keys, so it must not appear in a message. Copies share the text: with 2,000
 /// customers and a change of one each 60 ms, the others are neither copied nor
--- a/document/src/Diff.cpp
+++ b/document/src/Diff.cpp
@@ -1,5 +1,8 @@
 #include "amaranth/document/Diff.h"
 
+#include "CustomerSection.h"
+#include "SectionParser.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -30,6 +33,14 @@
     Out.push_back({Mark, Line});
 }
 
+/// Removes texts that may be keys of customers.
+void hideSecrets(const std::string &Section, std::vector<DiffLine> &Lines) {
+  if (detail::splitName(Section).Kind != detail::CustomerKind)
+    return;
+  for (DiffLine &Line : Lines)
+    Line.Text = detail::hideSecrets(Line.Text);
+}
+
 std::vector<DiffLine> diffLines(const Lines &Old, const Lines &New) {
   std::vector<DiffLine> Result;
   std::size_t Width = New.size() + 1;
@@ -102,6 +113,7 @@
         {Kind, Name,
          diffLines(Both.Old ? splitLines(Both.Old->Body) : Lines(),
                    Both.New ? splitLines(Both.New->Body) : Lines())});
+    hideSecrets(Name, Result.back().Lines);
   }
   return Result;
 }
--- a/document/src/Document.cpp
+++ b/document/src/Document.cpp
@@ -1,5 +1,6 @@
 #include "amaranth/document/Document.h"
 
+#include "CustomerSection.h"
 #include "SectionParser.h"
 
 #include <fmt/format.h>
@@ -31,6 +32,8 @@
               missingSection("service", Entry.Service));
     for (const auto &[Name, Entry] : Result.Rollouts)
       checkRollout(Entry);
+    for (const auto &[Name, Entry] : Result.Customers)
+      checkCustomer(Entry.Value);
     checkCounts();
     return std::move(Result);
   }
@@ -40,19 +43,25 @@
     auto [It, Added] = ParsedSections.try_emplace(Section.Name);
     if (!Added)
       return fault(Section, "", "duplicate section");
+    auto [Kind, Id] = detail::splitName(Section.Name);
+    std::size_t FirstFault = Faults.size();
     It->second = detail::parseBody(Section, FileName, Faults);
     if (Section.Body.size() > MaxSectionBytes)
       fault(Section, "",
             fmt::format("{} bytes, the limit of a section is {}",
                         Section.Body.size(), MaxSectionBytes));
     base::SectionReader Reader(It->second, FileName, Faults);
-    auto [Kind, Id] = detail::splitName(Section.Name);
+    if (Kind == detail::CustomerKind) {
+      parseCustomer(Section, Id, Reader);
+      return detail::hideUnknownKeys(Faults, FirstFault);
+    }
     if (Kind == "version")
       return parseVersion(Section, Id, Reader);
     if (Kind != "route" && Kind != "service" && Kind != "rollout")
       return fault(Section, "",
                    "unknown kind of section; expected [route NAME], [service "
-                   "NAME], [version SERVICE/ID] or [rollout SERVICE]");
+                   "NAME], [version SERVICE/ID], [rollout SERVICE] or "
+                   "[customer NAME]");
     if (!isValidName(Id))
       return invalidName(Section, Id);
     if (Kind == "route")
@@ -78,6 +87,15 @@
                             detail::readVersion(Service, Version, Reader));
   }
 
+  void parseCustomer(const SectionText &Section, const std::string &Id,
+                     base::SectionReader &Reader) {
+    if (!isValidName(Id))
+      return invalidName(Section, Id);
+    CustomerSection Entry = detail::readCustomer(Id, Reader);
+    Result.CustomerValues.emplace(Entry.Value.Name, Entry.Value);
+    Result.Customers.emplace(Id, std::move(Entry));
+  }
+
   void checkSize() {
     std::size_t Bytes = 0;
     for (const SectionText &Section : Sections)
@@ -89,6 +107,7 @@
   void checkCounts() {
     checkLimit("routes", Result.Routes.size(), MaxRoutes);
     checkLimit("services", Result.Services.size(), MaxServices);
+    checkLimit("customers", Result.Customers.size(), MaxCustomers);
     std::map<base::ServiceName, std::size_t> Versions;
     for (const auto &[Key, Entry] : Result.Versions)
       ++Versions[Entry.Service];
@@ -147,6 +166,17 @@
                         Entry.Service.value(), Current.value()));
   }
 
+  void checkCustomer(const Customer &Entry) {
+    std::set<base::CustomerName> Others;
+    for (const KeyDigest &Key : Entry.Keys)
+      if (auto [Owner, New] = OwnerOfKey.try_emplace(Key, Entry.Name); !New)
+        Others.insert(Owner->second);
+    for (const base::CustomerName &Other : Others)
+      fault("customer " + Entry.Name.value(), "key-digests",
+            fmt::format("[customer {}] has a key of this customer already",
+                        Other.value()));
+  }
+
   bool hasVersion(const base::ServiceName &Service,
                   const base::VersionName &Version) const {
     return Result.Versions.contains({Service, Version});
@@ -194,6 +224,7 @@
   Document Result;
   std::map<std::string, base::IniSection> ParsedSections;
   std::map<std::string, base::RouteName> RouteByPath;
+  std::map<KeyDigest, base::CustomerName> OwnerOfKey;
 };
 
 Document Document::parse(const std::vector<SectionText> &Sections,
--- a/document/src/DocumentMesh.cpp
+++ b/document/src/DocumentMesh.cpp
@@ -32,8 +32,14 @@
                         const BarredVersions &Barred) const {
   for (const auto &[Name, Entry] : Routes)
     Mesh.Routes[Name] = Entry.Value;
-  for (const auto &[Name, Entry] : Services)
-    Mesh.Services[Name].Name = Name;
+  for (const auto &[Name, Entry] : Services) {
+    Service &Target = Mesh.Services[Name];
+    Target.Name = Name;
+    Target.ColdPeriod = Entry.ColdPeriod;
+    Target.ColdRequestsPerSecond = Entry.ColdRequestsPerSecond;
+  }
+  if (!CustomerValues.empty())
+    Mesh.Customers = CustomerValues;
   for (const auto &[Key, Entry] : Versions) {
     bool Current = Services.at(Entry.Service).Version == Entry.Id;
     auto BarredEntry = Barred.find(Entry.Service);
--- a/document/src/SectionParser.cpp
+++ b/document/src/SectionParser.cpp
@@ -27,6 +27,7 @@
 namespace {
 
 constexpr base::Millis MaxRouteTimeout = base::Millis::seconds(3600);
+constexpr base::Millis MaxColdPeriod = base::Millis::seconds(3600);
 // Gives each default step of a rollout at least 10 s.
 constexpr base::Millis MinRolloutDuration = base::Millis::seconds(120);
 constexpr base::Millis MaxRolloutDuration =
@@ -161,9 +162,13 @@
   return Result;
 }
 
+base::TeamName readOwner(base::SectionReader &Reader) {
+  return readName<base::TeamName>("owner", Reader);
+}
+
 RouteSection readRoute(const std::string &Name, base::SectionReader &Reader) {
   RouteSection Result;
-  Result.Owner = readName<base::TeamName>("owner", Reader);
+  Result.Owner = readOwner(Reader);
   Result.Value.Name = base::RouteName(Name);
   Result.Value.PathPrefix = Reader.text("path");
   if (!Result.Value.PathPrefix.empty() && !isValidPath(Result.Value.PathPrefix))
@@ -175,6 +180,7 @@
   Result.Value.Timeout = readTimeout(Reader);
   Result.Value.RequireIdempotencyKey =
       Reader.boolean("require-idempotency-key", false);
+  Result.Value.Public = Reader.boolean("public", false);
   Reader.finish();
   return Result;
 }
@@ -183,8 +189,13 @@
                            base::SectionReader &Reader) {
   ServiceSection Result;
   Result.Name = base::ServiceName(Name);
-  Result.Owner = readName<base::TeamName>("owner", Reader);
+  Result.Owner = readOwner(Reader);
   Result.Version = readName<base::VersionName>("version", Reader);
+  Result.ColdPeriod = Reader.duration("cold-period", base::Millis(0));
+  if (Result.ColdPeriod > MaxColdPeriod)
+    Reader.fault("cold-period", "expected 0s to 1h");
+  Result.ColdRequestsPerSecond =
+      Reader.number("cold-requests-per-second", 0, MaxRequestRate, 0);
   Reader.finish();
   return Result;
 }
@@ -194,7 +205,7 @@
   VersionSection Result;
   Result.Service = base::ServiceName(Service);
   Result.Id = base::VersionName(Id);
-  Result.Owner = readName<base::TeamName>("owner", Reader);
+  Result.Owner = readOwner(Reader);
   Result.Note = Reader.text("note", "");
   if (Result.Note.size() > MaxNoteBytes)
     Reader.fault("note", fmt::format("{} bytes, the limit is {}",
@@ -207,7 +218,7 @@
                            base::SectionReader &Reader) {
   RolloutSection Result;
   Result.Service = base::ServiceName(Service);
-  Result.Owner = readName<base::TeamName>("owner", Reader);
+  Result.Owner = readOwner(Reader);
   Result.From = readName<base::VersionName>("from", Reader);
   Result.To = readName<base::VersionName>("to", Reader);
   if (!Result.To.value().empty() && Result.From == Result.To)
--- a/document/src/SectionParser.h
+++ b/document/src/SectionParser.h
@@ -21,6 +21,8 @@
                            const std::string &FileName,
                            std::vector<base::FileFault> &Faults);
 
+base::TeamName readOwner(base::SectionReader &Reader);
+
 /// Each function reads the keys of its kind of section and reports faults,
 /// including unknown keys, through `Reader`.
 RouteSection readRoute(const std::string &Name, base::SectionReader &Reader);
--- a/document/test/Document_test.cpp
+++ b/document/test/Document_test.cpp
@@ -103,6 +103,11 @@
       {"[route booking]", "[route b/c]", "'b/c' is no name"},
       {"[route booking]", "[route booking", "a section line must end"},
       {"[route booking]", "x = 1\n[route booking]", "before the first section"},
+      {"timeout = 2s", "timeout = 2s\npublic = yes", "public: 'yes' is"},
+      {"version = v1", "version = v1\ncold-period = 2h",
+       "cold-period: expected 0s to 1h"},
+      {"version = v1", "version = v1\ncold-requests-per-second = -1",
+       "cold-requests-per-second: '-1' is no number"},
       {"[service programari]", "[route booking]\n[service programari]",
        "d.ini:8: [route booking] duplicate section"},
       {"[service programari]",
@@ -185,13 +190,83 @@
   CHECK(Text.find("removed [service programari]") != std::string::npos);
 }
 
+static const std::string DigestA(64, 'a');
+static const std::string DigestB(64, 'B');
+static const std::string WithCustomers =
+    "[customer pulo780]\nowner = studio\nkey-digests = " + DigestB + ", " +
+    DigestA +
+    "\npriority = 1\nrequests-per-second = 610.5\nburst = 20\n"
+    "[customer avion12]\nowner = studio\n" +
+    Valid;
+
+TEST_CASE_METHOD(DocumentTest, "fillMesh carries customers and cold limits") {
+  std::string Text = WithCustomers;
+  Text.insert(Text.find("timeout = 2s"), "public = true\n");
+  Text.insert(Text.find("version = v1"),
+              "cold-period = 4s\ncold-requests-per-second = 3.5\n");
+  Document Parsed = parse(Text);
+  INFO(messages());
+  REQUIRE(Faults.empty());
+  MeshSnapshot Mesh;
+  Parsed.fillMesh(Mesh, {}, {});
+  CHECK(Mesh.faults().empty());
+  REQUIRE(Mesh.Customers.size() == 2);
+  const Customer &Entry = Mesh.Customers.at(base::CustomerName("pulo780"));
+  REQUIRE(Entry.Keys.size() == 2);
+  CHECK(Entry.Keys[0][31] == 0xaa);
+  CHECK(Entry.Keys[1][0] == 0xbb);
+  CHECK(Entry.Priority == 1);
+  CHECK(Entry.RequestsPerSecond == 610.5);
+  CHECK(Entry.Burst == 20);
+  CHECK(Mesh.Routes.begin()->second.Public);
+  CHECK(Mesh.Services.begin()->second.ColdPeriod == base::Millis(4000));
+  CHECK(Mesh.Services.begin()->second.ColdRequestsPerSecond == 3.5);
+  // An endpoint's change must not copy the customers.
+  MeshSnapshot Next;
+  Parsed.fillMesh(Next, {}, {});
+  CHECK(Next.Customers.sharesWith(Mesh.Customers));
+}
+
+// Guards against keys in errors and diffs: an operator may have written a key
+// in place of its digest.
+TEST_CASE_METHOD(DocumentTest, "Document errors and diffs show no key") {
+  std::string Text = WithCustomers;
+  Text.insert(Text.find("[customer avion12]"),
+              "key-digests = secret-0\nsecret-1==\nsecret-2\n");
+  Text.insert(Text.find("[route booking]"), "key-digests = secret-3, " +
+                                                DigestA + ", " + DigestA +
+                                                "\nburst = -1\n");
+  parse(Text);
+  INFO(messages());
+  for (const char *Part :
+       {"d.ini:7: [customer pulo780] key-digests: duplicate key",
+        "d.ini:8: [customer pulo780] (hidden): unknown key",
+        "d.ini:9: [customer pulo780] expected 'key = value'",
+        "[customer avion12] key-digests: part 1 is no digest",
+        "[customer avion12] key-digests: part 3 repeats an earlier part",
+        "d.ini:13: [customer avion12] burst: '-1' is no number"})
+    CHECK(hasFault(Part));
+  CHECK(hasFault("d.ini:3: [customer pulo780] key-digests: [customer avion12] "
+                 "has a key of this customer already"));
+  CHECK_FALSE(hasFault("secret"));
+  std::vector<base::FileFault> Ignored;
+  auto Old = splitSections(Valid, "", Ignored);
+  auto New = splitSections(Text, "", Ignored);
+  std::string Shown = formatDiff(diffSections(Old, New));
+  INFO(Shown);
+  CHECK(Shown.find("secret") == std::string::npos);
+  CHECK(Shown.find("+ key-digests = (hidden), " + DigestA) !=
+        std::string::npos);
+  CHECK(Shown.find("+ priority = 1\n") != std::string::npos);
+}
+
 // Guards against malformed operator input that crashes control processes.
 TEST_CASE_METHOD(DocumentTest, "Document corrupted text never crashes") {
   unsigned Seed = testing::seed();
   INFO(testing::reproductionHint(Seed));
   std::mt19937 Random(Seed);
   for (unsigned Round = 0; Round < 1500; ++Round) {
-    std::string Text = Valid;
+    std::string Text = Round % 2 == 0 ? Valid : WithCustomers;
     for (unsigned Change = 0; Change < 1 + Round % 5; ++Change) {
       std::size_t At = Random() % Text.size();
       if (Random() % 2 == 0)
--- a/document/test/WholeDocument_test.cpp
+++ b/document/test/WholeDocument_test.cpp
@@ -1,3 +1,4 @@
+#include "amaranth/document/Document.h"
 #include "amaranth/document/SnapshotCodec.h"
 #include "amaranth/document/WholeDocument.h"
 
