Compare two endpoints by the delay of their outstanding work

The delay now is the simulated wait for a slot plus 0.3 of the work over the slots; a report that ages tends to the mean of its endpoint; two endpoints are compared, four if both are expensive or there are no more.

--- a/dataplane/include/amaranth/dataplane/Balancer.h
+++ b/dataplane/include/amaranth/dataplane/Balancer.h
@@ -113,8 +113,10 @@
   struct EndpointStats {
     std::uint32_t InFlight = 0;
     UpstreamLoad Reported;
-    /// Reported work divided by the slots, in milliseconds.
-    double ReportedWorkMs = 0;
+    /// Delay by the reported work, in milliseconds.
+    double ReportedDelayMs = 0;
+    /// Mean of the reported delays.
+    double MeanDelayMs = 0;
     bool HasReport = false;
     base::TimePoint ReportedAt;
     /// Requests of this node that `Reported` includes.
@@ -143,8 +145,8 @@
     CandidateList All;
     CandidateList Ready;
     CandidateList ReadyLocal;
-    /// Mean of the reported work over the slots, in milliseconds.
-    double MeanWorkMs = 0;
+    /// Mean of the reported delays, in milliseconds.
+    double MeanDelayMs = 0;
   };
   /// What one selection depends on beside the endpoints. The time is read once
   /// for all of them.
@@ -155,6 +157,8 @@
     base::WallTime WallNow;
     /// Logarithm of the usual time of the route.
     std::optional<double> RouteLog;
+    /// Cost at a usual endpoint; 0 if unknown.
+    double UsualCostMs = 0;
   };
   using VersionKey = std::pair<base::ServiceName, base::VersionName>;
 
@@ -173,8 +177,9 @@
   /// Time that the request itself is expected to take at the endpoint.
   static double ownTimeMs(const EndpointStats &Stats,
                           const std::optional<double> &RouteLog);
-  /// Work of all nodes at the endpoint, over its slots.
-  static double outstandingWorkMs(const Candidate &Option, base::TimePoint Now);
+  /// Expected time for which the outstanding work of all nodes at the endpoint
+  /// delays a new request.
+  static double expectedDelayMs(const Candidate &Option, base::TimePoint Now);
   /// Time that a large response waits for the node's link, estimated from the
   /// last report.
   static double linkBacklogMs(const EndpointStats &Stats, base::TimePoint Now);
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 /// The weight of a load report falls to zero over this time, so that an
-/// endpoint without requests since its last report is tried again. Its work
-/// counts as that of a usual endpoint then.
+/// endpoint without requests since its last report is tried again. Its delay
+/// counts as the usual one then.
 constexpr base::Millis ReportDecayTime = base::Millis::seconds(2);
 /// Fraction of its slots that an endpoint in slow start has at least.
 constexpr double MinSlowStartFraction = 0.1;
@@ -30,14 +30,28 @@
 /// Price of a request that fails, in service times. A shed request is repeated
 /// elsewhere and costs one.
 constexpr double FailurePrice = 10;
-/// Weight of the newest report in the mean work of a version.
-constexpr double MeanWorkSmoothing = 0.05;
+/// Part of the work over the slots that counts as a delay although a slot may
+/// be free: reports are old when they are used, and some upstreams slow down
+/// under load. In simulations with upstreams whose speed differs by three, 1
+/// sent too much to the fast ones and 0.15 was no better.
+constexpr double UsedSlotWeight = 0.3;
+/// Weight of the newest report in the mean delays of an endpoint and of a
+/// version, and the time over which the former fades to the latter without
+/// reports.
+constexpr double EndpointDelaySmoothing = 0.1;
+constexpr double VersionDelaySmoothing = 0.05;
+constexpr double MeanDelayHalfLifeMs = 5'000;
 /// Candidates that one selection looks at when there are more than twice as
 /// many, and draws to find them.
 constexpr std::size_t SampleSize = 8;
 constexpr std::size_t MaxDraws = 32;
-/// Candidates whose costs are compared.
-constexpr std::size_t MaxSampledCandidates = 4;
+/// Candidates whose costs are compared if there are more: two, and two further
+/// ones if both cost more than `AcceptableCost` times the usual cost. With four
+/// in any case, the nodes sent too many requests to the fastest upstreams by
+/// reports that were out of date.
+constexpr std::size_t MinComparedCandidates = 2;
+constexpr std::size_t MaxComparedCandidates = 4;
+constexpr double AcceptableCost = 2;
 
 /// Part of the endpoints of a new version that gets most of its requests, and
 /// the part of their slots that is used.
@@ -69,14 +83,24 @@
                               std::max(0.0, Reported - Stats.InFlightAtReport);
 }
 
-double Balancer::outstandingWorkMs(const Candidate &Option,
-                                   base::TimePoint Now) {
+double Balancer::expectedDelayMs(const Candidate &Option, base::TimePoint Now) {
   const EndpointStats &Stats = *Option.Stats;
-  // Others go on sending, so the work tends to the mean and not to zero.
-  double Usual = Stats.Index ? Stats.Index->MeanWorkMs : 0;
+  double Slots = slotsOf(Option);
+  // Others go on sending, so the delay tends to its mean and not to zero.
+  double Usual = Stats.Index ? Stats.Index->MeanDelayMs : 0;
+  if (Stats.HasReport) {
+    auto AgeMs = static_cast<double>((Now - Stats.ReportedAt).count());
+    Usual +=
+        (Stats.MeanDelayMs - Usual) * std::exp2(-AgeMs / MeanDelayHalfLifeMs);
+  }
   double Weight = Stats.HasReport ? reportWeight(Now - Stats.ReportedAt) : 0;
-  return Usual + Weight * (Stats.ReportedWorkMs - Usual) +
-         Stats.SentWorkMs / slotsOf(Option);
+  // Only the requests for which no slot was free wait.
+  double Free = Slots - Stats.Reported.InFlight - Stats.Reported.Queued;
+  double Sent = Stats.SentSinceReport;
+  double WaitingPart = Sent > 0 ? std::clamp(1 - Free / Sent, 0.0, 1.0) : 0;
+  return Usual + Weight * (Stats.ReportedDelayMs - Usual) +
+         Stats.SentWorkMs / Slots *
+             (UsedSlotWeight + (1 - UsedSlotWeight) * WaitingPart);
 }
 
 double Balancer::serviceTimeMs(const EndpointStats &Stats) {
@@ -127,15 +151,17 @@
         std::clamp(static_cast<double>(ReadyForMs) / Options.SlowStart.count(),
                    MinSlowStartFraction, 1.0);
   double Own = ownTimeMs(Stats, Pick.RouteLog);
-  // The work includes the request, so that an idle endpoint in slow start costs
-  // more than an idle warm one.
-  double Work = (outstandingWorkMs(Option, Pick.Now) + Own / Slots) / WarmPart;
+  // The delay includes the request, so that an idle endpoint in slow start
+  // costs more than an idle warm one.
+  double Delay =
+      (expectedDelayMs(Option, Pick.Now) + UsedSlotWeight * Own / Slots) /
+      WarmPart;
   double Link = Pick.Request.LargeResponse ? linkBacklogMs(Stats, Pick.Now) : 0;
   auto Odds = [&](const ResultRate &Result) {
     double Rate = std::min(MaxResultRate, Result.at(Pick.Now));
     return Rate / (1 - Rate);
   };
-  return Work + Own + Link +
+  return Delay + Own + Link +
          Own * (Odds(Stats.Sheds) + FailurePrice * Odds(Stats.Failures));
 }
 
@@ -151,10 +177,14 @@
 
 const Endpoint *Balancer::pickLeastCost(CandidateList Candidates,
                                         const Selection &Pick) {
-  std::size_t Count = std::min(Candidates.size(), MaxSampledCandidates);
+  std::size_t Count = std::min(Candidates.size(), MaxComparedCandidates);
   const Endpoint *Best = nullptr;
   double BestCost = 0;
   for (std::size_t I = 0; I < Count; ++I) {
+    if (I == MinComparedCandidates &&
+        Candidates.size() > MaxComparedCandidates &&
+        BestCost <= AcceptableCost * Pick.UsualCostMs)
+      break;
     std::uniform_int_distribution<std::size_t> Draw(I, Candidates.size() - 1);
     std::swap(Candidates[I], Candidates[Draw(Random)]);
     double Cost = cost(Candidates[I], Pick);
@@ -241,7 +271,7 @@
   for (auto &[Id, Stats] : StatsById)
     Stats.Index = nullptr;
   for (auto &[Key, Index] : IndexByVersion)
-    Index = {{}, {}, {}, Index.MeanWorkMs};
+    Index = {{}, {}, {}, Index.MeanDelayMs};
   for (const auto &[Id, Entry] : Indexed) {
     VersionIndex &Index = IndexByVersion[{Entry.Service, Entry.Version}];
     EndpointStats &Stats = StatsById[Id];
@@ -270,6 +300,8 @@
   const VersionIndex &Index = Found->second;
   Selection Pick{Request, Excluded, Time.now(), Time.wallNow(),
                  Costs.meanLog(Request.Route)};
+  if (Pick.RouteLog)
+    Pick.UsualCostMs = std::exp(*Pick.RouteLog) + Index.MeanDelayMs;
   const Endpoint *Chosen = nullptr;
   if (Request.Concentrate)
     Chosen = pickLeastCost(concentrate(Index.Ready, Pick), Pick);
@@ -328,7 +360,7 @@
                           const base::RouteName &Route) {
   EndpointStats &Stats = StatsById[Id];
   Stats.Reported = NewLoad;
-  Stats.HasReport = true;
+  bool First = !std::exchange(Stats.HasReport, true);
   Stats.ReportedAt = Time.now();
   Stats.InFlightAtReport = Stats.InFlight;
   Stats.SentSinceReport = 0;
@@ -339,10 +371,18 @@
   double Work = NewLoad.Work ? static_cast<double>(NewLoad.Work->count())
                              : (NewLoad.InFlight * 0.5 + NewLoad.Queued) *
                                    serviceTimeMs(Stats);
-  Stats.ReportedWorkMs = Work / std::max(1U, NewLoad.Slots);
+  Stats.ReportedDelayMs =
+      UsedSlotWeight * Work / std::max(1U, NewLoad.Slots) +
+      (1 - UsedSlotWeight) * static_cast<double>(NewLoad.QueueWait.count());
+  auto Average = [&Stats](double &Mean, double Smoothing) {
+    Mean += Smoothing * (Stats.ReportedDelayMs - Mean);
+  };
   if (Stats.Index)
-    Stats.Index->MeanWorkMs +=
-        MeanWorkSmoothing * (Stats.ReportedWorkMs - Stats.Index->MeanWorkMs);
+    Average(Stats.Index->MeanDelayMs, VersionDelaySmoothing);
+  if (First)
+    Stats.MeanDelayMs = Stats.Index ? Stats.Index->MeanDelayMs : 0;
+  else
+    Average(Stats.MeanDelayMs, EndpointDelaySmoothing);
 }
 
 void Balancer::recordSuccess(const base::EndpointId &Id) {
