--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -38,6 +38,9 @@
   /// Counts a request that this node convicted of crashing upstreams.
   void countConviction();
   void setGateLoad(const UpstreamLoad &Load);
+  /// `Factor`: current service times of the local upstream relative to those in
+  /// its distributions.
+  void setSlowdown(double Factor);
   /// `Limit`: the requests that the local upstream takes; empty if unlimited.
   void setRequestLimit(std::optional<RequestRate> Limit);
 
@@ -55,6 +58,9 @@
   prometheus::Gauge &InFlight;
   prometheus::Gauge &Queued;
   prometheus::Gauge &Slots;
+  prometheus::Gauge &WorkMs;
+  prometheus::Gauge &WaitMs;
+  prometheus::Gauge &Slowdown;
   prometheus::Gauge &RequestLimit;
   Cache<prometheus::Counter> RequestCache;
   std::map<std::tuple<std::string, ExecutionOutcome, RefusalReason>,
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -269,6 +269,7 @@
   }
   Slots.setLimit(Limit);
   Counters.setGateLoad(load());
+  Counters.setSlowdown(Costs.slowdown(Time.now()));
 }
 
 void Gate::Impl::tick() {
--- a/dataplane/src/Metrics.cpp
+++ b/dataplane/src/Metrics.cpp
@@ -47,6 +47,14 @@
                    "Requests waiting for a slot of the local upstream")),
       Slots(gauge(Registry, "amaranth_gate_slots",
                   "Requests that the local upstream may run at once")),
+      WorkMs(gauge(Registry, "amaranth_gate_work_ms",
+                   "Expected time for which the requests at the local upstream "
+                   "will hold slots, summed")),
+      WaitMs(gauge(Registry, "amaranth_gate_wait_ms",
+                   "Expected time for which a new request of the lowest rank "
+                   "waits for a slot")),
+      Slowdown(gauge(Registry, "amaranth_gate_slowdown",
+                     "Current service times relative to the recent ones")),
       RequestLimit(gauge(Registry, "amaranth_gate_request_limit",
                          "Requests a second that the local upstream takes; 0 "
                          "without a limit")) {}
@@ -99,6 +107,11 @@
   InFlight.Set(Load.InFlight);
   Queued.Set(Load.Queued);
   Slots.Set(Load.Slots);
+  if (Load.Work)
+    WorkMs.Set(static_cast<double>(Load.Work->count()));
+  WaitMs.Set(static_cast<double>(Load.QueueWait.count()));
 }
 
+void Metrics::setSlowdown(double Factor) { Slowdown.Set(Factor); }
+
 } // namespace amaranth::dataplane
