--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -46,6 +46,9 @@
   /// Counts a request that this node convicted of crashing upstreams.
   void countConviction();
   void setGateLoad(const UpstreamLoad &Load);
+  /// `Factor`: current service times of the local upstream relative to those in
+  /// its distributions.
+  void setSlowdown(double Factor);
   /// `Limit`: the requests that the local upstream takes; empty if unlimited.
   void setRequestLimit(std::optional<RequestRate> Limit);
   /// `Limit`: the requests that the local upstream gets while it is cold; empty
@@ -70,6 +73,9 @@
   prometheus::Gauge &InFlight;
   prometheus::Gauge &Queued;
   prometheus::Gauge &Slots;
+  prometheus::Gauge &WorkMs;
+  prometheus::Gauge &WaitMs;
+  prometheus::Gauge &Slowdown;
   prometheus::Gauge &RequestLimit;
   prometheus::Gauge &ColdRate;
   prometheus::Gauge &ZoneEvacuated;
