Notice callers that leave with pipelined requests waiting

watchForClose ended when bytes of the next request arrived, so that the work for a caller that left afterwards went on. A connection that was closed with unread requests behind its last response was reset, which can take the response with it.

The watch now moves up to 16 KiB of the next requests from the socket to the buffer and goes on. Before a complete connection is closed, up to 1 MiB of what has been received is discarded. Requests are run one at a time as before.

--- a/dataplane/include/amaranth/dataplane/HttpConnection.h
+++ b/dataplane/include/amaranth/dataplane/HttpConnection.h
@@ -74,7 +74,9 @@
                                        std::string Body);
 
   /// Calls `OnClosed` once if the client closes the connection before
-  /// `stopWatchingForClose`. Requires that the request body is complete.
+  /// `stopWatchingForClose`. Requires that the request body is complete. Bytes
+  /// of the next request do not count as closed; the end of the connection is
+  /// noticed behind up to 16 KiB of them.
   void watchForClose(std::function<void()> OnClosed);
   void stopWatchingForClose();
   /// True if the client has closed the connection. Queries the socket directly,
@@ -93,7 +95,8 @@
   /// Closes the connection after the current response.
   void closeAfterResponse();
   /// Closes the connection immediately. Resets it if the response is
-  /// incomplete, so that the client can detect the truncation.
+  /// incomplete, so that the client can detect the truncation. Otherwise
+  /// discards what has been received, so that it is not reset.
   void abort();
   /// Aborts if a read from or a write to the client has timed out.
   void abortIfStalled();
--- a/dataplane/src/HttpConnection.cpp
+++ b/dataplane/src/HttpConnection.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <array>
 #include <sys/socket.h>
 
 namespace asio = boost::asio;
@@ -40,6 +41,12 @@
     return Count == 0 || (Count < 0 && errno != EAGAIN);
   }
 
+  /// Moves bytes of the next request from the socket to `Buffer`. Returns false
+  /// if there are none or `Buffer` holds enough of them.
+  bool readAhead();
+  /// Closing a socket with unread bytes resets the connection, and the client
+  /// may then lose the response that was written before.
+  void discardReceived();
   /// Selects the framing of the response and returns its serialized head.
   std::string beginResponse(unsigned Status, Headers Fields,
                             std::int64_t BodyLength);
@@ -64,6 +71,32 @@
   std::int64_t Remaining = 0;
 };
 
+bool HttpConnection::Impl::readAhead() {
+  constexpr std::size_t MaxReadAheadBytes = 16U << 10U;
+  if (Buffer.size() >= MaxReadAheadBytes)
+    return false;
+  auto Space = Buffer.prepare(MaxReadAheadBytes - Buffer.size());
+  auto Count =
+      ::recv(Socket.native_handle(), Space.data(), Space.size(), MSG_DONTWAIT);
+  if (Count <= 0)
+    return false;
+  Buffer.commit(static_cast<std::size_t>(Count));
+  return true;
+}
+
+void HttpConnection::Impl::discardReceived() {
+  // More than the receive buffer of a socket usually holds.
+  constexpr std::size_t MaxDiscardedBytes = 1U << 20U;
+  std::array<char, 16U << 10U> Discarded{};
+  for (std::size_t Total = 0; Total < MaxDiscardedBytes;) {
+    auto Count = ::recv(Socket.native_handle(), Discarded.data(),
+                        Discarded.size(), MSG_DONTWAIT);
+    if (Count <= 0)
+      return;
+    Total += static_cast<std::size_t>(Count);
+  }
+}
+
 namespace {
 
 HttpRequest requestFrom(const Parser &Incoming) {
@@ -285,11 +318,13 @@
       [Keep = Self, Generation = ++Self->WatchGeneration,
        OnClosed = std::move(OnClosed)]() -> asio::awaitable<void> {
         boost::system::error_code Failure;
-        co_await Keep->Socket.async_wait(
-            tcp::socket::wait_read,
-            asio::redirect_error(asio::use_awaitable, Failure));
-        if (Generation != Keep->WatchGeneration || !Keep->Watching)
-          co_return;
+        do {
+          co_await Keep->Socket.async_wait(
+              tcp::socket::wait_read,
+              asio::redirect_error(asio::use_awaitable, Failure));
+          if (Generation != Keep->WatchGeneration || !Keep->Watching)
+            co_return;
+        } while (!Failure && Keep->readAhead());
         Keep->Watching = false;
         if (Failure || Keep->closed())
           OnClosed();
@@ -327,6 +362,8 @@
   boost::system::error_code Ignored;
   if (Self->HeadWritten && !Self->EndWritten)
     Self->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  else if (Self->EndWritten && Self->Socket.is_open())
+    Self->discardReceived();
   Self->Socket.close(Ignored);
 }
 
