--- a/dataplane/include/amaranth/dataplane/PeerPool.h
+++ b/dataplane/include/amaranth/dataplane/PeerPool.h
@@ -83,6 +83,20 @@
   boost::asio::awaitable<std::shared_ptr<ClientExchange>>
   open(base::Address Peer, RequestHead Head, base::TimePoint Deadline);
 
+  /// A message that waits longer for a connection is dropped.
+  static constexpr base::Millis MaxPostDelay = base::Millis(100);
+  /// Receives the `QuotaGrant` messages of peers. An exception that it throws
+  /// closes the connection.
+  using GrantHandler =
+      std::function<void(const base::NodeId &From, base::ByteView Payload)>;
+
+  /// Sends a short message that belongs to no exchange, after connecting if
+  /// necessary. The message is lost if the peer cannot be reached.
+  void post(const base::Address &Peer, protocol::MessageType Type,
+            base::Bytes Payload);
+  /// An empty handler drops the messages.
+  void onQuotaGrant(GrantHandler Handler);
+
   std::size_t connections() const;
   /// Closes all connections.
   void close();
--- a/dataplane/src/ExchangeServer.cpp
+++ b/dataplane/src/ExchangeServer.cpp
@@ -80,6 +80,16 @@
   Client->Unstarted.push_back(std::move(Exchange));
 }
 
+void ExchangeServer::answerQuota(protocol::Channel &Channel,
+                                 const Frame &Message) {
+  if (!Quotas)
+    throw base::ProtocolError("unexpected quota request");
+  base::Bytes Grant =
+      Quotas->answer(base::NodeId(Channel.peer().Id), Message.Payload);
+  if (!Grant.empty())
+    Channel.post(MessageType::QuotaGrant, Message.Stream, std::move(Grant));
+}
+
 void ExchangeServer::startExchanges(std::shared_ptr<Connection> Client) {
   for (auto &Exchange : std::exchange(Client->Unstarted, {}))
     asio::co_spawn(
@@ -111,6 +121,9 @@
       case MessageType::Cancel:
         Client->deliver(Message, Time.now());
         break;
+      case MessageType::QuotaRequest:
+        answerQuota(*Client->Channel, Message);
+        break;
       default:
         throw base::ProtocolError(fmt::format(
             "unexpected message type {}", static_cast<unsigned>(Message.Type)));
--- a/dataplane/src/PeerPool.cpp
+++ b/dataplane/src/PeerPool.cpp
@@ -130,6 +130,7 @@
   protocol::Dialer &Network;
   std::mt19937_64 Random;
   std::map<base::Address, PeerPtr> Peers;
+  GrantHandler OnQuotaGrant;
 };
 
 PeerPool::Impl::PeerPtr
@@ -214,6 +215,11 @@
   try {
     for (;;) {
       Frame Message = co_await Link->receive();
+      if (Message.Type == MessageType::QuotaGrant) {
+        if (OnQuotaGrant)
+          OnQuotaGrant(base::NodeId(Link->peer().Id), Message.Payload);
+        continue;
+      }
       // Messages for finished exchanges are dropped. Stream ids are never
       // reused, so that late messages cannot reach another exchange.
       auto Found = From->Exchanges.find(Message.Stream);
@@ -308,6 +314,40 @@
   co_return Exchange;
 }
 
+void PeerPool::post(const base::Address &Peer, protocol::MessageType Type,
+                    base::Bytes Payload) {
+  auto Send = [](std::shared_ptr<Impl> Keep, base::Address Peer,
+                 protocol::MessageType Type,
+                 base::Bytes Payload) -> asio::awaitable<void> {
+    try {
+      auto To = Keep->findOrAddPeer(Peer);
+      base::TimePoint Posted = Keep->Time.now();
+      co_await Keep->connect(To, Peer);
+      To->LastUsed = Keep->Time.now();
+      if (To->Link && To->LastUsed - Posted <= MaxPostDelay)
+        To->Link->post(Type, 0, std::move(Payload));
+    } catch (const std::exception &Failure) {
+      base::logger("dataplane")
+          ->debug("message not sent peer={} error=\"{}\"", Peer.text(),
+                  Failure.what());
+    }
+  };
+  auto Found = Self->Peers.find(Peer);
+  if (Found != Self->Peers.end()) {
+    Found->second->LastUsed = Self->Time.now();
+    if (Found->second->Link && Found->second->Link->isOpen()) {
+      Found->second->Link->post(Type, 0, std::move(Payload));
+      return;
+    }
+  }
+  asio::co_spawn(Self->Executor, Send(Self, Peer, Type, std::move(Payload)),
+                 asio::detached);
+}
+
+void PeerPool::onQuotaGrant(GrantHandler Handler) {
+  Self->OnQuotaGrant = std::move(Handler);
+}
+
 std::size_t PeerPool::connections() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(Self->Peers, [](const auto &Entry) {
--- a/protocol/include/amaranth/protocol/Frame.h
+++ b/protocol/include/amaranth/protocol/Frame.h
@@ -59,6 +59,11 @@
   ResponseHead = 404,
   ResponseData = 405,
   Refusal = 406,
+
+  // Quotas between nodes, only for customers with a limit: a node that does
+  // not know the messages closes the connection.
+  QuotaRequest = 500,
+  QuotaGrant = 501,
 };
 
 /// One message of the inner protocol. `Stream` tells exchanges or calls of a
