Use shared quotas in the node

Cause: NodeDaemon admits every request of a customer with a limit.

Change: SharedQuotas takes the place of UnlimitedQuotas; ExchangeServer answers QuotaRequest. No customer reaches it before customers are carried in the configuration.

Measured: dataplane_test, crash_isolation_test, protocol_test and daemon_test pass.

--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -11,6 +11,7 @@
 #include "amaranth/dataplane/Gate.h"
 #include "amaranth/dataplane/Metrics.h"
 #include "amaranth/dataplane/PeerPool.h"
+#include "amaranth/dataplane/SharedQuotas.h"
 #include "amaranth/follower/Follower.h"
 #include "amaranth/platform/PlatformDialect.h"
 #include "amaranth/platform/UpstreamCalls.h"
@@ -138,8 +139,10 @@
         Quarantine(Time, ConfigFollower),
         Upstream(Executor, gateSettings(Settings), Time, ConfigFollower,
                  ConfigFollower, Quarantine, Counters, *Dialect),
-        Exchanges(Executor, Upstream, Time),
         Peers(Executor, peerSettings(Settings), Time, Dialer),
+        Quotas(Executor, Settings.Id, Time, ConfigFollower, Peers, Registry,
+               [this] { return inContactWithControl(); }),
+        Exchanges(Executor, Upstream, Time, &Quotas),
         Entry(Executor, entrySettings(Settings), Time, ConfigFollower,
               ConfigFollower, Quarantine, Peers, Counters, *Dialect, Quotas),
         Local(makeLocalHandler(Settings, Upstream)),
@@ -158,6 +161,10 @@
     return ConfigFollower.current() != nullptr && !Stopping;
   }
 
+  bool inContactWithControl() const {
+    return ConfigFollower.status().ControlAddress.has_value();
+  }
+
   asio::awaitable<void> serveInner(std::shared_ptr<protocol::Channel> Link) {
     if (Link->peer().ProcessRole == protocol::Role::Node)
       co_await Exchanges.serve(Link);
@@ -176,9 +183,9 @@
   follower::Follower ConfigFollower;
   dataplane::CrashQuarantine Quarantine;
   dataplane::Gate Upstream;
-  dataplane::ExchangeServer Exchanges;
   dataplane::PeerPool Peers;
-  dataplane::UnlimitedQuotas Quotas;
+  dataplane::SharedQuotas Quotas;
+  dataplane::ExchangeServer Exchanges;
   dataplane::EntryServer Entry;
   std::unique_ptr<dataplane::LocalHandler> Local;
   dataplane::AnnounceServer Announce;
@@ -206,6 +213,7 @@
   P.Loop.spawnEssential("event loop lag", P.LoopLag.run());
   P.Loop.spawnEssential("gate", P.Upstream.run());
   P.Loop.spawnEssential("peer pool", P.Peers.run());
+  P.Loop.spawnEssential("quotas", P.Quotas.run());
   P.Loop.spawnEssential("caller server", P.Entry.serve());
   P.Loop.spawnEssential("caller tasks", P.Entry.run());
   P.Loop.spawnEssential("announce server", P.Announce.serve());
