Hand over the shards of a customer when the owner drains

Change: an owner whose own upstream drains gives its votes back as soon as another node of the group asks for them.

--- a/dataplane/bench/QuotaSimulation.cpp
+++ b/dataplane/bench/QuotaSimulation.cpp
@@ -95,7 +95,8 @@
       At.LostSince = -1;
     else if (At.LostSince < 0)
       At.LostSince = Now;
-    bool Live = !Lost || Now - At.LostSince < Options.ControlLease;
+    bool Live =
+        !At.Draining && (!Lost || Now - At.LostSince < Options.ControlLease);
     Changed = Changed || Live != At.Live;
     At.Live = Live;
     if (!Lost)
--- a/dataplane/bench/QuotaSimulation.h
+++ b/dataplane/bench/QuotaSimulation.h
@@ -57,6 +57,8 @@
   /// Stops the process; with `Suspend`, the machine and its steady clock.
   void freeze(std::size_t Node, std::int64_t Until, bool Suspend);
   void restart(std::size_t Node, std::int64_t DownUntil);
+  /// The upstream of the node leaves; the process goes on.
+  void drain(std::size_t Node) { Nodes[Node].Draining = true; }
   /// Nodes in different parts do not reach each other; control is in part 0.
   void setPart(std::size_t Node, int Part);
   void controlDown(bool Down) { ControlIsDown = Down; }
@@ -100,6 +102,7 @@
     std::int64_t StoppedUntil = 0;
     bool Down = false;
     bool Live = true;
+    bool Draining = false;
     int Part = 0;
     std::int64_t LostSince = -1;
     std::int64_t WakeAt = 0;
--- a/dataplane/include/amaranth/dataplane/QuotaOwner.h
+++ b/dataplane/include/amaranth/dataplane/QuotaOwner.h
@@ -104,8 +104,9 @@
 
   void setLimit(const document::Customer &Limit, base::TimePoint Now);
   /// `Group` in order of preference; `Preferred` if this node is the first live
-  /// one of it.
-  void setGroup(std::vector<base::NodeId> Group, bool Preferred,
+  /// one of it. A node that is not `Live` leaves: it gives way to any other
+  /// candidate, so that a graceful shutdown costs no requests.
+  void setGroup(std::vector<base::NodeId> Group, bool Preferred, bool Live,
                 base::TimePoint Now);
 
   /// Grants from the bucket if this node owns the shard, else from its reserve.
@@ -137,6 +138,7 @@
   QuotaBucket Reserve;
   double PerSecond = 0;
   bool Preferred = false;
+  bool Live = true;
   bool Owning = false;
   /// Sequence and time of the requests whose replies count.
   std::map<std::uint64_t, base::TimePoint> Rounds;
--- a/dataplane/src/QuotaNode.cpp
+++ b/dataplane/src/QuotaNode.cpp
@@ -104,10 +104,13 @@
       QuotaShard Shard{Name, I};
       std::vector<base::NodeId> Nodes;
       const QuotaMember *FirstLive = nullptr;
+      bool Live = false;
       for (std::size_t Position : Group) {
         Nodes.push_back(Members[Position].Node);
         if (!FirstLive && Members[Position].Live)
           FirstLive = &Members[Position];
+        if (Members[Position].Node == Self)
+          Live = Members[Position].Live;
       }
       bool Member = std::ranges::find(Nodes, Self) != Nodes.end();
       auto Found = Owners.find(Shard);
@@ -123,7 +126,7 @@
       }
       Found->second->setLimit(Limit, Now);
       Found->second->setGroup(std::move(Nodes),
-                              FirstLive && FirstLive->Node == Self, Now);
+                              FirstLive && FirstLive->Node == Self, Live, Now);
     }
   }
   // A shard that this node no longer belongs to is kept, because its vote still
--- a/dataplane/src/QuotaOwner.cpp
+++ b/dataplane/src/QuotaOwner.cpp
@@ -92,8 +92,9 @@
 }
 
 void QuotaOwner::setGroup(std::vector<base::NodeId> Group, bool IsPreferred,
-                          base::TimePoint Now) {
+                          bool IsLive, base::TimePoint Now) {
   Preferred = IsPreferred;
+  Live = IsLive;
   Votes.setGroup(std::move(Group), Now);
   update(Now);
 }
@@ -173,7 +174,7 @@
     return;
   if (Reply.Granted)
     Votes.add(Voter, Round->second);
-  if (!Reply.Contender.value().empty() && precedes(Reply.Contender))
+  if (!Reply.Contender.value().empty() && (!Live || precedes(Reply.Contender)))
     YieldUntil = Now + YieldTime;
   update(Now);
 }
--- a/dataplane/test/Quotas_test.cpp
+++ b/dataplane/test/Quotas_test.cpp
@@ -202,6 +202,29 @@
   CHECK(Mesh.result(Limit).AdmittedAt.size() - Before >= 0.95 * 4 * 90);
 }
 
+// Guards against a shutdown of an owner that costs its customers a second.
+TEST_CASE("An owner that drains hands over without a refusal", "[quota]") {
+  auto Seed = GENERATE(std::uint64_t{1}, std::uint64_t{2}, std::uint64_t{3});
+  CAPTURE(Seed);
+  QuotaSimulation::Settings Options;
+  Options.Seed = Seed;
+  Options.MaxViewLag = 300;
+  QuotaSimulation Mesh(Options);
+  auto Limit = customer("c", 50, 25);
+  Mesh.setCustomers({Limit});
+  Mesh.run(20'000);
+  Mesh.load(Limit, 40, firstNodes(71), 30'000, 0.8);
+  Mesh.run(22'000);
+  std::size_t Owner = 0;
+  while (Owner < 70 && Mesh.owned(Owner) == 0)
+    ++Owner;
+  Mesh.drain(Owner);
+  Mesh.run(25'000);
+  CHECK(Mesh.owned(Owner) == 0);
+  Mesh.run(30'500);
+  CHECK(Mesh.result(Limit).Refused == 0);
+}
+
 // Guards against a vote for two nodes: after a restart, for which the vote of
 // the earlier process still counts, and when messages overtake each other.
 TEST_CASE("A vote is bound until its owner no longer counts it", "[quota]") {
