--- a/control/src/EvacuationTable.cpp
+++ b/control/src/EvacuationTable.cpp
@@ -82,7 +82,8 @@
                                           Operator, Entry.Time.count(), Earlier,
                                           Entry.EarlierTime.count()));
   }
-  return Out.CreateVector(List);
+  // A state without zones is encoded as by earlier versions.
+  return List.empty() ? 0 : Out.CreateVector(List);
 }
 
 void EvacuationTable::read(const wire::ControlSnapshot &From) {
