Identify the sender of a request once for each set of customers

The key was hashed again before the limit and before each attempt although the customers had not changed. The address of the caller is now read once: a socket that was closed since has none, and two unknown addresses would be equal.

--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -156,6 +156,10 @@
   }
   RequestId = Terms.Attempt;
   ApiKey = Terms.ApiKey;
+  // Only processes of this VM connect from the address that they connect to.
+  // The address is unspecified if the caller has left.
+  auto Peer = Caller->peer().address();
+  FromThisVm = !Peer.is_unspecified() && Peer == Caller->local().address();
   // A refusal without a route has a Retry-After time too.
   Deadline = Arrived + Terms.Timeout.value_or(DefaultTimeout);
   if (auto Refused = findRoute())
@@ -189,14 +193,14 @@
 }
 
 Sender EntryRequest::identify(const CustomerIndex &Index) const {
-  // Only processes of this VM connect from the address that they connect to.
-  bool Local = Caller->peer().address() == Caller->local().address();
-  return Index.identify(ApiKey, MatchedRoute.Public, Local);
+  return Index.identify(ApiKey, MatchedRoute.Public, FromThisVm);
 }
 
 EntryRequest::MaybeRefusal
 EntryRequest::authenticate(const document::MeshSnapshot &Snapshot) {
   auto Index = Context->customers(Snapshot);
+  if (Index == Customers)
+    return std::nullopt;
   Sender Found = identify(*Index);
   if (Found.Who == Sender::Kind::Refused)
     return notRun(RefusalReason::Unauthenticated, std::string(Found.Fault));
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -112,7 +112,9 @@
   std::string RequestId;
   /// API key of the caller as the dialect reads it. Never logged.
   std::string ApiKey;
-  /// Index that `From` refers to.
+  /// The caller is a process of this VM.
+  bool FromThisVm = false;
+  /// Index that `From` refers to; null until the request is authenticated.
   std::shared_ptr<const CustomerIndex> Customers;
   Sender From;
   base::TimePoint Arrived;
