Let customers yield only above the usual service

Ordering customers by any difference of their recent service replaced the order by objective also while no customer sent more than its usual, and requests missed their objectives and were refused.

--- a/dataplane/include/amaranth/dataplane/CustomerShares.h
+++ b/dataplane/include/amaranth/dataplane/CustomerShares.h
@@ -34,9 +34,10 @@
   /// Counts a request that gets a slot at `Now`.
   void recordService(const SchedulingParams &Work, base::TimePoint Now);
 
-  /// Sets `SchedulingParams::Turn` of all waiting requests: the recent service
-  /// of the customer and the service that its requests before this one will
-  /// get. Leaves all turns as they are if no request has a customer.
+  /// Sets `SchedulingParams::Turn` of all waiting requests: how far the recent
+  /// service of the customer, with the service that its requests before this
+  /// one will get, is above a multiple of the mean of its rank. Leaves all
+  /// turns as they are if no request has a customer.
   void assignTurns(std::vector<SchedulingParams> &Waiting,
                    base::TimePoint Now) const;
 
@@ -50,6 +51,11 @@
     double at(base::TimePoint Now) const;
   };
 
+  /// Service up to which a customer of the rank does not wait for others.
+  /// `Unserved` customers are waiting and got none recently.
+  double fairService(std::uint32_t Rank, std::size_t Unserved,
+                     base::TimePoint Now) const;
+
   std::map<Key, Service> Services;
 };
 
--- a/dataplane/src/SchedulingOrder.h
+++ b/dataplane/src/SchedulingOrder.h
@@ -30,12 +30,12 @@
 /// Returns true if `Left` is scheduled before `Right`.
 ///
 /// Orders by priority first. Within a priority, requests that can still meet
-/// their objective precede late ones. Among them, customers take turns, and the
-/// requests with an equal turn are ordered by earliest objective;
-/// late requests follow in order of deadline. Without this rule, late requests
-/// would make every later request late as well under sustained overload. Calls
-/// that a running request makes have a priority of their own because they hold
-/// the slot of their caller.
+/// their objective precede late ones. Among them, a customer with more recent
+/// service yields, and the requests with an equal turn are ordered by earliest
+/// objective; late requests follow in order of deadline. Without this rule,
+/// late requests would make every later request late as well under sustained
+/// overload. Calls that a running request makes have a priority of their own
+/// because they hold the slot of their caller.
 bool precedes(const SchedulingParams &Left, const SchedulingParams &Right,
               base::TimePoint Now);
 
