Add amaranth-bench decisions and test placement under load

The command simulates entry nodes and gates without a network and prints how many requests first come first served, the previous rule and the current one complete in time. Rates of failed and shed requests below 1 % count as none, so that an endpoint with old failures is used again.

Quantiles of remaining times are found by a search over the buckets, and the metrics and the log after each request no longer simulate the slots.

--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -37,6 +37,7 @@
   void countCrash();
   /// Counts a request that this node convicted of crashing upstreams.
   void countConviction();
+  /// Without `UpstreamLoad::Work`, the expected work and wait stay.
   void setGateLoad(const UpstreamLoad &Load);
   /// `Factor`: current service times of the local upstream relative to those in
   /// its distributions.
--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -26,6 +26,7 @@
 /// time over which an average halves without results.
 constexpr double ResultSmoothing = 0.1;
 constexpr double ResultHalfLifeMs = 5'000;
+constexpr double MinResultRate = 0.01;
 constexpr double MaxResultRate = 0.95;
 /// Price of a request that fails, in service times. A shed request is repeated
 /// elsewhere and costs one.
@@ -62,7 +63,8 @@
 
 double Balancer::ResultRate::at(base::TimePoint Now) const {
   auto PassedMs = static_cast<double>((Now - RecordedAt).count());
-  return Rate * std::exp2(-PassedMs / ResultHalfLifeMs);
+  double Faded = Rate * std::exp2(-PassedMs / ResultHalfLifeMs);
+  return Faded < MinResultRate ? 0 : Faded;
 }
 
 void Balancer::ResultRate::record(bool Happened, base::TimePoint Now) {
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -318,21 +318,26 @@
   Counters.setRequestLimit(Limit);
 }
 
-UpstreamLoad Gate::Impl::load() const {
+UpstreamLoad Gate::Impl::countedLoad() const {
   UpstreamLoad Work{Slots.inFlight(),
                     static_cast<std::uint32_t>(Slots.queued()),
                     LastAnnouncement ? LastAnnouncement->Slots : 0};
   Work.ServiceTime = Costs.mean(Time.now());
   if (Slots.rate())
     Work.Slots = Slots.capacity(Work.ServiceTime);
+  Work.LinkBacklog =
+      Egress.backlog(false) + Egress.transmissionTime(PendingLinkBytes);
+  return Work;
+}
+
+UpstreamLoad Gate::Impl::load() const {
+  UpstreamLoad Work = countedLoad();
   SchedulingParams Newest;
   Newest.Priority = std::numeric_limits<std::uint32_t>::max();
   Newest.Objective = Newest.Deadline = Time.now();
   scheduling::OutstandingWork Outstanding = runningWork();
   Work.QueueWait = Slots.expectedWait(Newest, Outstanding);
   Work.Work = Outstanding.total();
-  Work.LinkBacklog =
-      Egress.backlog(false) + Egress.transmissionTime(PendingLinkBytes);
   return Work;
 }
 
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -37,6 +37,8 @@
   /// Applies what the upstream process `Incarnation` says in a response.
   void applyNotice(const ResponseHead &Head, std::uint64_t Incarnation);
   void setRequestLimit(std::optional<RequestRate> Limit);
+  /// The load without the expected wait and work, which cost a simulation.
+  UpstreamLoad countedLoad() const;
   UpstreamLoad load() const;
   UpstreamLoad loadFor(const RequestHead &Head) const;
   std::optional<Refusal> makeRefusal(ExecutionOutcome What, RefusalReason Why,
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -220,7 +220,7 @@
     Refused = makeRefusal(ExecutionOutcome::Unknown,
                           RefusalReason::UpstreamBroken, "internal");
   }
-  Counters.setGateLoad(load());
+  Counters.setGateLoad(countedLoad());
   Exchange->OnEnd = nullptr;
   Exchange->OnReschedule = nullptr;
   Served.erase(Exchange.get());
@@ -253,7 +253,7 @@
   if (Refused)
     Outcome = std::string(outcomeText(Refused->Outcome)) + " " +
               reasonText(Refused->Reason);
-  UpstreamLoad Work = load();
+  UpstreamLoad Work = countedLoad();
   base::logger(base::RequestLog)
       ->info("exchange id={} route={} fingerprint={} priority={} "
              "transit_ms={} waited_ms={} ran_ms={} "
--- a/dataplane/src/Metrics.cpp
+++ b/dataplane/src/Metrics.cpp
@@ -107,8 +107,9 @@
   InFlight.Set(Load.InFlight);
   Queued.Set(Load.Queued);
   Slots.Set(Load.Slots);
-  if (Load.Work)
-    WorkMs.Set(static_cast<double>(Load.Work->count()));
+  if (!Load.Work)
+    return;
+  WorkMs.Set(static_cast<double>(Load.Work->count()));
   WaitMs.Set(static_cast<double>(Load.QueueWait.count()));
 }
 
--- a/dataplane/test/Parts_test.cpp
+++ b/dataplane/test/Parts_test.cpp
@@ -315,6 +315,66 @@
   CHECK_FALSE(Machine.apply(Event::AnnouncementTimeout));
 }
 
+// Guards against an upstream that sheds a part of its requests and is treated
+// like one that fails them, or like one that answers.
+TEST_CASE_METHOD(BalancerTest, "Shed requests cost less than failed ones") {
+  for (const char *Id : {"answers", "sheds", "fails"})
+    add(Id, "a");
+  for (int I = 0; I < 3; ++I) {
+    Balance.recordShed(base::EndpointId("sheds"));
+    Balance.recordFailure(Mesh, base::EndpointId("fails"), false);
+  }
+  CHECK(chooseMany(20)["answers"] == 20);
+  std::set<base::EndpointId> Excluded = {base::EndpointId("answers")};
+  for (int I = 0; I < 20; ++I)
+    CHECK(choose(Excluded) == "sheds");
+  for (int I = 0; I < 20; ++I)
+    Balance.recordShed(base::EndpointId("sheds"));
+  CHECK_FALSE(Balance.isEjected(base::EndpointId("sheds")));
+  CHECK(choose(Excluded) == "fails");
+  // Neither is held against it for ever.
+  Time.advance(base::Millis::seconds(120));
+  CHECK(chooseMany(300)["sheds"] > 20);
+}
+
+// A version with 200 upstreams, of which a selection looks at a few. Guards
+// against a request without an upstream while one is left.
+TEST_CASE_METHOD(BalancerTest, "choose finds the last usable one of many") {
+  std::set<base::EndpointId> Excluded;
+  for (int I = 0; I < 200; ++I) {
+    add("e" + std::to_string(I), I % 2 == 0 ? "a" : "b");
+    Excluded.insert(base::EndpointId("e" + std::to_string(I)));
+  }
+  Excluded.erase(base::EndpointId("e77"));
+  CHECK(choose(Excluded) == "e77");
+  Excluded.insert(base::EndpointId("e77"));
+  CHECK(choose(Excluded) == "none");
+}
+
+// Requests of 190 ms and 1,100 ms. Guards against placement that counts the
+// requests that were sent since a report instead of their cost.
+TEST_CASE_METHOD(BalancerTest, "Sent requests count by their expected cost") {
+  add("x", "a");
+  add("y", "a");
+  base::RouteName Short("short");
+  base::RouteName Long("long");
+  for (const char *Id : {"x", "y"}) {
+    UpstreamLoad Load{0, 0, 10};
+    Load.RouteServiceTime = base::Millis(1'100);
+    Balance.recordLoad(base::EndpointId(Id), Load, Long);
+    Load.RouteServiceTime = base::Millis(190);
+    Balance.recordLoad(base::EndpointId(Id), Load, Short);
+  }
+  Balance.requestStarted(base::EndpointId("x"), Long);
+  Balance.requestStarted(base::EndpointId("x"), Long);
+  for (int I = 0; I < 3; ++I)
+    Balance.requestStarted(base::EndpointId("y"), Short);
+  Request.Route = Short;
+  CHECK(chooseMany(20)["y"] == 20);
+  CHECK(Balance.expectedServiceTime(base::EndpointId("x"), Long) >
+        base::Millis(900));
+}
+
 // Guards against a limited upstream that looks idle and is asked first by every
 // node.
 TEST_CASE_METHOD(
--- a/scheduling/include/amaranth/scheduling/ServiceTimes.h
+++ b/scheduling/include/amaranth/scheduling/ServiceTimes.h
@@ -31,14 +31,17 @@
   /// evenly over it.
   WeightedSum longerThan(double ElapsedMs) const;
 
-private:
   /// Four buckets to a factor of two, from 1 ms to 131 s.
   static constexpr std::size_t BucketsPerDoubling = 4;
   static constexpr std::size_t BucketCount = 17 * BucketsPerDoubling;
 
   static std::size_t bucketOf(double TimeMs);
+  /// Shortest time of a bucket; that of `BucketCount` ends the last one.
   static double lowerBound(std::size_t Bucket);
+  /// Weight of a bucket and all longer ones.
+  double weightFrom(std::size_t Bucket) const { return Tail[Bucket].Weight; }
 
+private:
   std::array<WeightedSum, BucketCount> Buckets{};
   /// Sums over each bucket and all longer ones.
   std::array<WeightedSum, BucketCount + 1> Tail{};
--- a/scheduling/src/CostModel.cpp
+++ b/scheduling/src/CostModel.cpp
@@ -84,22 +84,31 @@
     double Longer = longerThan(ElapsedMs).Weight;
     if (Longer < TailWeight)
       return -std::log(1 - Fraction) * TailFraction * ElapsedMs;
-    // Bisection on the weight of longer requests.
     double Target = Longer * (1 - Fraction);
-    double Low = ElapsedMs;
-    double High = std::max(1.0, ElapsedMs) * 2;
-    while (longerThan(High).Weight > Target && High < MaxTimeMs)
-      High *= 2;
-    constexpr int Steps = 10;
-    for (int I = 0; I < Steps; ++I) {
-      double Middle = (Low + High) / 2;
-      (longerThan(Middle).Weight > Target ? Low : High) = Middle;
+    // The bucket in which the weight of the longer requests falls to `Target`.
+    std::size_t First = ServiceTimes::bucketOf(ElapsedMs);
+    std::size_t Last = ServiceTimes::BucketCount - 1;
+    while (First < Last) {
+      std::size_t Middle = (First + Last) / 2;
+      if (weightFrom(Middle + 1) > Target)
+        First = Middle + 1;
+      else
+        Last = Middle;
     }
-    return (Low + High) / 2 - ElapsedMs;
+    double Low = ServiceTimes::lowerBound(First);
+    double High = ServiceTimes::lowerBound(First + 1);
+    double Weight = weightFrom(First) - weightFrom(First + 1);
+    double Part =
+        Weight > 0 ? std::clamp((weightFrom(First) - Target) / Weight, 0.0, 1.0)
+                   : 1;
+    return std::max(0.0, Low + Part * (High - Low) - ElapsedMs);
   }
 
 private:
-  static constexpr double MaxTimeMs = 131'072;
+  double weightFrom(std::size_t Bucket) const {
+    return (Own ? Own->weightFrom(Bucket) : 0) +
+           AllFactor * All.weightFrom(Bucket);
+  }
 
   const ServiceTimes *Own;
   const ServiceTimes &All;
--- a/scheduling/src/ServiceTimes.cpp
+++ b/scheduling/src/ServiceTimes.cpp
@@ -18,9 +18,13 @@
 }
 
 double ServiceTimes::lowerBound(std::size_t Bucket) {
-  return Bucket == 0
-             ? 0
-             : std::exp2(static_cast<double>(Bucket) / BucketsPerDoubling);
+  static const auto Bounds = [] {
+    std::array<double, BucketCount + 1> Values{};
+    for (std::size_t I = 1; I <= BucketCount; ++I)
+      Values[I] = std::exp2(static_cast<double>(I) / BucketsPerDoubling);
+    return Values;
+  }();
+  return Bounds[Bucket];
 }
 
 void ServiceTimes::add(double TimeMs, base::TimePoint Now) {
--- a/tools/bench/src/Main.cpp
+++ b/tools/bench/src/Main.cpp
@@ -1,3 +1,4 @@
+#include "DecisionTable.h"
 #include "LoadGenerator.h"
 #include "amaranth/base/CommandLine.h"
 #include "amaranth/base/Error.h"
@@ -8,6 +9,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include <cmath>
 #include <iostream>
 
 namespace asio = boost::asio;
@@ -22,11 +24,14 @@
 Usage:
   amaranth-bench load --target=IP:PORT [options]
   amaranth-bench path --direct=IP:PORT --through=IP:PORT [options]
+  amaranth-bench decisions [--seed=N] [--seeds=N]
   amaranth-bench (-h | --help)
 
 load sends an open-loop load to one target. path sends the same load to an
 upstream directly and through a node at the same time, half each, and reports
-the added latency.
+the added latency. decisions simulates entry nodes and gates without a network
+and compares the rules that place, order and refuse requests: first come first
+served, the previous rule and the current one.
 
 Options:
   --path=PATH        Path of the requests [default: /].
@@ -37,6 +42,7 @@
   --seconds=S        Duration in seconds [default: 5].
   --in-flight=N      Arrivals above N open requests are dropped [default: 1000].
   --seed=N           Seed of the arrivals [default: 1].
+  --seeds=N          Number of seeds, from --seed on, 1 to 100 [default: 2].
   --json             Print JSON instead of a table.
   -h --help          Show this text.
 
@@ -179,8 +185,24 @@
   return ThroughResult.succeeded() > 0 ? 0 : 1;
 }
 
+int runDecisionsCommand(const base::Arguments &Args) {
+  constexpr double MaxSeed = 1e15;
+  constexpr double MaxSeeds = 100;
+  double Seed = number(Args, "--seed");
+  double Seeds = number(Args, "--seeds");
+  if (Seed > MaxSeed || Seed != std::floor(Seed))
+    throw base::Error("--seed: must be a whole number up to 1e15");
+  if (Seeds < 1 || Seeds > MaxSeeds || Seeds != std::floor(Seeds))
+    throw base::Error("--seeds: must be a whole number from 1 to 100");
+  printDecisionTable(static_cast<std::uint64_t>(Seed),
+                     static_cast<unsigned>(Seeds));
+  return 0;
+}
+
 int run(int Count, char **Values) {
   base::Arguments Args = base::parseCommandLine(Usage, Count, Values);
+  if (Args.at("decisions").asBool())
+    return runDecisionsCommand(Args);
   if (Args.at("load").asBool())
     return runLoadCommand(Args);
   return runPathCommand(Args);
