--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -54,6 +54,8 @@
   void recordConnectionsLost();
   void recordAnnouncedCold(const Announcement &Update, bool Restarted);
   std::optional<Refusal> coldRefusal() const;
+  /// The load without the expected wait and work, which cost a simulation.
+  UpstreamLoad countedLoad() const;
   UpstreamLoad load() const;
   UpstreamLoad loadFor(const RequestHead &Head) const;
   std::optional<Refusal> makeRefusal(ExecutionOutcome What, RefusalReason Why,
