--- a/dataplane/test/Parts_test.cpp
+++ b/dataplane/test/Parts_test.cpp
@@ -375,6 +375,38 @@
         base::Millis(900));
 }
 
+// Ten entry nodes that decide by the same reports. Guards against all of them
+// choosing the upstream that was the least loaded 50 ms ago.
+TEST_CASE_METHOD(BalancerTest, "Nodes with the same reports spread requests") {
+  constexpr int Nodes = 10;
+  constexpr int Upstreams = 8;
+  constexpr int RequestsPerNode = 40;
+  Request.Route = base::RouteName("r");
+  for (int I = 0; I < Upstreams; ++I)
+    add("e" + std::to_string(I), "a");
+  std::map<std::string, int> Chosen;
+  for (std::uint64_t Node = 0; Node < Nodes; ++Node) {
+    Balancer Own(settings(), Time, Counters, Seed + Node);
+    for (std::uint32_t I = 0; I < Upstreams; ++I) {
+      UpstreamLoad Load{5, 0, 10, base::Millis(100)};
+      Load.Work = base::Millis(250 + 10 * I);
+      Load.RouteServiceTime = base::Millis(100);
+      Own.recordLoad(base::EndpointId("e" + std::to_string(I)), Load,
+                     Request.Route);
+    }
+    for (int I = 0; I < RequestsPerNode; ++I) {
+      const auto *Found = Own.choose(Mesh, Service, Version, {}, Request);
+      REQUIRE(Found);
+      Own.requestStarted(Found->Id, Request.Route);
+      ++Chosen[Found->Id.value()];
+    }
+  }
+  for (const auto &[Id, Count] : Chosen) {
+    INFO(Id);
+    CHECK(Count <= 1.3 * Nodes * RequestsPerNode / Upstreams);
+  }
+}
+
 // Guards against a limited upstream that looks idle and is asked first by every
 // node.
 TEST_CASE_METHOD(
