Notice the restart of an upstream that was idle

Cause, found in review: a closed connection counted as the sign of a restart only within 2 s of its last use, but when it was closed is not known. Also: bytes that wait to be read on a running call no longer count as a closed connection, and a request that waits for the rate of a cold upstream until its deadline is no fault of the upstream.

--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -292,6 +292,9 @@
     co_return co_await executeWithSlot(Exchange, Suspect, Response);
   if (Granted == SlotQueue::Result::Ended)
     co_return std::nullopt;
+  // A cold upstream is not at fault if the rate that it bears is used up.
+  if (Granted == SlotQueue::Result::Expired && IsCold)
+    co_return coldRefusal();
   if (Granted == SlotQueue::Result::Expired)
     co_return makeRefusal(ExecutionOutcome::NotRun,
                           RefusalReason::DeadlineExceeded,
--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -37,11 +37,6 @@
 constexpr unsigned MaxSkippedResponses = 8;
 constexpr std::size_t MaxSkippedBytes = 1U << 20U;
 
-/// A restart is known by the announcement of the new process after this time,
-/// so that a connection that was idle for longer says nothing more. Upstreams
-/// close idle connections for other reasons too.
-constexpr base::Millis RestartNoticeTime = base::Millis::seconds(2);
-
 struct PooledConnection {
   explicit PooledConnection(tcp::socket Connected)
       : Socket(std::move(Connected)) {}
@@ -57,6 +52,17 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
+  /// False if the upstream has closed the connection and all data was read.
+  bool isOpen() {
+    if (!Socket.is_open())
+      return false;
+    char Byte = 0;
+    auto Count =
+        ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return Count > 0 ||
+           (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+  }
+
   tcp::socket Socket;
   base::TimePoint LastUsed;
 };
@@ -117,7 +123,7 @@
 
   void setDeadline(base::TimePoint Value) override { Deadline = Value; }
 
-  bool isOpen() const { return Connection && Connection->usable(); }
+  bool isOpen() const { return Connection && Connection->isOpen(); }
 
   void abortIfExpired() {
     base::TimePoint Now = Time.now();
@@ -375,7 +381,8 @@
       base::TimePoint Now = Keep->Time.now();
       IdleFor = Now - Connection->LastUsed;
       bool Usable = Connection->usable();
-      Closed = Closed || (!Usable && *IdleFor <= RestartNoticeTime);
+      // When it was closed is not known, however long it was idle.
+      Closed = Closed || !Usable;
       if (*IdleFor > MaxAge || !Keep->Calls->ReuseLimit.allows(Now, *IdleFor) ||
           !Usable)
         Connection.reset();
--- a/dataplane/test/ColdUpstream_test.cpp
+++ b/dataplane/test/ColdUpstream_test.cpp
@@ -100,6 +100,21 @@
   CHECK(static_cast<double>(burst(40)) <= PerSecond + 2);
 }
 
+// Guards against a restart that is not noticed because no request was sent for
+// some seconds before it.
+TEST_CASE_METHOD(ColdUpstreamTest, "Idle upstream that closed all connections "
+                                   "is treated as cold") {
+  CHECK(burst(10) == 10);
+  announceCold(0);
+  Time.advance(base::Millis(3500));
+  announceCold(0);
+  for (auto &Weak : Upstream.Connections)
+    if (auto Link = Weak.lock())
+      Link->abort();
+  settle();
+  CHECK(static_cast<double>(burst(40)) <= 1.5 * PerSecond + 8);
+}
+
 // Guards against an upstream that counts as cold all the time because it
 // closes idle connections.
 TEST_CASE_METHOD(ColdUpstreamTest, "Upstream that closes idle connections is "
