Forget the slowness of an upstream that sends no responses

Cause, found in review: the recent mean of the slowness that an upstream names did not fade. The test fails before: 300 ms are expected after ten idle minutes, not 100.

--- a/scheduling/include/amaranth/scheduling/CostModel.h
+++ b/scheduling/include/amaranth/scheduling/CostModel.h
@@ -54,6 +54,8 @@
 private:
   /// Bounds the memory; the least recently measured route is dropped first.
   static constexpr std::size_t MaxRoutes = 256;
+  /// In percent.
+  static constexpr double UsualSlowness = 100;
 
   struct Entry {
     ServiceTimes Times;
@@ -66,6 +68,7 @@
   Blend blend(const base::RouteName &Route) const;
   Entry &entryOf(const base::RouteName &Route);
   void addDeviation(double Log, base::TimePoint Now);
+  double slownessAt(base::TimePoint Now) const;
 
   ServiceTimes Overall;
   std::unordered_map<base::RouteName, Entry> Routes;
@@ -75,7 +78,7 @@
   /// Logarithms of recent service times relative to the mean of their route.
   WeightedSum Deviation;
   base::TimePoint DeviationAt{0};
-  double Slowness = 100;
+  double Slowness = UsualSlowness;
   base::TimePoint SlownessAt{0};
 };
 
--- a/scheduling/src/CostModel.cpp
+++ b/scheduling/src/CostModel.cpp
@@ -138,7 +138,7 @@
 
 void CostModel::add(const base::RouteName &Route, base::Millis Taken,
                     base::TimePoint Now) {
-  double TimeMs = static_cast<double>(Taken.count()) * 100 / Slowness;
+  double TimeMs = static_cast<double>(Taken.count()) * 100 / slownessAt(Now);
   ServiceTimes &Times = entryOf(Route).Times;
   if (Times.weight() >= MinReferenceWeight)
     addDeviation(std::log(std::max(1.0, TimeMs)) - Times.meanLog(), Now);
@@ -160,14 +160,22 @@
     return;
   double Value = std::clamp(Percent, MinSlowness, MaxSlowness);
   double Weight = 1 - std::exp(-elapsedMs(SlownessAt, Now) / SlownessTimeMs);
+  Slowness = slownessAt(Now);
   Slowness += std::min(Weight, MaxSlownessWeight) * (Value - Slowness);
   SlownessAt = Now;
 }
 
+double CostModel::slownessAt(base::TimePoint Now) const {
+  // Without responses, a slow phase is forgotten, as nothing shows its end.
+  return UsualSlowness +
+         (Slowness - UsualSlowness) *
+             std::exp2(-elapsedMs(SlownessAt, Now) / IdleHalfLifeMs);
+}
+
 double CostModel::slowdown(base::TimePoint Now) const {
   double Mean = Deviation.Total / (Deviation.Weight + DeviationPrior);
   Mean *= std::exp2(-elapsedMs(DeviationAt, Now) / IdleHalfLifeMs);
-  return Slowness / 100 * std::exp(Mean);
+  return slownessAt(Now) / UsualSlowness * std::exp(Mean);
 }
 
 base::Millis CostModel::mean(const base::RouteName &Route,
--- a/scheduling/test/CostModel_test.cpp
+++ b/scheduling/test/CostModel_test.cpp
@@ -116,6 +116,9 @@
   }
   CHECK(Costs.slownessPercent() == Approx(300).epsilon(0.2));
   CHECK(Costs.mean(Route, Now).count() == Approx(300).epsilon(0.2));
+  // Nothing shows the end of a slow phase while no response arrives.
+  CHECK(Costs.mean(Route, Now + base::Millis::seconds(600)).count() ==
+        Approx(100).epsilon(0.1));
   // Samples that were taken at this slowness do not count twice.
   for (int I = 0; I < 200; ++I) {
     feed(Route, 1, 20, [] { return 300; });
