Split large quota messages and keep groups when a node's state flips

Causes, found in review on: a node that asks for all its shards at once sent up to 5,396 items in one message; the receiver rejects more than 4,096, which ends all exchanges on the connection. A change of one endpoint's state worked out the groups of all shards again, 95 ms at 1,800 nodes with 2,000 customers, though they do not depend on it. A node that knows no other one refused with 429 what cannot be placed at all; it is admitted now and gets the true reason. The new test fails before: the message is rejected. The other two have no test of their own.

--- a/dataplane/include/amaranth/dataplane/QuotaNode.h
+++ b/dataplane/include/amaranth/dataplane/QuotaNode.h
@@ -78,6 +78,9 @@
   QuotaNode(base::NodeId Self, std::uint64_t Seed, std::uint64_t FirstSequence,
             base::TimePoint Now);
 
+  /// Whether no node is known that could own a part of a limit. Then no
+  /// upstream is known either that could run a request.
+  bool isAlone() const { return Members.empty(); }
   /// The nodes that the snapshot lists, each once.
   void setMembers(const std::vector<QuotaMember> &Listed, base::TimePoint Now);
   /// The customers of the snapshot; those without a limit are ignored.
--- a/dataplane/src/QuotaNode.cpp
+++ b/dataplane/src/QuotaNode.cpp
@@ -46,7 +46,18 @@
   std::ranges::sort(Current, {}, &QuotaMember::Node);
   if (Current == Members)
     return;
+  // Groups do not depend on which members are live. With thousands of shards,
+  // working them out again at each change would block the node for 100 ms.
+  bool SameGroups = std::ranges::equal(
+      Current, Members, [](const QuotaMember &Left, const QuotaMember &Right) {
+        return Left.Node == Right.Node && Left.Address == Right.Address &&
+               Left.Zone == Right.Zone;
+      });
   Members = std::move(Current);
+  if (SameGroups) {
+    rebuildOwners(Now);
+    return;
+  }
   Hashes.clear();
   Addresses.clear();
   for (const QuotaMember &Each : Members) {
@@ -395,10 +406,29 @@
   return Now + (Customers.empty() ? UnusedWake : IdleWake);
 }
 
+namespace {
+
+/// Moves at most `MaxQuotaItems` from the end of `From`.
+template <typename Item> std::vector<Item> takeItems(std::vector<Item> &From) {
+  std::size_t Count = std::min(From.size(), MaxQuotaItems);
+  auto First = From.end() - static_cast<std::ptrdiff_t>(Count);
+  std::vector<Item> Taken(std::make_move_iterator(First),
+                          std::make_move_iterator(From.end()));
+  From.erase(First, From.end());
+  return Taken;
+}
+
+} // namespace
+
 std::vector<QuotaNode::Outgoing> QuotaNode::takeMessages() {
   std::vector<Outgoing> Result;
-  for (auto &[To, Message] : std::exchange(Outbox, {}))
-    Result.push_back(std::move(Message));
+  for (auto &[To, Message] : std::exchange(Outbox, {})) {
+    QuotaRequest Rest = std::move(Message.Message);
+    while (!Rest.empty())
+      Result.push_back(
+          {Message.To, Message.Address,
+           QuotaRequest{takeItems(Rest.Asks), takeItems(Rest.Votes)}});
+  }
   return Result;
 }
 
--- a/dataplane/src/SharedQuotas.cpp
+++ b/dataplane/src/SharedQuotas.cpp
@@ -278,6 +278,9 @@
     co_return Verdict{};
   auto Keep = State;
   Keep->followSnapshot();
+  // The caller learns that there is no endpoint, which is the true reason.
+  if (Keep->Node.isAlone())
+    co_return Verdict{};
   base::Millis Wait = std::clamp(MaxWait, base::Millis(0), MaxWaitTime);
   base::TimePoint Deadline = Keep->Time.now() + Wait;
   auto Entry = std::make_shared<Impl::Pending>(Keep->Executor);
--- a/dataplane/test/Quotas_test.cpp
+++ b/dataplane/test/Quotas_test.cpp
@@ -307,6 +307,27 @@
   CHECK(Node.takeDecisions().size() == 1);
 }
 
+// Guards against a message that its receiver rejects, which would end all
+// exchanges on the connection.
+TEST_CASE("Messages to one node are split at the largest accepted size",
+          "[quota]") {
+  QuotaNode Node(base::NodeId("n"), 1, 1, base::TimePoint(0));
+  QuotaTime Start{base::TimePoint(0), base::BootTime(0)};
+  Node.setMembers({{base::NodeId("m"), {}, {}, true}}, Start.Now);
+  std::vector<document::Customer> Many;
+  for (int I = 0; I < 5'000; ++I)
+    Many.push_back(customer("c" + std::to_string(I), 10, 5));
+  Node.setCustomers(Many, Start.Now);
+  for (const document::Customer &Each : Many)
+    Node.request(Each, base::Millis(150), Start);
+  std::size_t Asks = 0;
+  for (const QuotaNode::Outgoing &Each : Node.takeMessages()) {
+    CHECK_NOTHROW(decodeQuotaRequest(encode(Each.Message)));
+    Asks += Each.Message.Asks.size();
+  }
+  CHECK(Asks == Many.size());
+}
+
 // Guards against tokens that a frozen node uses long after they were granted.
 TEST_CASE("A token expires 200 ms after it was asked for", "[quota]") {
   QuotaAsker Asker;
