Skip the endpoints of the own zone while it is evacuated

Found in review: with the own zone evacuated, a choice among 1,800 endpoints took 7,975 ns instead of 602, because all of the local ones were looked at.

--- a/dataplane/src/Balancer.cpp
+++ b/dataplane/src/Balancer.cpp
@@ -256,7 +256,7 @@
 Balancer::preferLocalZone(const CandidateList &ReadyLocal,
                           const Selection &Pick) {
   const RequestTraits &Request = Pick.Request;
-  if (Request.AnyZone)
+  if (Request.AnyZone || Pick.EvacuatedZones.contains(Options.Zone))
     return {};
   CandidateList Local = sample(ReadyLocal, ReadyLocal.size(), Pick);
   CandidateList WithinWait;
