--- a/dataplane/test/Quotas_test.cpp
+++ b/dataplane/test/Quotas_test.cpp
@@ -314,8 +314,10 @@
   QuotaNode Node(base::NodeId("n"), 1, 1, base::TimePoint(0));
   QuotaTime Start{base::TimePoint(0), base::BootTime(0)};
   Node.setMembers({{base::NodeId("m"), {}, {}, true}}, Start.Now);
+  constexpr int Count = 5'000;
   std::vector<document::Customer> Many;
-  for (int I = 0; I < 5'000; ++I)
+  Many.reserve(Count);
+  for (int I = 0; I < Count; ++I)
     Many.push_back(customer("c" + std::to_string(I), 10, 5));
   Node.setCustomers(Many, Start.Now);
   for (const document::Customer &Each : Many)
--- a/scheduling/src/CostModel.cpp
+++ b/scheduling/src/CostModel.cpp
@@ -28,6 +28,9 @@
 /// Time over which the slowness is averaged, and the largest weight of a single
 /// value.
 constexpr double SlownessTimeMs = 1000;
+/// Longer than the pauses between the responses of an upstream that gets few
+/// requests, which would hide its slowness.
+constexpr double IdleSlownessHalfLifeMs = 30'000;
 constexpr double MaxSlownessWeight = 0.25;
 constexpr double MinSlowness = 10;
 constexpr double MaxSlowness = 10'000;
@@ -169,7 +172,7 @@
   // Without responses, a slow phase is forgotten, as nothing shows its end.
   return UsualSlowness +
          (Slowness - UsualSlowness) *
-             std::exp2(-elapsedMs(SlownessAt, Now) / IdleHalfLifeMs);
+             std::exp2(-elapsedMs(SlownessAt, Now) / IdleSlownessHalfLifeMs);
 }
 
 double CostModel::slowdown(base::TimePoint Now) const {
