Let requests wait in a short queue where no gate has a slot in time

Cause: a request was refused for good when no gate was expected to have a slot within the objective, although a late response is worth half there.

Change: it asks one gate more, without a limit on the wait; that gate refuses at once if its queue is long.

--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -683,17 +683,20 @@
   if (CallerGone || Retries.attempts() == 0 || !isBodyReplayable() ||
       Context->Time.now() >= Deadline || quarantineRefusal())
     return false;
-  if (isBusy(Refused.Reason) && Retries.limitsQueueWait()) {
+  bool NoSlotInTime = isBusy(Refused.Reason) && Retries.limitsQueueWait();
+  auto Next = Retries.onRefusal(Refused.Endpoint, Refused, isRepeatable(),
+                                maxAttempts());
+  if (Next == RetryState::Step::Stop)
+    return false;
+  if (NoSlotInTime) {
     auto Advice = Context->Odds[Service].advice(Context->Time.now());
+    // No other gate is expected to have a slot in time. A short queue may still
+    // serve the request late.
     if (Advice == SlotOdds::Advice::GiveUp)
-      return false;
+      Retries.readmitBusyEndpoints();
     if (Advice == SlotOdds::Advice::AskAllZones)
       Retries.askAllZones();
   }
-  auto Next = Retries.onRefusal(Refused.Endpoint, Refused, isRepeatable(),
-                                maxAttempts());
-  if (Next == RetryState::Step::Stop)
-    return false;
   auto Snapshot = Context->Snapshots.current();
   if (!chooseEndpoint(*Snapshot) &&
       (!Retries.readmitBusyEndpoints() || !chooseEndpoint(*Snapshot)))
