--- a/base/include/amaranth/base/IniFile.h
+++ b/base/include/amaranth/base/IniFile.h
@@ -41,6 +41,9 @@
 /// Longest accepted line in bytes.
 inline constexpr std::size_t MaxIniLineBytes = 4096;
 
+/// `Text` without the spaces, tabs and carriage returns at both ends.
+std::string_view trim(std::string_view Text);
+
 /// Parses `Text`. Faults (a line that is no section, entry or comment, an
 /// entry before the first section, duplicate sections or keys, an oversized
 /// line or text, a control character) are appended to `Faults` with the file
--- a/base/src/IniFile.cpp
+++ b/base/src/IniFile.cpp
@@ -25,8 +25,6 @@
   return nullptr;
 }
 
-namespace {
-
 std::string_view trim(std::string_view Text) {
   constexpr std::string_view Space = " \t\r";
   auto First = Text.find_first_not_of(Space);
@@ -35,6 +33,8 @@
   return Text.substr(First, Text.find_last_not_of(Space) - First + 1);
 }
 
+namespace {
+
 bool hasControlCharacter(std::string_view Text) {
   return std::any_of(Text.begin(), Text.end(), [](char C) {
     auto Code = static_cast<unsigned char>(C);
--- a/document/src/CustomerSection.cpp
+++ b/document/src/CustomerSection.cpp
@@ -1,6 +1,7 @@
 #include "CustomerSection.h"
 
 #include "SectionParser.h"
+#include "amaranth/base/IniFile.h"
 
 #include <fmt/format.h>
 
@@ -12,6 +13,8 @@
 
 namespace {
 
+using base::trim;
+
 constexpr std::string_view DigestsKey = "key-digests";
 constexpr std::array<std::string_view, 5> KnownKeys = {
     "owner", DigestsKey, "priority", "requests-per-second", "burst"};
@@ -21,14 +24,6 @@
   return std::find(KnownKeys.begin(), KnownKeys.end(), Key) != KnownKeys.end();
 }
 
-std::string_view trim(std::string_view Text) {
-  constexpr std::string_view Space = " \t\r";
-  auto First = Text.find_first_not_of(Space);
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(Space) - First + 1);
-}
-
 int hexDigit(char C) {
   if (C >= '0' && C <= '9')
     return C - '0';
--- a/document/src/SectionText.cpp
+++ b/document/src/SectionText.cpp
@@ -11,13 +11,7 @@
 
 namespace {
 
-std::string_view trim(std::string_view Text) {
-  constexpr std::string_view Space = " \t\r";
-  auto First = Text.find_first_not_of(Space);
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(Space) - First + 1);
-}
+using base::trim;
 
 /// Returns the value of a `revision = N` line, or nothing for other lines.
 std::optional<std::string_view> revisionValue(std::string_view Line) {
