--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -160,8 +160,6 @@
   /// The document names customers, so that the node tells the upstream which
   /// one sent the request, whatever the caller says.
   bool CustomersInForce = false;
-  /// Another upstream may have run the request before.
-  bool Repeated = false;
 };
 
 struct ResponseHead {
--- a/dataplane/include/amaranth/dataplane/QuotaLimiter.h
+++ b/dataplane/include/amaranth/dataplane/QuotaLimiter.h
@@ -27,15 +27,6 @@
   admit(const document::Customer &Sender, base::Millis MaxWait) = 0;
 };
 
-/// Admits every request.
-class UnlimitedQuotas final : public QuotaLimiter {
-public:
-  boost::asio::awaitable<Verdict> admit(const document::Customer & /*Sender*/,
-                                        base::Millis /*MaxWait*/) override {
-    co_return Verdict{};
-  }
-};
-
 } // namespace amaranth::dataplane
 
 #endif
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -135,8 +135,7 @@
       Attempt, Key, Head.RequestHash, Head.Fingerprint, Head.BodyLength, Caller,
       Route, CallerAttempt, Head.Objective.count(), Head.Priority,
       Head.MaxQueueWait ? Head.MaxQueueWait->count() : -1, Head.AtMostOnce,
-      Head.Sent.count(), Head.Suspect, Customer, Head.CustomersInForce,
-      Head.Repeated));
+      Head.Sent.count(), Head.Suspect, Customer, Head.CustomersInForce));
   return protocol::takeBuffer(Out);
 }
 
@@ -231,7 +230,6 @@
     Head.Customer = base::CustomerName(Table.customer()->str());
   rejectControlCharacters(Head.Customer.value());
   Head.CustomersInForce = Table.customers_in_force();
-  Head.Repeated = Table.repeated();
   return Head;
 }
 
