--- a/dataplane/src/SharedQuotas.cpp
+++ b/dataplane/src/SharedQuotas.cpp
@@ -165,6 +165,8 @@
   base::Signal Wake;
   QuotaNode Node;
   std::shared_ptr<const document::MeshSnapshot> Applied;
+  /// Whether a customer of `Applied` has a limit.
+  bool HasLimits = false;
   std::optional<decltype(document::MeshSnapshot::Endpoints)> Endpoints;
   base::TimePoint MembersAt;
   base::TimePoint MetricsAt;
@@ -178,24 +180,24 @@
   if (!Current)
     return;
   base::TimePoint Now = Time.now();
-  bool Unlimited =
-      std::ranges::none_of(Current->Customers, [](const auto &Each) {
-        return Each.second.RequestsPerSecond > 0;
-      });
+  bool SameCustomers =
+      Applied && Applied->Customers.sharesWith(Current->Customers);
+  if (!SameCustomers)
+    HasLimits = std::ranges::any_of(Current->Customers, [](const auto &Each) {
+      return Each.second.RequestsPerSecond > 0;
+    });
   // The members first, so that new customers find their groups.
   bool Changed = !Endpoints || !Endpoints->sharesWith(Current->Endpoints);
-  if (!Unlimited &&
+  if (HasLimits &&
       (!Endpoints || (Changed && Now - MembersAt >= MembersInterval) ||
        Now - MembersAt >= MembersCheckInterval)) {
     Endpoints = Current->Endpoints;
     MembersAt = Now;
     Node.setMembers(membersOf(*Current), Now);
   }
-  if (Applied && Applied->Customers.sharesWith(Current->Customers)) {
-    Applied = std::move(Current);
-    return;
-  }
   Applied = std::move(Current);
+  if (SameCustomers)
+    return;
   std::vector<document::Customer> Customers;
   for (const auto &[Name, Customer] : Applied->Customers)
     Customers.push_back(Customer);
