--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -692,7 +692,7 @@
     auto Advice = Context->Odds[Service].advice(Context->Time.now());
     // No other gate is expected to have a slot in time. A short queue may still
     // serve the request late.
-    if (Advice == SlotOdds::Advice::GiveUp)
+    if (Advice == SlotOdds::Advice::AcceptAnyWait)
       Retries.readmitBusyEndpoints();
     if (Advice == SlotOdds::Advice::AskAllZones)
       Retries.askAllZones();
--- a/dataplane/src/SlotOdds.h
+++ b/dataplane/src/SlotOdds.h
@@ -19,7 +19,7 @@
 /// zone without asking full gates first. Single-threaded.
 class SlotOdds {
 public:
-  enum class Advice : std::uint8_t { AskLocalZone, AskAllZones, GiveUp };
+  enum class Advice : std::uint8_t { AskLocalZone, AskAllZones, AcceptAnyWait };
 
   /// Records the answer of a gate that was asked for a slot within the
   /// objective.
@@ -30,7 +30,7 @@
   Advice advice(base::TimePoint Now) {
     if (Local.isLikely(Now))
       return Advice::AskLocalZone;
-    return Remote.isLikely(Now) ? Advice::AskAllZones : Advice::GiveUp;
+    return Remote.isLikely(Now) ? Advice::AskAllZones : Advice::AcceptAnyWait;
   }
 
 private:
