Count the calls that upstreams make for repeated requests

Change: entry nodes send the probability that a request exists only because of a repeat (repeat_share, 1 after an upstream was reached), and a node attributes the requests of its own VM to the running ones that end after them (UpstreamRuns). The retry budgets of a node move into RetryBudgets, and what one request takes of them into RetryAllowance; no decision changes.

Ruled out: matching a call to one run by its deadline.

--- a/dataplane/include/amaranth/dataplane/EntryServer.h
+++ b/dataplane/include/amaranth/dataplane/EntryServer.h
@@ -10,7 +10,8 @@
 #include "amaranth/dataplane/Metrics.h"
 #include "amaranth/dataplane/PeerPool.h"
 #include "amaranth/dataplane/QuotaLimiter.h"
-#include "amaranth/dataplane/RetryBudget.h"
+#include "amaranth/dataplane/RetryBudgets.h"
+#include "amaranth/dataplane/UpstreamRuns.h"
 #include "amaranth/follower/ControlCalls.h"
 #include "amaranth/follower/SnapshotSource.h"
 
@@ -29,8 +30,6 @@
   std::int64_t MaxBodyBytes = std::int64_t{1} << 30U;
   /// Service that runs beside this node; empty when unknown.
   base::ServiceName CallerService;
-  /// Retry budget of all nodes together; when empty, each node has its own.
-  std::optional<SharedRetryBudget> SharedRetries;
   /// Responses up to this size are buffered completely before they are
   /// forwarded, so that an incomplete one can be retried. 0 disables buffering.
   std::size_t ResponseBufferBytes = 0;
@@ -52,7 +51,7 @@
               follower::SnapshotSource &Snapshots,
               follower::ControlCalls &Control, CrashQuarantine &Quarantine,
               PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect,
-              QuotaLimiter &Quotas);
+              QuotaLimiter &Quotas, RetryBudgets &Budgets, UpstreamRuns &Runs);
   ~EntryServer();
 
   base::Address local() const;
--- a/dataplane/include/amaranth/dataplane/Gate.h
+++ b/dataplane/include/amaranth/dataplane/Gate.h
@@ -11,6 +11,7 @@
 #include "amaranth/dataplane/ServerExchange.h"
 #include "amaranth/dataplane/UpstreamClient.h"
 #include "amaranth/dataplane/UpstreamLifecycle.h"
+#include "amaranth/dataplane/UpstreamRuns.h"
 #include "amaranth/follower/ControlCalls.h"
 #include "amaranth/follower/SnapshotSource.h"
 
@@ -80,7 +81,7 @@
   Gate(const boost::asio::any_io_executor &Executor, GateSettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
        follower::ControlCalls &Control, CrashQuarantine &Quarantine,
-       Metrics &Counters, const HttpDialect &Dialect);
+       Metrics &Counters, const HttpDialect &Dialect, UpstreamRuns &Runs);
   ~Gate();
 
   /// Runs the periodic work: announcement timeout, slow start and idle
--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -160,6 +160,10 @@
   /// The document names customers, so that the node tells the upstream which
   /// one sent the request, whatever the caller says.
   bool CustomersInForce = false;
+  /// Probability that the request would not arrive without a repeat: 1 if it
+  /// has reached an upstream before, more than 0 if it may be a call of a
+  /// repeat.
+  double RepeatShare = 0;
 };
 
 struct ResponseHead {
--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -39,6 +39,9 @@
   /// `Place` is `entry` or `gate`.
   void countRefusal(const std::string &Place, const Refusal &Refused);
   void countRetry(const base::ServiceName &Service);
+  /// Counts a request of this VM that is a call of a repeat with the given
+  /// probability.
+  void countCallOfRepeat(const base::ServiceName &Service, double Probability);
   void countEjection(const base::ServiceName &Service);
   /// `Result` is `granted`, `replayed`, `taken`, `conflict`, `unavailable`.
   void countClaim(const std::string &Result);
@@ -66,6 +69,7 @@
   prometheus::Family<prometheus::Counter> &CustomerRequests;
   prometheus::Family<prometheus::Counter> &Refusals;
   prometheus::Family<prometheus::Counter> &Retries;
+  prometheus::Family<prometheus::Counter> &CallsOfRepeats;
   prometheus::Family<prometheus::Counter> &Ejections;
   prometheus::Family<prometheus::Counter> &Claims;
   prometheus::Family<prometheus::Histogram> &Latency;
--- a/dataplane/src/EntryContext.h
+++ b/dataplane/src/EntryContext.h
@@ -5,7 +5,8 @@
 #include "amaranth/dataplane/CustomerIndex.h"
 #include "amaranth/dataplane/EntryServer.h"
 #include "amaranth/dataplane/HttpDialect.h"
-#include "amaranth/dataplane/RetryBudget.h"
+#include "amaranth/dataplane/RetryBudgets.h"
+#include "amaranth/dataplane/UpstreamRuns.h"
 #include "amaranth/dataplane/VersionCircuitBreaker.h"
 #include "amaranth/document/RouteIndex.h"
 
@@ -22,10 +23,11 @@
                follower::SnapshotSource &Snapshots,
                follower::ControlCalls &Control, CrashQuarantine &Quarantine,
                PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect,
-               QuotaLimiter &Quotas)
+               QuotaLimiter &Quotas, RetryBudgets &Budgets, UpstreamRuns &Runs)
       : Executor(Executor), Options(std::move(Settings)), Time(Time),
         Snapshots(Snapshots), Control(Control), Quarantine(Quarantine),
         Peers(Peers), Counters(Counters), Dialect(Dialect), Quotas(Quotas),
+        Budgets(Budgets), Runs(Runs),
         LoadBalancer(Options.LoadBalancing, Time, Counters, Options.Seed),
         Guard(Time), Random(Options.Seed + 1) {}
 
@@ -46,29 +48,6 @@
     return Customers;
   }
 
-  RetryBudget &retryBudget(const base::ServiceName &Service) {
-    auto Found = Budgets.find(Service);
-    if (Found != Budgets.end())
-      return Found->second;
-    return Budgets.emplace(Service, RetryBudget(Time.now(), retryRates()))
-        .first->second;
-  }
-
-  RetryBudget::Rates retryRates() {
-    if (!Options.SharedRetries)
-      return {};
-    auto Snapshot = Snapshots.current();
-    if (Snapshot && !Snapshot->Endpoints.sharesWith(CountedEndpoints)) {
-      CountedEndpoints = Snapshot->Endpoints;
-      std::set<base::NodeId> Nodes;
-      for (const auto &[Id, Entry] : CountedEndpoints)
-        if (Entry.State != document::EndpointState::Unreachable)
-          Nodes.insert(Entry.Node);
-      NodeCount = Nodes.size();
-    }
-    return Options.SharedRetries->ratesPerNode(NodeCount);
-  }
-
   boost::asio::any_io_executor Executor;
   EntrySettings Options;
   base::Clock &Time;
@@ -79,10 +58,11 @@
   Metrics &Counters;
   const HttpDialect &Dialect;
   QuotaLimiter &Quotas;
+  RetryBudgets &Budgets;
+  UpstreamRuns &Runs;
   Balancer LoadBalancer;
   VersionCircuitBreaker Guard;
   std::mt19937_64 Random;
-  std::map<base::ServiceName, RetryBudget> Budgets;
   std::map<base::ServiceName, SlotOdds> Odds;
   rollout::EvidenceReport Evidence;
   std::shared_ptr<const document::RouteIndex> Routes;
@@ -94,11 +74,6 @@
   /// Requests that arrive later are refused unless they are due before
   /// `ShutdownEnd`: a response that would be cut off could not be repeated.
   base::TimePoint IntakeEnd = base::TimePoint::max();
-
-private:
-  /// The endpoints whose nodes `NodeCount` counts.
-  decltype(document::MeshSnapshot::Endpoints) CountedEndpoints;
-  std::size_t NodeCount = 0;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -127,7 +127,8 @@
   }
   if (!Refused) {
     // Requests above a customer's limit must not enlarge the retry budget.
-    Context->retryBudget(Service).recordRequest(Arrived);
+    attributeCall();
+    Allowance.emplace(Context->Budgets, Service, RepeatShare, Arrived);
     do
       Refused = co_await runAttempt();
     while (Refused && prepareRetry(*Refused));
@@ -163,6 +164,8 @@
   FromThisVm = !Peer.is_unspecified() && Peer == Caller->local().address();
   // A refusal without a route has a Retry-After time too.
   Deadline = Arrived + Terms.Timeout.value_or(DefaultTimeout);
+  if (Terms.Timeout)
+    CallerDeadline = Deadline;
   if (auto Refused = findRoute())
     return Refused;
   if (auto Refused = authenticate(Routes->mesh()))
@@ -193,6 +196,14 @@
   return std::nullopt;
 }
 
+void EntryRequest::attributeCall() {
+  if (!FromThisVm || !CallerDeadline)
+    return;
+  RepeatShare = Context->Runs.recordCall(*CallerDeadline);
+  if (RepeatShare > 0)
+    Context->Counters.countCallOfRepeat(Service, RepeatShare);
+}
+
 Sender EntryRequest::identify(const CustomerIndex &Index) const {
   return Index.identify(ApiKey, MatchedRoute.Public, FromThisVm);
 }
@@ -451,6 +462,7 @@
                                : Customers->rank(From, MatchedRoute.Priority);
   Head.AtMostOnce = !isRepeatable();
   Head.Suspect = Context->Quarantine.isSuspect(Fingerprint);
+  Head.RepeatShare = Allowance->repeatShare();
   if (Retries.limitsQueueWait() && Objective < Deadline) {
     base::Millis ServiceTime =
         Context->LoadBalancer.expectedServiceTime(Target.Id, MatchedRoute.Name);
@@ -665,7 +677,7 @@
   if (!Temporary || IdempotencyKey || !isRepeatable() || !isBodyReplayable() ||
       Retries.upstreamAttempts() + 1 >= maxAttempts() ||
       Context->Time.now() >= Deadline ||
-      !Context->retryBudget(Service).hasToken(Context->Time.now()))
+      !Allowance->mayRepeat(Context->Time.now()))
     return false;
   auto Snapshot = Context->Snapshots.current();
   // The response is worth more than the refusal of a repeat whose key was taken
@@ -680,6 +692,7 @@
   // what is known about earlier ones.
   if (Refused.Outcome == ExecutionOutcome::Unknown)
     MayHaveRun = true;
+  Allowance->recordAttempt(reachedUpstream(Refused));
   if (CallerGone || Retries.attempts() == 0 || !isBodyReplayable() ||
       Context->Time.now() >= Deadline || quarantineRefusal())
     return false;
@@ -702,11 +715,9 @@
       (!Retries.readmitBusyEndpoints() || !chooseEndpoint(*Snapshot)))
     return false;
   // After an upstream was reached once, a redirect counts as a retry too.
-  bool IsRetry =
-      Next == RetryState::Step::Retry || Retries.upstreamAttempts() > 0;
-  if (IsRetry && !Context->retryBudget(Service).tryAcquire(Context->Time.now()))
+  if (!Allowance->admitAttempt(Context->Time.now()))
     return false;
-  if (IsRetry)
+  if (Allowance->isRepeat())
     Context->Counters.countRetry(Service);
   return true;
 }
@@ -803,14 +814,14 @@
   auto Log = base::logger(base::RequestLog);
   const document::MeshSnapshot *Snapshot = Routes ? &Routes->mesh() : nullptr;
   Log->info("request id={} from={} customer={} route={} service={} method={} "
-            "document={} "
+            "repeat_share={:.3g} document={} "
             "state={} "
             "attempts={} trail={} last_attempt_ms={} took_ms={} left_ms={} "
             "status={} outcome={}",
             RequestId, Caller->peer().address().to_string(),
             From.Customer ? From.Customer->Name.value() : std::string(),
             MatchedRoute.Name.value(), Service.value(), Request.Method,
-            Snapshot ? Snapshot->Document.value() : 0,
+            RepeatShare, Snapshot ? Snapshot->Document.value() : 0,
             Snapshot ? Snapshot->State.value() : 0, Retries.attempts(),
             AttemptHistory, (LastAttempt - Arrived).count(),
             (Context->Time.now() - Arrived).count(),
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -2,6 +2,7 @@
 #define AMARANTH_DATAPLANE_SRC_ENTRYREQUEST_H
 
 #include "EntryContext.h"
+#include "RetryAllowance.h"
 #include "RetryState.h"
 
 #include <memory>
@@ -40,6 +41,8 @@
   /// Sets route, deadline and limits from the request head only.
   MaybeRefusal prepare();
   MaybeRefusal findRoute();
+  /// Sets `RepeatShare`.
+  void attributeCall();
   /// Who sent the request according to `Index`.
   Sender identify(const CustomerIndex &Index) const;
   /// Sets `From` by the API key and the customers of `Snapshot`, which is the
@@ -114,6 +117,10 @@
   std::string ApiKey;
   /// The caller is a process of this VM.
   bool FromThisVm = false;
+  /// Time until which the caller waits; empty if it did not say.
+  std::optional<base::TimePoint> CallerDeadline;
+  /// Probability that the request is a call of a repeat.
+  double RepeatShare = 0;
   /// Index that `From` refers to; null until the request is authenticated.
   std::shared_ptr<const CustomerIndex> Customers;
   Sender From;
@@ -140,6 +147,8 @@
   /// Some attempt may have run; the final refusal must then not say not-run.
   bool MayHaveRun = false;
   RetryState Retries;
+  /// Set once the request is admitted.
+  std::optional<RetryAllowance> Allowance;
   /// Zones whose gates refused this request because they are evacuated.
   std::set<base::AvailabilityZone> EvacuatedZones;
   /// Endpoints and outcomes of the attempts, for the request log.
--- a/dataplane/src/EntryServer.cpp
+++ b/dataplane/src/EntryServer.cpp
@@ -22,11 +22,11 @@
        base::Clock &Time, follower::SnapshotSource &Snapshots,
        follower::ControlCalls &Control, CrashQuarantine &Quarantine,
        PeerPool &Peers, Metrics &Counters, const HttpDialect &Dialect,
-       QuotaLimiter &Quotas)
+       QuotaLimiter &Quotas, RetryBudgets &Budgets, UpstreamRuns &Runs)
       : Server(Executor, Options.ListenAddress, Options.HttpLimits, Time),
         Context(std::make_shared<EntryContext>(
             Executor, std::move(Options), Time, Snapshots, Control, Quarantine,
-            Peers, Counters, Dialect, Quotas)) {}
+            Peers, Counters, Dialect, Quotas, Budgets, Runs)) {}
 
   HttpServer Server;
   std::shared_ptr<EntryContext> Context;
@@ -38,10 +38,11 @@
                          follower::ControlCalls &Control,
                          CrashQuarantine &Quarantine, PeerPool &Peers,
                          Metrics &Counters, const HttpDialect &Dialect,
-                         QuotaLimiter &Quotas)
+                         QuotaLimiter &Quotas, RetryBudgets &Budgets,
+                         UpstreamRuns &Runs)
     : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Snapshots,
                                   Control, Quarantine, Peers, Counters, Dialect,
-                                  Quotas)) {}
+                                  Quotas, Budgets, Runs)) {}
 
 EntryServer::~EntryServer() = default;
 
@@ -70,15 +71,10 @@
       continue;
     Context->LoadBalancer.prune(*Snapshot);
     Context->Guard.prune(*Snapshot);
-    std::erase_if(Context->Budgets, [&](const auto &Entry) {
-      return !Snapshot->Services.contains(Entry.first);
-    });
     std::erase_if(Context->Odds, [&](const auto &Entry) {
       return !Snapshot->Services.contains(Entry.first);
     });
-    RetryBudget::Rates Rates = Context->retryRates();
-    for (auto &[Service, Budget] : Context->Budgets)
-      Budget.setRates(Rates);
+    Context->Budgets.update();
     if (Snapshot->Limits.IdleTimeout > base::Millis(0))
       Self->Server.setHeadTimeout(Snapshot->Limits.IdleTimeout);
   }
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -92,10 +92,11 @@
 Gate::Impl::Impl(const asio::any_io_executor &Executor, GateSettings Settings,
                  base::Clock &Time, follower::SnapshotSource &Snapshots,
                  follower::ControlCalls &Control, CrashQuarantine &Quarantine,
-                 Metrics &Counters, const HttpDialect &Dialect)
+                 Metrics &Counters, const HttpDialect &Dialect,
+                 UpstreamRuns &Runs)
     : Executor(Executor), Options(std::move(Settings)), Time(Time),
       Snapshots(Snapshots), Control(Control), Quarantine(Quarantine),
-      Counters(Counters), Dialect(Dialect),
+      Counters(Counters), Dialect(Dialect), Runs(Runs),
       Claims(Executor, Control, Time, Counters),
       Client(Executor, Options.Client, Time),
       Crashes(Executor, Time, Claims, Client, Quarantine, Counters,
@@ -709,9 +710,10 @@
 Gate::Gate(const asio::any_io_executor &Executor, GateSettings Options,
            base::Clock &Time, follower::SnapshotSource &Snapshots,
            follower::ControlCalls &Control, CrashQuarantine &Quarantine,
-           Metrics &Counters, const HttpDialect &Dialect)
+           Metrics &Counters, const HttpDialect &Dialect, UpstreamRuns &Runs)
     : Self(std::make_shared<Impl>(Executor, std::move(Options), Time, Snapshots,
-                                  Control, Quarantine, Counters, Dialect)) {}
+                                  Control, Quarantine, Counters, Dialect,
+                                  Runs)) {}
 
 Gate::~Gate() = default;
 
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -9,6 +9,7 @@
 #include "amaranth/dataplane/EgressShaper.h"
 #include "amaranth/dataplane/Gate.h"
 #include "amaranth/dataplane/SlotQueue.h"
+#include "amaranth/dataplane/UpstreamRuns.h"
 #include "amaranth/scheduling/CostModel.h"
 #include "amaranth/scheduling/OutstandingWork.h"
 
@@ -21,7 +22,7 @@
   Impl(const boost::asio::any_io_executor &Executor, GateSettings Options,
        base::Clock &Time, follower::SnapshotSource &Snapshots,
        follower::ControlCalls &Control, CrashQuarantine &Quarantine,
-       Metrics &Counters, const HttpDialect &Dialect);
+       Metrics &Counters, const HttpDialect &Dialect, UpstreamRuns &Runs);
 
   // Lifecycle and admission control (Gate.cpp).
   bool announce(const Announcement &Update);
@@ -196,6 +197,7 @@
   CrashQuarantine &Quarantine;
   Metrics &Counters;
   const HttpDialect &Dialect;
+  UpstreamRuns &Runs;
   ClaimClient Claims;
   UpstreamClient Client;
   CrashDetector Crashes;
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -110,6 +110,8 @@
   protocol::TcpDialer Dialer;
   protocol::Listener Inner;
   CrashQuarantine Quarantine;
+  RetryBudgets Budgets;
+  UpstreamRuns Runs;
   Gate UpstreamGate;
   PeerPool Peers;
   /// For tests of quotas; the entry server of the node does not use it.
--- /dev/null
+++ b/dataplane/test/RepeatedCalls_test.cpp
@@ -0,0 +1,80 @@
+#include "MeshFixture.h"
+#include "amaranth/base/Digest.h"
+
+#include <catch2/catch.hpp>
+
+namespace amaranth::dataplane::testing {
+
+/// One node, whose upstream runs requests that another node has sent.
+class RepeatedCallsTest : public OneNodeFixture {
+protected:
+  /// A request of another node to this upstream.
+  struct Sent {
+    std::shared_ptr<ClientExchange> Exchange;
+    std::optional<Refusal> Refused;
+  };
+
+  std::shared_ptr<Sent> sendToGate(double RepeatShare) {
+    RequestHead Head;
+    Head.Service = base::ServiceName("s");
+    Head.Version = base::VersionName("v1");
+    Head.Method = "GET";
+    Head.Target = "/hold";
+    Head.Route = base::RouteName("all");
+    Head.Attempt = Head.CallerAttempt = base::randomHexId();
+    Head.BodyLength = 0;
+    Head.RepeatShare = RepeatShare;
+    auto Result = std::make_shared<Sent>();
+    spawn(open(std::move(Head), Result));
+    return Result;
+  }
+
+  /// Waits until the upstream runs `Count` requests in all.
+  void waitForRuns(std::size_t Count) {
+    runUntil([&] { return Upstream.Seen.size() == Count; });
+  }
+
+  /// The local upstream calls the service that it belongs to.
+  void callFromUpstream() {
+    auto Call = get(Node, "/call", "X-Request-Deadline-Ms: 1000\r\n");
+    runUntil([&] { return Call->Done; });
+    REQUIRE(Call->status() == 200);
+  }
+
+  double callsOfRepeats() const {
+    double Sum = 0;
+    for (const auto &Family : Node.Registry.Collect())
+      if (Family.name == "amaranth_calls_of_repeats_total")
+        for (const auto &Metric : Family.metric)
+          Sum += Metric.counter.value;
+    return Sum;
+  }
+
+private:
+  boost::asio::awaitable<void> open(RequestHead Head,
+                                    std::shared_ptr<Sent> Into) {
+    base::TimePoint Deadline = Time.now() + base::Millis(5'000);
+    Into->Exchange =
+        co_await Node.Peers.open(Node.Inner.local(), std::move(Head), Deadline);
+    try {
+      co_await Into->Exchange->readHead(Deadline);
+    } catch (const ExchangeAborted &Failure) {
+      Into->Refused = Failure.refusal();
+    }
+  }
+};
+
+// Guards against calls that a repeated run makes and that nobody knows of.
+TEST_CASE_METHOD(RepeatedCallsTest,
+                 "Calls that an upstream makes for a repeat are counted") {
+  auto First = sendToGate(0);
+  waitForRuns(1);
+  callFromUpstream();
+  CHECK(callsOfRepeats() == 0);
+  auto Repeat = sendToGate(1);
+  waitForRuns(3);
+  callFromUpstream();
+  CHECK(callsOfRepeats() == 0.5);
+}
+
+} // namespace amaranth::dataplane::testing
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -98,7 +98,6 @@
   Result.LoadBalancing.Zone = Settings.Zone;
   Result.LoadBalancing.SlowStart = Settings.SlowStart;
   Result.CallerService = Settings.CallerService;
-  Result.SharedRetries = Settings.SharedRetries;
   Result.ResponseBufferBytes = Settings.ResponseBufferBytes;
   Result.LameDuckPeriod = Settings.LameDuckPeriod;
   // A random seed keeps entry nodes from making the same random choices.
@@ -137,14 +136,16 @@
         Counters(Registry), ConfigFollower(followerSettings(Settings), Executor,
                                            Time, Dialer, Registry),
         Quarantine(Time, ConfigFollower),
+        Budgets(Time, ConfigFollower, Settings.SharedRetries),
         Upstream(Executor, gateSettings(Settings), Time, ConfigFollower,
-                 ConfigFollower, Quarantine, Counters, *Dialect),
+                 ConfigFollower, Quarantine, Counters, *Dialect, Runs),
         Peers(Executor, peerSettings(Settings), Time, Dialer),
         Quotas(Executor, Settings.Id, Time, ConfigFollower, Peers, Registry,
                [this] { return inContactWithControl(); }),
         Exchanges(Executor, Upstream, Time, &Quotas),
         Entry(Executor, entrySettings(Settings), Time, ConfigFollower,
-              ConfigFollower, Quarantine, Peers, Counters, *Dialect, Quotas),
+              ConfigFollower, Quarantine, Peers, Counters, *Dialect, Quotas,
+              Budgets, Runs),
         Local(makeLocalHandler(Settings, Upstream)),
         Announce(Executor, Settings.AnnounceAddress, Time, Local.get(),
                  Registry, [this] { return ready(); }),
@@ -182,6 +183,8 @@
   dataplane::Metrics Counters;
   follower::Follower ConfigFollower;
   dataplane::CrashQuarantine Quarantine;
+  dataplane::RetryBudgets Budgets;
+  dataplane::UpstreamRuns Runs;
   dataplane::Gate Upstream;
   dataplane::PeerPool Peers;
   dataplane::SharedQuotas Quotas;
