Charge the calls of repeated runs to the retry budget of their service

Cause: a budget that counts only what a node repeats itself. A run that fails because its call was refused is repeated within the budget of its own service and makes its calls again. Nobody counted these at the called service; each even enlarged its budget, at every level of calls.

Change: the node beside the upstream charges the calls that a repeat of its route is expected to make to its own part of the budgets when the repeat begins, and refuses the repeat as not run (retry-budget-used) if they do not suffice. Expected are whole calls above the mean: runs with more calls fail and are repeated more often (1.57 calls of a repeat, 1.34 of a first run). A call counts as one of a repeat with the probability that it is one, does not enlarge the budget, and its own run is charged in the same way, so that the limit holds at any depth. A request that ends where the running ones end belongs to that one. A token whose attempt reached no upstream is kept for the next attempt or given back; before, each redirect after a repeat took another one.

Why it works: each node bounds its later attempts and its charges together by its part of the budget, and the parts sum to less than the whole.

Ruled out: fractions of a repeat that are charged without a way to refuse them (a chain of six services still got 681 where 665 are allowed), and equal parts for calls that end with their request (652 of 646).

--- a/dataplane/include/amaranth/dataplane/Messages.h
+++ b/dataplane/include/amaranth/dataplane/Messages.h
@@ -79,6 +79,9 @@
   ZoneEvacuated = 35,
   /// The upstream is cold and bears no further request yet.
   UpstreamCold = 36,
+  /// The retry budgets allow no further repeat, or not the calls that a repeat
+  /// is expected to make.
+  RetryBudgetUsed = 37,
 };
 
 /// Returns the reason in kebab case, such as `queue-full`, for headers, logs
@@ -160,10 +163,9 @@
   /// The document names customers, so that the node tells the upstream which
   /// one sent the request, whatever the caller says.
   bool CustomersInForce = false;
-  /// Probability that the request would not arrive without a repeat: 1 if it
-  /// has reached an upstream before, more than 0 if it may be a call of a
+  /// The request has reached an upstream before, or counts as a call of a
   /// repeat.
-  double RepeatShare = 0;
+  bool Repeat = false;
 };
 
 struct ResponseHead {
--- a/dataplane/include/amaranth/dataplane/Metrics.h
+++ b/dataplane/include/amaranth/dataplane/Metrics.h
@@ -39,9 +39,8 @@
   /// `Place` is `entry` or `gate`.
   void countRefusal(const std::string &Place, const Refusal &Refused);
   void countRetry(const base::ServiceName &Service);
-  /// Counts a request of this VM that is a call of a repeat with the given
-  /// probability.
-  void countCallOfRepeat(const base::ServiceName &Service, double Probability);
+  /// Counts a request of this VM that counts as a call of a repeat.
+  void countCallOfRepeat(const base::ServiceName &Service);
   void countEjection(const base::ServiceName &Service);
   /// `Result` is `granted`, `replayed`, `taken`, `conflict`, `unavailable`.
   void countClaim(const std::string &Result);
--- a/dataplane/include/amaranth/dataplane/RetryBudget.h
+++ b/dataplane/include/amaranth/dataplane/RetryBudget.h
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
+#include <optional>
 
 namespace amaranth::dataplane {
 
@@ -33,7 +35,8 @@
 
   void recordRequest(base::TimePoint Now) { ++bucketAt(Now).Requests; }
 
-  bool hasToken(base::TimePoint Now) {
+  /// Whether `Count` further retries are allowed.
+  bool hasTokens(double Count, base::TimePoint Now) {
     bucketAt(Now);
     double Requests = 0;
     double Retries = 0;
@@ -47,21 +50,49 @@
     double Allowed =
         Limits.RetriesPerRequest * Requests + Limits.RetriesPerWindow;
     double AtOnce = std::max(1.0, Allowed * BurstBuckets / BucketsPerWindow);
-    return Retries + 1 <= Allowed && recentRetries() + 1 <= AtOnce;
+    return Retries + Count <= Allowed && recentRetries() + Count <= AtOnce;
   }
+  bool hasToken(base::TimePoint Now) { return hasTokens(1, Now); }
 
-  /// Takes the token of one retry; false when none is left.
-  bool tryAcquire(base::TimePoint Now) {
+  /// The right to one retry.
+  class Token {
+  public:
+    explicit Token(std::int64_t Bucket) : Bucket(Bucket) {}
+
+  private:
+    friend class RetryBudget;
+    /// Number of the bucket that counts the retry.
+    std::int64_t Bucket;
+  };
+
+  /// Counts retries that cannot be refused any more. They may exceed the
+  /// budget, which then has no token until they are older than the window.
+  void charge(double Count, base::TimePoint Now) {
+    bucketAt(Now).Retries += Count;
+  }
+
+  /// Takes the token of one retry; empty when none is left.
+  std::optional<Token> tryAcquire(base::TimePoint Now) {
     if (!hasToken(Now))
-      return false;
-    ++bucketAt(Now).Retries;
-    return true;
+      return std::nullopt;
+    charge(1, Now);
+    return Token(Newest);
+  }
+
+  /// Returns a token that was not used. Has no effect if it was taken longer
+  /// than a window ago.
+  void giveBack(Token Unused) {
+    auto Size = static_cast<std::int64_t>(Buckets.size());
+    if (Unused.Bucket <= Newest - Size || Unused.Bucket > Newest)
+      return;
+    double &Retries = Buckets[Unused.Bucket % Size].Retries;
+    Retries = std::max(0.0, Retries - 1);
   }
 
 private:
   struct Bucket {
     std::uint32_t Requests = 0;
-    std::uint32_t Retries = 0;
+    double Retries = 0;
   };
   static constexpr std::int64_t BucketsPerWindow = 10;
   /// The newest buckets, in which only their part of the retries is allowed.
@@ -95,6 +126,10 @@
 
 /// A retry budget for all nodes together. Each node enforces its own share, so
 /// that the nodes need not exchange messages about it.
+///
+/// It counts every arrival at an upstream that exists only because something
+/// was repeated: the later arrivals of a request, and all arrivals of the calls
+/// that a repeated run makes, at any depth.
 struct SharedRetryBudget {
   /// Allowed retries as a fraction of a service's requests.
   double Ratio = 0;
@@ -102,8 +137,9 @@
   double Floor = 0;
   base::Millis Window;
 
-  /// The rates of one of `Nodes` nodes. A tenth stays unused, because the
-  /// nested calls of a retried request count against the budget too.
+  /// The rates of one of `Nodes` nodes. A tenth stays unused: a request may
+  /// wait at a gate between its token and its arrival, so that the arrivals of
+  /// a window may have more tokens than the window.
   RetryBudget::Rates ratesPerNode(std::size_t Nodes) const {
     constexpr double UsableFraction = 0.9;
     double Count = static_cast<double>(std::max<std::size_t>(1, Nodes));
--- a/dataplane/include/amaranth/dataplane/UpstreamRuns.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamRuns.h
@@ -1,41 +1,52 @@
 #ifndef AMARANTH_DATAPLANE_UPSTREAMRUNS_H
 #define AMARANTH_DATAPLANE_UPSTREAMRUNS_H
 
-#include "amaranth/base/Clock.h"
+#include "amaranth/dataplane/RetryBudgets.h"
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace amaranth::dataplane {
 
-/// The requests that the local upstream is running, to tell the calls that it
-/// makes for repeated ones. Single-threaded.
+/// The requests that the local upstream is running, and the calls that it makes
+/// for them. Single-threaded.
 ///
-/// A call does not say which request it is made for, and callers on this VM
-/// send requests to the same address. But a call ends no later than the request
-/// that it is made for, while a caller that has just sent a request waits
-/// longer than the running ones. So a request of this VM is attributed in equal
-/// parts to the running requests that end after it.
+/// The calls of a repeat count as repeats at the services that they go to. A
+/// call does not say which request it is made for, and callers on this VM send
+/// requests to the same address. But a call ends with the request that it is
+/// made for, or earlier by a limit of its own, while a caller that has just
+/// sent a request waits longer than the running ones. So a request of this VM
+/// is attributed to the running request that ends when it does, or else in
+/// equal parts to those that end after it.
+///
+/// A call of a repeat that is refused would fail a run that has already cost
+/// its work. The calls that a repeat of the route is expected to make are
+/// therefore charged to the budgets when it begins, and a repeat for which they
+/// do not suffice is refused before it runs.
 class UpstreamRuns {
 public:
   /// Time by which a call seems to end later than its request, because both
   /// messages were on their way and were read late.
-  static constexpr base::Millis MaxDelay = base::Millis(100);
+  static constexpr base::Millis MaxDelay = base::Millis(50);
+
+  /// The references must outlive the object.
+  UpstreamRuns(base::Clock &Time, RetryBudgets &Budgets)
+      : Time(Time), Budgets(Budgets) {}
 
   /// What is known of a request when its run begins.
   struct Request {
+    base::RouteName Route;
     base::TimePoint Deadline;
-    /// Probability that the run would not exist without a repeat.
-    double RepeatShare = 0;
+    /// The request has reached an upstream before, or counts as a call of a
+    /// repeat.
+    bool Repeat = false;
   };
 
   /// Counts a request as running while the object lives.
   class Run {
   public:
-    Run(UpstreamRuns &Owner, Request Started)
-        : Owner(Owner), Id(Owner.NextId++) {
-      Owner.Running.emplace(Id, Started);
-    }
+    Run(UpstreamRuns &Owner, Request Started);
     ~Run() { Owner.Running.erase(Id); }
     Run(const Run &) = delete;
     Run &operator=(const Run &) = delete;
@@ -45,13 +56,34 @@
     std::uint64_t Id;
   };
 
-  /// Attributes a request by a process of this VM, which waits until
-  /// `Deadline`. Returns the probability that it is a call of a repeat.
-  double recordCall(base::TimePoint Deadline) const;
+  /// Whether the retry budgets of this node allow the calls that a repeat of
+  /// `Route` is expected to make.
+  bool allowsRepeat(const base::RouteName &Route);
+
+  /// Attributes a request to `Service` by a process of this VM, which waits
+  /// until `Deadline`. Returns the probability that it is a call of a repeat.
+  double recordCall(const base::ServiceName &Service, base::TimePoint Deadline);
 
 private:
+  /// Runs of a route and their calls by service; older ones count less.
+  struct RouteCalls {
+    double Runs = 0;
+    std::map<base::ServiceName, double> Calls;
+
+    /// Calls that a repeat is expected to make to a service with `Count` calls.
+    /// More than the mean: a run with more calls fails more often.
+    double callsOfRepeat(double Count) const;
+  };
+
+  /// The running requests that may have made a call with this deadline, all
+  /// with the same probability.
+  std::vector<const Request *> candidates(base::TimePoint Deadline) const;
+
+  base::Clock &Time;
+  RetryBudgets &Budgets;
   std::map<std::uint64_t, Request> Running;
   std::uint64_t NextId = 0;
+  std::map<base::RouteName, RouteCalls> Routes;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/EntryRefusal.cpp
+++ b/dataplane/src/EntryRefusal.cpp
@@ -18,6 +18,7 @@
   case RefusalReason::NoEndpoint:
   case RefusalReason::Unauthenticated:
   case RefusalReason::QuotaExceeded:
+  case RefusalReason::RetryBudgetUsed:
     return true;
   default:
     return false;
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -128,7 +128,7 @@
   if (!Refused) {
     // Requests above a customer's limit must not enlarge the retry budget.
     attributeCall();
-    Allowance.emplace(Context->Budgets, Service, RepeatShare, Arrived);
+    Allowance.emplace(Context->Budgets, Service, CallOfRepeat, Arrived);
     do
       Refused = co_await runAttempt();
     while (Refused && prepareRetry(*Refused));
@@ -199,9 +199,11 @@
 void EntryRequest::attributeCall() {
   if (!FromThisVm || !CallerDeadline)
     return;
-  RepeatShare = Context->Runs.recordCall(*CallerDeadline);
-  if (RepeatShare > 0)
-    Context->Counters.countCallOfRepeat(Service, RepeatShare);
+  double Share = Context->Runs.recordCall(Service, *CallerDeadline);
+  // Which of the calls are those of repeats is not known, but how many.
+  CallOfRepeat = std::bernoulli_distribution(Share)(Context->Random);
+  if (CallOfRepeat)
+    Context->Counters.countCallOfRepeat(Service);
 }
 
 Sender EntryRequest::identify(const CustomerIndex &Index) const {
@@ -462,7 +464,7 @@
                                : Customers->rank(From, MatchedRoute.Priority);
   Head.AtMostOnce = !isRepeatable();
   Head.Suspect = Context->Quarantine.isSuspect(Fingerprint);
-  Head.RepeatShare = Allowance->repeatShare();
+  Head.Repeat = Allowance->isRepeatedWork();
   if (Retries.limitsQueueWait() && Objective < Deadline) {
     base::Millis ServiceTime =
         Context->LoadBalancer.expectedServiceTime(Target.Id, MatchedRoute.Name);
@@ -814,14 +816,14 @@
   auto Log = base::logger(base::RequestLog);
   const document::MeshSnapshot *Snapshot = Routes ? &Routes->mesh() : nullptr;
   Log->info("request id={} from={} customer={} route={} service={} method={} "
-            "repeat_share={:.3g} document={} "
+            "repeat={} document={} "
             "state={} "
             "attempts={} trail={} last_attempt_ms={} took_ms={} left_ms={} "
             "status={} outcome={}",
             RequestId, Caller->peer().address().to_string(),
             From.Customer ? From.Customer->Name.value() : std::string(),
             MatchedRoute.Name.value(), Service.value(), Request.Method,
-            RepeatShare, Snapshot ? Snapshot->Document.value() : 0,
+            CallOfRepeat, Snapshot ? Snapshot->Document.value() : 0,
             Snapshot ? Snapshot->State.value() : 0, Retries.attempts(),
             AttemptHistory, (LastAttempt - Arrived).count(),
             (Context->Time.now() - Arrived).count(),
--- a/dataplane/src/EntryRequest.h
+++ b/dataplane/src/EntryRequest.h
@@ -41,7 +41,7 @@
   /// Sets route, deadline and limits from the request head only.
   MaybeRefusal prepare();
   MaybeRefusal findRoute();
-  /// Sets `RepeatShare`.
+  /// Sets `CallOfRepeat`.
   void attributeCall();
   /// Who sent the request according to `Index`.
   Sender identify(const CustomerIndex &Index) const;
@@ -119,8 +119,8 @@
   bool FromThisVm = false;
   /// Time until which the caller waits; empty if it did not say.
   std::optional<base::TimePoint> CallerDeadline;
-  /// Probability that the request is a call of a repeat.
-  double RepeatShare = 0;
+  /// The request counts as a call of a repeat.
+  bool CallOfRepeat = false;
   /// Index that `From` refers to; null until the request is authenticated.
   std::shared_ptr<const CustomerIndex> Customers;
   Sender From;
--- a/dataplane/src/Gate.cpp
+++ b/dataplane/src/Gate.cpp
@@ -573,6 +573,14 @@
   return Refused;
 }
 
+std::optional<Refusal>
+Gate::Impl::repeatRefusal(const RequestHead &Head) const {
+  if (!Head.Repeat || Runs.allowsRepeat(Head.Route))
+    return std::nullopt;
+  return makeRefusal(ExecutionOutcome::NotRun, RefusalReason::RetryBudgetUsed,
+                     "the calls of a repeat would exceed the retry budgets");
+}
+
 std::optional<Refusal>
 Gate::Impl::identityRefusal(const RequestHead &Head) const {
   if (LastAnnouncement && Head.Service == LastAnnouncement->Service &&
@@ -667,6 +675,8 @@
     return Refused;
   if (auto Refused = quarantineRefusal(Head))
     return Refused;
+  if (auto Refused = repeatRefusal(Head))
+    return Refused;
   if (Time.now() >= Exchange.Deadline)
     return makeRefusal(ExecutionOutcome::NotRun,
                        RefusalReason::DeadlineExceeded,
--- a/dataplane/src/GateImpl.h
+++ b/dataplane/src/GateImpl.h
@@ -68,6 +68,9 @@
   /// one.
   std::optional<Refusal> identityRefusal(const RequestHead &Head) const;
   std::optional<Refusal> quarantineRefusal(const RequestHead &Head) const;
+  /// Refusal of a repeat whose calls the retry budgets do not allow. They would
+  /// be refused during the run, which would then fail.
+  std::optional<Refusal> repeatRefusal(const RequestHead &Head) const;
   bool deadlineReachable(const ServerExchange &Exchange, base::Millis Wait,
                          base::Millis Link) const;
   /// Expected response size in bytes if the response is subject to egress
--- a/dataplane/src/GateRun.cpp
+++ b/dataplane/src/GateRun.cpp
@@ -258,13 +258,13 @@
   UpstreamLoad Work = countedLoad();
   base::logger(base::RequestLog)
       ->info("exchange id={} route={} fingerprint={} priority={} "
-             "repeat_share={:.3g} transit_ms={} waited_ms={} ran_ms={} "
+             "repeat={} transit_ms={} waited_ms={} ran_ms={} "
              "link_ms={} bytes={} link_backlog_ms={} left_ms={} in_flight={} "
              "queued={} slots={} service_ms={} "
              "instance={} outcome=\"{}\" detail=\"{}\"",
              Exchange.Head.CallerAttempt, Exchange.Head.Route.value(),
              base::hex64(Exchange.Head.Fingerprint), Exchange.Priority,
-             Exchange.Head.RepeatShare, Exchange.TransitDelay.count(),
+             Exchange.Head.Repeat, Exchange.TransitDelay.count(),
              (Started - Exchange.Arrived).count(),
              (Exchange.ResponseRead.value_or(Now) - Started).count(),
              (Now - Exchange.ResponseRead.value_or(Now)).count(),
@@ -315,6 +315,8 @@
   auto Refused = refusalBeforeSend(*Exchange);
   if (!Refused)
     Refused = quarantineRefusal(Exchange->Head);
+  if (!Refused)
+    Refused = repeatRefusal(Exchange->Head);
   // A request that became a suspect while queued did not wait for other
   // suspects.
   if (!Refused && !Suspect && isSuspect(Exchange->Head))
@@ -379,8 +381,8 @@
                      "work for an upstream that is not ready");
   std::optional<CrashDetector::TrackedRequest> &Tracked = State.Tracked;
   Tracked.emplace(Crashes, Exchange->Head.Fingerprint);
-  UpstreamRuns::Run Running(Runs,
-                            {Exchange->Deadline, Exchange->Head.RepeatShare});
+  UpstreamRuns::Run Running(
+      Runs, {Exchange->Head.Route, Exchange->Deadline, Exchange->Head.Repeat});
   std::optional<UpstreamError> Failure;
   std::shared_ptr<UpstreamCall> Call;
   std::exception_ptr Ended;
--- a/dataplane/src/Messages.cpp
+++ b/dataplane/src/Messages.cpp
@@ -136,7 +136,7 @@
       Route, CallerAttempt, Head.Objective.count(), Head.Priority,
       Head.MaxQueueWait ? Head.MaxQueueWait->count() : -1, Head.AtMostOnce,
       Head.Sent.count(), Head.Suspect, Customer, Head.CustomersInForce,
-      static_cast<float>(Head.RepeatShare)));
+      Head.Repeat));
   return protocol::takeBuffer(Out);
 }
 
@@ -231,10 +231,7 @@
     Head.Customer = base::CustomerName(Table.customer()->str());
   rejectControlCharacters(Head.Customer.value());
   Head.CustomersInForce = Table.customers_in_force();
-  Head.RepeatShare = Table.repeat_share();
-  if (!(Head.RepeatShare >= 0 && Head.RepeatShare <= 1))
-    throw base::ProtocolError("a probability in a request head is not within "
-                              "0 and 1");
+  Head.Repeat = Table.repeat();
   return Head;
 }
 
--- a/dataplane/src/Metrics.cpp
+++ b/dataplane/src/Metrics.cpp
@@ -30,9 +30,8 @@
       Retries(counters(Registry, "amaranth_retries_total",
                        "Attempts after the first one, by service")),
       CallsOfRepeats(counters(Registry, "amaranth_calls_of_repeats_total",
-                              "Expected number of the calls that the local "
-                              "upstream made for repeated requests, by called "
-                              "service")),
+                              "Requests of this VM that count as calls of "
+                              "repeated requests, by called service")),
       Ejections(counters(Registry, "amaranth_ejections_total",
                          "Endpoints ejected as outliers, by service")),
       Claims(counters(Registry, "amaranth_claims_total",
@@ -110,9 +109,8 @@
   Retries.Add({{"service", Service.value()}}).Increment();
 }
 
-void Metrics::countCallOfRepeat(const base::ServiceName &Service,
-                                double Probability) {
-  CallsOfRepeats.Add({{"service", Service.value()}}).Increment(Probability);
+void Metrics::countCallOfRepeat(const base::ServiceName &Service) {
+  CallsOfRepeats.Add({{"service", Service.value()}}).Increment();
 }
 
 void Metrics::countEjection(const base::ServiceName &Service) {
--- a/dataplane/src/RetryAllowance.h
+++ b/dataplane/src/RetryAllowance.h
@@ -3,23 +3,41 @@
 
 #include "amaranth/dataplane/RetryBudgets.h"
 
+#include <optional>
+
 namespace amaranth::dataplane {
 
 /// What one request takes from the retry budget of its service.
+///
+/// The first arrival at an upstream needs no token. A token is used up by an
+/// arrival; an attempt that ends before it reaches an upstream leaves its token
+/// to the next one.
 class RetryAllowance {
 public:
-  /// `RepeatShare`: probability that the request is a call of a repeat.
+  /// `CallOfRepeat`: the request counts as a call of a repeat. The call was
+  /// charged when the repeat began, and does not enlarge the budget.
   /// `Budgets` must outlive the object.
   RetryAllowance(RetryBudgets &Budgets, base::ServiceName Service,
-                 double RepeatShare, base::TimePoint Now)
+                 bool CallOfRepeat, base::TimePoint Now)
       : Budgets(Budgets), Service(std::move(Service)),
-        RepeatShare(RepeatShare) {
-    budget().recordRequest(Now);
+        CallOfRepeat(CallOfRepeat) {
+    if (!CallOfRepeat)
+      budget().recordRequest(Now);
+  }
+  ~RetryAllowance() {
+    if (Token && !InAttempt)
+      budget().giveBack(*Token);
   }
+  RetryAllowance(const RetryAllowance &) = delete;
+  RetryAllowance &operator=(const RetryAllowance &) = delete;
 
   /// Called when an attempt has ended without a response that is forwarded.
   void recordAttempt(bool ReachedUpstream) {
-    Reached = Reached || ReachedUpstream;
+    InAttempt = false;
+    if (!ReachedUpstream)
+      return;
+    Reached = true;
+    Token.reset();
   }
 
   /// Whether the budget allows another attempt after one that has reached an
@@ -29,22 +47,28 @@
   /// Called before each attempt after the first one. Returns false if the
   /// budget does not allow the attempt.
   bool admitAttempt(base::TimePoint Now) {
-    return !Reached || budget().tryAcquire(Now);
+    if (Reached && !Token)
+      Token = budget().tryAcquire(Now);
+    InAttempt = !Reached || Token;
+    return InAttempt;
   }
 
   /// Whether the next attempt is a repeat: an earlier one has reached an
   /// upstream.
   bool isRepeat() const { return Reached; }
-  /// Probability that the run of the next attempt would not exist without a
-  /// repeat.
-  double repeatShare() const { return Reached ? 1 : RepeatShare; }
+  /// Whether the calls of the next attempt count as calls of a repeat.
+  bool isRepeatedWork() const { return Reached || CallOfRepeat; }
 
 private:
   RetryBudget &budget() { return Budgets.budgetOf(Service); }
 
   RetryBudgets &Budgets;
   base::ServiceName Service;
-  double RepeatShare;
+  bool CallOfRepeat;
+  /// Paid for the next arrival at an upstream.
+  std::optional<RetryBudget::Token> Token;
+  /// An attempt is running and may have reached an upstream.
+  bool InAttempt = false;
   bool Reached = false;
 };
 
--- a/dataplane/test/RepeatedCalls_test.cpp
+++ b/dataplane/test/RepeatedCalls_test.cpp
@@ -14,7 +14,7 @@
     std::optional<Refusal> Refused;
   };
 
-  std::shared_ptr<Sent> sendToGate(double RepeatShare) {
+  std::shared_ptr<Sent> sendToGate(bool Repeat) {
     RequestHead Head;
     Head.Service = base::ServiceName("s");
     Head.Version = base::VersionName("v1");
@@ -23,7 +23,7 @@
     Head.Route = base::RouteName("all");
     Head.Attempt = Head.CallerAttempt = base::randomHexId();
     Head.BodyLength = 0;
-    Head.RepeatShare = RepeatShare;
+    Head.Repeat = Repeat;
     auto Result = std::make_shared<Sent>();
     spawn(open(std::move(Head), Result));
     return Result;
@@ -67,14 +67,30 @@
 // Guards against calls that a repeated run makes and that nobody knows of.
 TEST_CASE_METHOD(RepeatedCallsTest,
                  "Calls that an upstream makes for a repeat are counted") {
-  auto First = sendToGate(0);
-  waitForRuns(1);
   callFromUpstream();
   CHECK(callsOfRepeats() == 0);
-  auto Repeat = sendToGate(1);
-  waitForRuns(3);
+  auto Repeat = sendToGate(true);
+  waitForRuns(2);
+  callFromUpstream();
+  CHECK(callsOfRepeats() == 1);
+}
+
+// Guards against repeats that run although their calls cannot be made any more.
+TEST_CASE_METHOD(RepeatedCallsTest,
+                 "A gate refuses a repeat whose calls exceed the budget") {
+  auto First = sendToGate(false);
+  waitForRuns(1);
   callFromUpstream();
-  CHECK(callsOfRepeats() == 0.5);
+  RetryBudget &Budget = Node.Budgets.budgetOf(base::ServiceName("s"));
+  while (Budget.tryAcquire(Time.now()))
+    ;
+  auto Repeat = sendToGate(true);
+  runUntil([&] { return Repeat->Refused.has_value(); });
+  CHECK(Repeat->Refused->Reason == RefusalReason::RetryBudgetUsed);
+  CHECK(Repeat->Refused->Outcome == ExecutionOutcome::NotRun);
+  // Nothing was repeated for these requests.
+  auto Other = sendToGate(false);
+  waitForRuns(3);
 }
 
 } // namespace amaranth::dataplane::testing
--- a/dataplane/test/RetryAmplification_test.cpp
+++ b/dataplane/test/RetryAmplification_test.cpp
@@ -97,7 +97,7 @@
   struct Node {
     Node(base::Clock &Time, follower::SnapshotSource &Snapshots,
          const SharedRetryBudget &Shared)
-        : Budgets(Time, Snapshots, Shared) {}
+        : Budgets(Time, Snapshots, Shared), Runs(Time, Budgets) {}
 
     RetryBudgets Budgets;
     UpstreamRuns Runs;
@@ -199,14 +199,22 @@
       add(Result[Level].Requests, Time.now());
     // The node reads the request some time after its sender has computed how
     // long it waits.
-    double Share = Entry.Runs.recordCall(Deadline + around(4));
-    Sent->Allowance.emplace(Entry.Budgets, serviceOf(Level), Share, Time.now());
+    bool CallOfRepeat = uniform() < Entry.Runs.recordCall(serviceOf(Level),
+                                                          Deadline + around(4));
+    Sent->Allowance.emplace(Entry.Budgets, serviceOf(Level), CallOfRepeat,
+                            Time.now());
     attempt(Sent);
   }
 
   void attempt(const RequestPtr &Sent) {
     Node &At = *Nodes[Sent->Level * Settings.NodesPerLevel +
                       Random() % Settings.NodesPerLevel];
+    base::RouteName Route(serviceOf(Sent->Level).value());
+    if (Sent->Allowance->isRepeatedWork() && !At.Runs.allowsRepeat(Route)) {
+      Sent->Allowance->recordAttempt(false);
+      Sent->Done(false);
+      return;
+    }
     bool Repeat = Sent->OfRepeat || Sent->Arrivals != 0;
     ++Sent->Arrivals;
     if (Repeat)
@@ -223,8 +231,8 @@
     Run->For = Sent;
     Run->Repeat = Repeat;
     Run->Tracked.emplace(
-        At.Runs,
-        UpstreamRuns::Request{Sent->Deadline, Sent->Allowance->repeatShare()});
+        At.Runs, UpstreamRuns::Request{Route, Sent->Deadline,
+                                       Sent->Allowance->isRepeatedWork()});
     if (Sent->Level + 1 < Settings.Levels)
       Run->CallsLeft = Settings.CallsPerRun;
     after(around(100), [this, Run] { resume(Run); });
@@ -282,4 +290,19 @@
   requireWithinBudget(Levels, Given.Shared);
 }
 
+// Guards against repeats that are counted one level below the repeated run
+// only: each level repeats, and the last one gets the product.
+TEST_CASE_METHOD(RetryAmplificationTest,
+                 "Calls at any depth of a repeated run stay within the "
+                 "budgets") {
+  Plan Given;
+  Given.Seed = GENERATE(range<std::uint64_t>(1, 6));
+  Given.Levels = 6;
+  Given.CallsPerRun = 1;
+  Given.CallersPerSecond = {300, 0, 0, 0, 0, 30};
+  Given.FaultyLevel = 5;
+  auto Levels = simulate(Given);
+  requireWithinBudget(Levels, Given.Shared);
+}
+
 } // namespace amaranth::dataplane
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -137,6 +137,7 @@
                                            Time, Dialer, Registry),
         Quarantine(Time, ConfigFollower),
         Budgets(Time, ConfigFollower, Settings.SharedRetries),
+        Runs(Time, Budgets),
         Upstream(Executor, gateSettings(Settings), Time, ConfigFollower,
                  ConfigFollower, Quarantine, Counters, *Dialect, Runs),
         Peers(Executor, peerSettings(Settings), Time, Dialer),
