Give out the fixed part of the retry budget once

Both sides of a partition see fewer nodes and use the whole of it; a new process uses the part of its predecessor once more; a service that is removed and added within a window gets its part again.

Change: a node whose endpoints are unreachable counts for one more minute, a new process has no fixed part for one window, and a budget with retries in its window outlives its service.

Evidence: RetryBudgets_test, three of four cases failed before (900 for 90 retries after a partition, 90 for 0 in a new process). Tests of the data plane and of the daemons' settings passed.

--- a/dataplane/include/amaranth/dataplane/RetryBudget.h
+++ b/dataplane/include/amaranth/dataplane/RetryBudget.h
@@ -79,6 +79,13 @@
     return Token(Newest);
   }
 
+  /// Whether retries were counted within the window.
+  bool hasRetries(base::TimePoint Now) {
+    bucketAt(Now);
+    return std::ranges::any_of(
+        Buckets, [](const Bucket &Each) { return Each.Retries > 0; });
+  }
+
   /// Returns a token that was not used. Has no effect if it was taken longer
   /// than a window ago.
   void giveBack(Token Unused) {
--- a/dataplane/include/amaranth/dataplane/RetryBudgets.h
+++ b/dataplane/include/amaranth/dataplane/RetryBudgets.h
@@ -11,32 +11,45 @@
 namespace amaranth::dataplane {
 
 /// The retry budgets of this node, one for each service. Single-threaded.
+///
+/// The fixed part of a shared budget is divided by the number of nodes. Those
+/// that are not seen now may still use their part: a node that is cut off keeps
+/// the share of its last snapshot, and one that has restarted does not know
+/// what its previous process has used.
 class RetryBudgets {
 public:
+  /// A node whose endpoints have become unreachable counts for this long.
+  static constexpr base::Millis NodeRetention = base::Millis::seconds(60);
+
   /// `Shared`: the budget of all nodes together; when empty, this node has a
   /// budget of its own for each service. The references must outlive the
-  /// object.
+  /// object, which is created with the process: the fixed part of a shared
+  /// budget is available one window later.
   RetryBudgets(base::Clock &Time, follower::SnapshotSource &Snapshots,
                std::optional<SharedRetryBudget> Shared)
-      : Time(Time), Snapshots(Snapshots), Shared(Shared) {}
+      : Time(Time), Snapshots(Snapshots), Shared(Shared), Created(Time.now()) {}
 
   /// The budget of `Service`. The reference is valid until `update`.
   RetryBudget &budgetOf(const base::ServiceName &Service);
 
   /// Follows the current snapshot: recomputes this node's share and forgets
-  /// services that are gone.
+  /// services that are gone and have not been used for a window.
   void update();
 
 private:
   RetryBudget::Rates rates();
+  void countNodes();
 
   base::Clock &Time;
   follower::SnapshotSource &Snapshots;
   std::optional<SharedRetryBudget> Shared;
+  base::TimePoint Created;
   std::map<base::ServiceName, RetryBudget> Budgets;
-  /// The endpoints whose nodes `NodeCount` counts.
+  /// The endpoints whose nodes are in `UnreachableSince`.
   decltype(document::MeshSnapshot::Endpoints) CountedEndpoints;
-  std::size_t NodeCount = 0;
+  /// When the endpoints of a node became unreachable; empty for nodes that are
+  /// reachable.
+  std::map<base::NodeId, std::optional<base::TimePoint>> UnreachableSince;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/RetryBudgets.cpp
+++ b/dataplane/src/RetryBudgets.cpp
@@ -1,5 +1,6 @@
 #include "amaranth/dataplane/RetryBudgets.h"
 
+#include <iterator>
 #include <set>
 
 namespace amaranth::dataplane {
@@ -16,9 +17,12 @@
   auto Snapshot = Snapshots.current();
   if (!Snapshot)
     return;
-  std::erase_if(Budgets, [&](const auto &Entry) {
-    return !Snapshot->Services.contains(Entry.first);
-  });
+  base::TimePoint Now = Time.now();
+  for (auto It = Budgets.begin(); It != Budgets.end();) {
+    bool Unused =
+        !Snapshot->Services.contains(It->first) && !It->second.hasRetries(Now);
+    It = Unused ? Budgets.erase(It) : std::next(It);
+  }
   RetryBudget::Rates Current = rates();
   for (auto &[Service, Budget] : Budgets)
     Budget.setRates(Current);
@@ -27,16 +31,31 @@
 RetryBudget::Rates RetryBudgets::rates() {
   if (!Shared)
     return {};
+  countNodes();
+  RetryBudget::Rates Result = Shared->ratesPerNode(UnreachableSince.size());
+  if (Time.now() - Created < Shared->Window)
+    Result.RetriesPerWindow = 0;
+  return Result;
+}
+
+void RetryBudgets::countNodes() {
+  base::TimePoint Now = Time.now();
   auto Snapshot = Snapshots.current();
   if (Snapshot && !Snapshot->Endpoints.sharesWith(CountedEndpoints)) {
     CountedEndpoints = Snapshot->Endpoints;
-    std::set<base::NodeId> Nodes;
+    std::set<base::NodeId> Reachable;
     for (const auto &[Id, Entry] : CountedEndpoints)
       if (Entry.State != document::EndpointState::Unreachable)
-        Nodes.insert(Entry.Node);
-    NodeCount = Nodes.size();
+        Reachable.insert(Entry.Node);
+    for (auto &[Node, Since] : UnreachableSince)
+      if (!Since && !Reachable.contains(Node))
+        Since = Now;
+    for (const base::NodeId &Node : Reachable)
+      UnreachableSince[Node].reset();
   }
-  return Shared->ratesPerNode(NodeCount);
+  std::erase_if(UnreachableSince, [Now](const auto &Node) {
+    return Node.second && Now - *Node.second >= NodeRetention;
+  });
 }
 
 } // namespace amaranth::dataplane
