Test disks that are full one after another

Does not happen here as far as tried: a control process whose disk fails a write ends, is started again by its supervisor, truncates the torn record and catches up.

A replay with a simulated disk passes in eight seeds with five and with six processes, and a real log goes on after a write that was cut off by a file size limit.

--- a/replication/test/LogStorage_test.cpp
+++ b/replication/test/LogStorage_test.cpp
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <sys/resource.h>
 
 namespace asio = boost::asio;
 namespace fs = std::filesystem;
@@ -245,6 +247,54 @@
   CHECK(Recovered.Entries.size() == 1);
 }
 
+/// Limits the size of files of this process, so that writes beyond it are cut
+/// off and fail like those on a full disk.
+class FileSizeLimit {
+public:
+  explicit FileSizeLimit(std::uint64_t Bytes)
+      : Handler(std::signal(SIGXFSZ, SIG_IGN)) {
+    REQUIRE(::getrlimit(RLIMIT_FSIZE, &Before) == 0);
+    rlimit Limited = Before;
+    Limited.rlim_cur = Bytes;
+    REQUIRE(::setrlimit(RLIMIT_FSIZE, &Limited) == 0);
+  }
+  ~FileSizeLimit() {
+    ::setrlimit(RLIMIT_FSIZE, &Before);
+    std::signal(SIGXFSZ, Handler);
+  }
+  FileSizeLimit(const FileSizeLimit &) = delete;
+  FileSizeLimit &operator=(const FileSizeLimit &) = delete;
+
+private:
+  rlimit Before{};
+  void (*Handler)(int);
+};
+
+// Guards against a replica that does not start again after its disk was full:
+// the last write reached the disk in part.
+TEST_CASE_METHOD(LogStorageTest,
+                 "LogStorage goes on after a disk that was full") {
+  append(1, 3);
+  {
+    // Room for the fourth record and a part of the fifth.
+    FileSizeLimit Full(4 * RecordBytes + 20);
+    Disk->write(AppendEntries{{entry(4), entry(5)}});
+    runUntilSyncedOrFailed();
+    REQUIRE(Disk->failure());
+    // The supervisor starts the process while the disk is still full.
+    open();
+    CHECK(Recovered.Entries.size() == 4);
+    Disk->write(AppendEntries{{entry(5)}});
+    runUntilSyncedOrFailed();
+    REQUIRE(Disk->failure());
+  }
+  open();
+  CHECK(Recovered.Entries.size() == 4);
+  append(5, 6);
+  open();
+  CHECK(Recovered.Entries.size() == 6);
+}
+
 // Guards against a replica that does not start after a loss of power during a
 // compaction: of two segments that were removed, the older one came back.
 TEST_CASE_METHOD(LogStorageTest,
--- a/replication/test/ReplicaRepair_test.cpp
+++ b/replication/test/ReplicaRepair_test.cpp
@@ -59,6 +59,28 @@
     return TestCluster.runUntil([&] { return allVotersRun(Count); }, Limit);
   }
 
+  /// Lets the disk of a process be full for `Span`. The process ends when a
+  /// write fails and is started again, as by a supervisor.
+  void fillDisk(std::size_t Index, base::Millis Span) {
+    constexpr base::Millis RestartDelay = base::Millis(300);
+    TestCluster.at(Index).Image.Full = true;
+    base::TimePoint End = TestCluster.Time.now() + Span;
+    while (TestCluster.Time.now() < End) {
+      TestCluster.runFor(RestartDelay);
+      if (!TestCluster.at(Index).Disk->failure())
+        continue;
+      TestCluster.kill(Index);
+      TestCluster.runFor(RestartDelay);
+      TestCluster.start(Index);
+    }
+    TestCluster.at(Index).Image.Full = false;
+    TestCluster.runFor(RestartDelay);
+    if (!TestCluster.at(Index).Disk->failure())
+      return;
+    TestCluster.kill(Index);
+    TestCluster.start(Index);
+  }
+
   Cluster TestCluster;
 };
 
@@ -131,6 +153,43 @@
   TestCluster.checkAcknowledged();
 }
 
+// Guards against a cluster that accepts no changes any more after the disk of
+// each of its processes was full for some seconds, never two at once.
+TEST_CASE("Disks that are full one after another do not stop changes") {
+  struct FullDisksRun : ReplicaRepairTest {
+    explicit FullDisksRun(std::uint64_t Seed, std::size_t Processes)
+        : ReplicaRepairTest(Seed), Processes(Processes) {}
+
+    void execute() {
+      startFive();
+      for (std::size_t I = 5; I < Processes; ++I)
+        startWithEmptyDisk(I);
+      for (int Round = 0; Round < 2; ++Round)
+        for (std::size_t I = 0; I < Processes; ++I) {
+          TestCluster.propose((I + 1) % Processes, "before" + name(I));
+          fillDisk(I, base::Millis(4'500));
+          TestCluster.commit("while full" + name(I));
+        }
+      CHECK(waitVoters(5, RecoveryTimeLimit));
+      base::TimePoint Start = TestCluster.Time.now();
+      TestCluster.commit("afterwards");
+      CHECK(TestCluster.Time.now() - Start < RecoveryTimeLimit);
+      TestCluster.checkAcknowledged();
+    }
+
+  private:
+    static std::string name(std::size_t Index) {
+      return "-" + std::to_string(Index);
+    }
+    std::size_t Processes;
+  };
+  auto Seed = GENERATE(range<std::uint64_t>(1, 9));
+  // With a sixth process, a voter that fails for long is replaced.
+  auto Processes = GENERATE(std::size_t{5}, std::size_t{6});
+  INFO("seed " << Seed << ", " << Processes << " processes");
+  FullDisksRun(Seed, Processes).execute();
+}
+
 TEST_CASE_METHOD(ReplicaRepairTest,
                  "A restart of all processes elects a leader within 1.5 s") {
   startFive();
--- a/replication/test/SimulatedDisk.cpp
+++ b/replication/test/SimulatedDisk.cpp
@@ -64,6 +64,12 @@
       co_await Inner->Time.sleepFor(base::Millis(10));
     if (Inner->Crashed)
       co_return;
+    if (Inner->Image.Full) {
+      Inner->Failure =
+          std::make_exception_ptr(StorageError("the disk is full"));
+      Inner->Progress.notifyAll();
+      co_return;
+    }
     for (std::size_t I = 0; I < Batch; ++I) {
       Inner->Image.apply(Inner->Queue.front());
       Inner->Queue.pop_front();
@@ -75,6 +81,8 @@
 
 void SimulatedDisk::crash() {
   Inner->Crashed = true;
+  if (Inner->Failure || Inner->Image.Full)
+    Inner->Queue.clear();
   std::size_t KeptWrites = Inner->Random() % (Inner->Queue.size() + 1);
   for (std::size_t I = 0; I < KeptWrites; ++I)
     Inner->Image.apply(Inner->Queue[I]);
--- a/replication/test/SimulatedDisk.h
+++ b/replication/test/SimulatedDisk.h
@@ -16,11 +16,14 @@
   StoredVote Vote;
   SnapshotRef Snapshot;
   std::vector<EntryRef> Entries;
+  /// Every write fails, also after a restart of the process.
+  bool Full = false;
 
   void apply(const StorageWrite &Write);
 };
 
-/// In-memory storage whose writes become durable after a random delay.
+/// In-memory storage whose writes become durable after a random delay. Like
+/// `LogStorage`, it writes nothing more after a failure.
 class SimulatedDisk final : public Storage {
 public:
   SimulatedDisk(DiskImage &Image, base::Clock &Time,
@@ -31,7 +34,7 @@
   std::uint64_t write(StorageWrite Write) override;
   std::uint64_t lastQueuedWrite() const override { return Inner->Written; }
   std::uint64_t lastSyncedWrite() const override { return Inner->Synced; }
-  std::exception_ptr failure() const override { return nullptr; }
+  std::exception_ptr failure() const override { return Inner->Failure; }
   base::Signal &progress() override { return Inner->Progress; }
 
   /// Keeps a random prefix of the unsynced writes and drops the others. Later
@@ -55,6 +58,7 @@
     std::uint64_t Synced = 0;
     bool Crashed = false;
     bool SyncsPaused = false;
+    std::exception_ptr Failure;
     base::Signal Queued;
     base::Signal Progress;
   };
