Attribute calls to the routes that make them

Cause: a call with a limit of its own was attributed to a short request that happened to end at the same time, and otherwise in equal parts to all running requests. The short route got the calls of the long one, and a few calls for each run were rounded up to a whole one.

Change: a call that waits as long as any of its route ends by its own limit; only others are matched by the time at which they end. Candidates count by the calls that runs of their route make a second.

The test of the route that makes no calls, and all cases over many nodes, pass.

--- a/dataplane/include/amaranth/dataplane/UpstreamRuns.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamRuns.h
@@ -17,8 +17,9 @@
 /// requests to the same address. But a call ends with the request that it is
 /// made for, or earlier by a limit of its own, while a caller that has just
 /// sent a request waits longer than the running ones. So a request of this VM
-/// is attributed to the running request that ends when it does, or else in
-/// equal parts to those that end after it.
+/// is attributed to the running request that ends when it does, or else to
+/// those that end after it, by the calls that runs of their routes make a
+/// second.
 ///
 /// A call of a repeat that is refused would fail a run that has already cost
 /// its work. The calls that a repeat of the route is expected to make are
@@ -43,11 +44,18 @@
     bool Repeat = false;
   };
 
+  /// A request by a process of this VM, which waits until `Deadline`.
+  struct Call {
+    base::ServiceName Service;
+    base::RouteName Route;
+    base::TimePoint Deadline;
+  };
+
   /// Counts a request as running while the object lives.
   class Run {
   public:
     Run(UpstreamRuns &Owner, Request Started);
-    ~Run() { Owner.Running.erase(Id); }
+    ~Run();
     Run(const Run &) = delete;
     Run &operator=(const Run &) = delete;
 
@@ -60,30 +68,40 @@
   /// `Route` is expected to make.
   bool allowsRepeat(const base::RouteName &Route);
 
-  /// Attributes a request to `Service` by a process of this VM, which waits
-  /// until `Deadline`. Returns the probability that it is a call of a repeat.
-  double recordCall(const base::ServiceName &Service, base::TimePoint Deadline);
+  /// Attributes a request of this VM to the running ones. Returns the
+  /// probability that it is a call of a repeat.
+  double recordCall(const Call &Made);
 
 private:
+  struct Entry {
+    Request For;
+    base::TimePoint StartedAt;
+  };
   /// Runs of a route and their calls by service; older ones count less.
   struct RouteCalls {
     double Runs = 0;
+    double RunningMs = 0;
     std::map<base::ServiceName, double> Calls;
 
     /// Calls that a repeat is expected to make to a service with `Count` calls.
-    /// More than the mean: a run with more calls fails more often.
-    double callsOfRepeat(double Count) const;
+    double perRepeat(double Count) const;
+    /// Calls to `Service` in a millisecond of a run.
+    double rate(const base::ServiceName &Service) const;
   };
 
-  /// The running requests that may have made a call with this deadline, all
-  /// with the same probability.
-  std::vector<const Request *> candidates(base::TimePoint Deadline) const;
+  RouteCalls &callsOf(const base::RouteName &Route);
+  /// Whether the call ends earlier than the request that it is made for.
+  bool hasOwnLimit(const Call &Made);
+  /// The running requests that may have made the call.
+  std::vector<const Request *> candidates(const Call &Made);
 
   base::Clock &Time;
   RetryBudgets &Budgets;
-  std::map<std::uint64_t, Request> Running;
+  std::map<std::uint64_t, Entry> Running;
   std::uint64_t NextId = 0;
   std::map<base::RouteName, RouteCalls> Routes;
+  /// The longest time that a call of a route was ready to wait.
+  std::map<base::RouteName, base::Millis> LongestWaits;
 };
 
 } // namespace amaranth::dataplane
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -199,7 +199,8 @@
 void EntryRequest::attributeCall() {
   if (!FromThisVm || !CallerDeadline)
     return;
-  double Share = Context->Runs.recordCall(Service, *CallerDeadline);
+  double Share =
+      Context->Runs.recordCall({Service, MatchedRoute.Name, *CallerDeadline});
   // Which of the calls are those of repeats is not known, but how many.
   CallOfRepeat = std::bernoulli_distribution(Share)(Context->Random);
   if (CallOfRepeat)
