Let tasks outlive the node's budgets at the end of a process

Cause, found in the read-through: tasks that wait when a process ends are destroyed with the event loop, after the parts of the node. The run of a request and what it takes of a budget then wrote to destroyed objects. Not seen in a play or a test.

Change: both look whether their owner still exists.

Tests of the new objects pass; the case that guards against it is seen to fail only with an address sanitizer.

--- a/dataplane/include/amaranth/dataplane/RetryBudgets.h
+++ b/dataplane/include/amaranth/dataplane/RetryBudgets.h
@@ -6,6 +6,7 @@
 #include "amaranth/follower/SnapshotSource.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace amaranth::dataplane {
@@ -36,6 +37,10 @@
   /// services that are gone and have not been used for a window.
   void update();
 
+  /// Expires with this object. Tasks that are destroyed with the event loop may
+  /// outlive it.
+  std::weak_ptr<const void> lifetime() const { return Lifetime; }
+
 private:
   RetryBudget::Rates rates();
   void countNodes();
@@ -44,6 +49,7 @@
   follower::SnapshotSource &Snapshots;
   std::optional<SharedRetryBudget> Shared;
   base::TimePoint Created;
+  std::shared_ptr<const bool> Lifetime = std::make_shared<const bool>();
   std::map<base::ServiceName, RetryBudget> Budgets;
   /// The endpoints whose nodes are in `UnreachableSince`.
   decltype(document::MeshSnapshot::Endpoints) CountedEndpoints;
--- a/dataplane/include/amaranth/dataplane/UpstreamRuns.h
+++ b/dataplane/include/amaranth/dataplane/UpstreamRuns.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace amaranth::dataplane {
@@ -51,7 +52,8 @@
     base::TimePoint Deadline;
   };
 
-  /// Counts a request as running while the object lives.
+  /// Counts a request as running while the object lives. May outlive the owner
+  /// if it belongs to a task that is destroyed with the event loop.
   class Run {
   public:
     Run(UpstreamRuns &Owner, Request Started);
@@ -61,6 +63,7 @@
 
   private:
     UpstreamRuns &Owner;
+    std::weak_ptr<const void> OwnerLifetime;
     std::uint64_t Id;
   };
 
@@ -99,6 +102,7 @@
   RetryBudgets &Budgets;
   std::map<std::uint64_t, Entry> Running;
   std::uint64_t NextId = 0;
+  std::shared_ptr<const bool> Lifetime = std::make_shared<const bool>();
   std::map<base::RouteName, RouteCalls> Routes;
   /// The longest time that a call of a route was ready to wait.
   std::map<base::RouteName, base::Millis> LongestWaits;
--- a/dataplane/src/RetryAllowance.h
+++ b/dataplane/src/RetryAllowance.h
@@ -16,16 +16,17 @@
 public:
   /// `CallOfRepeat`: the request counts as a call of a repeat. The call was
   /// charged when the repeat began, and does not enlarge the budget.
-  /// `Budgets` must outlive the object.
+  /// `Budgets` must outlive the object, unless nothing but the destructor is
+  /// called.
   RetryAllowance(RetryBudgets &Budgets, base::ServiceName Service,
                  bool CallOfRepeat, base::TimePoint Now)
-      : Budgets(Budgets), Service(std::move(Service)),
-        CallOfRepeat(CallOfRepeat) {
+      : Budgets(Budgets), BudgetsLifetime(Budgets.lifetime()),
+        Service(std::move(Service)), CallOfRepeat(CallOfRepeat) {
     if (!CallOfRepeat)
       budget().recordRequest(Now);
   }
   ~RetryAllowance() {
-    if (Token && !InAttempt)
+    if (Token && !InAttempt && !BudgetsLifetime.expired())
       budget().giveBack(*Token);
   }
   RetryAllowance(const RetryAllowance &) = delete;
@@ -63,6 +64,7 @@
   RetryBudget &budget() { return Budgets.budgetOf(Service); }
 
   RetryBudgets &Budgets;
+  std::weak_ptr<const void> BudgetsLifetime;
   base::ServiceName Service;
   bool CallOfRepeat;
   /// Paid for the next arrival at an upstream.
--- a/dataplane/src/UpstreamRuns.cpp
+++ b/dataplane/src/UpstreamRuns.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 UpstreamRuns::Run::Run(UpstreamRuns &Owner, Request Started)
-    : Owner(Owner), Id(Owner.NextId++) {
+    : Owner(Owner), OwnerLifetime(Owner.Lifetime), Id(Owner.NextId++) {
   base::TimePoint Now = Owner.Time.now();
   RouteCalls &Known = Owner.callsOf(Started.Route);
   if (Started.Repeat)
@@ -39,6 +39,8 @@
 }
 
 UpstreamRuns::Run::~Run() {
+  if (OwnerLifetime.expired())
+    return;
   auto Ended = Owner.Running.find(Id);
   Owner.callsOf(Ended->second.For.Route).RunningMs +=
       static_cast<double>((Owner.Time.now() - Ended->second.StartedAt).count());
--- a/dataplane/test/UpstreamRuns_test.cpp
+++ b/dataplane/test/UpstreamRuns_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <optional>
+
 namespace amaranth::dataplane {
 
 class UpstreamRunsTest {
@@ -105,6 +107,23 @@
   CHECK(call(Time.now().count() + 500) < 0.2);
 }
 
+// Guards against tasks that are destroyed with the event loop of a process that
+// ends, after the parts of the node.
+TEST_CASE_METHOD(UpstreamRunsTest,
+                 "Runs and requests may outlive the node's budgets") {
+  std::optional<RetryBudgets> EarlyBudgets;
+  EarlyBudgets.emplace(Time, Snapshots, std::nullopt);
+  std::optional<UpstreamRuns> EarlyRuns;
+  EarlyRuns.emplace(Time, *EarlyBudgets);
+  UpstreamRuns::Run Last(*EarlyRuns, request(1'000, true));
+  RetryAllowance Unused(*EarlyBudgets, Called, false, Time.now());
+  Unused.recordAttempt(true);
+  REQUIRE(Unused.admitAttempt(Time.now()));
+  Unused.recordAttempt(false);
+  EarlyRuns.reset();
+  EarlyBudgets.reset();
+}
+
 TEST_CASE_METHOD(UpstreamRunsTest, "A run that has ended makes no calls") {
   { UpstreamRuns::Run Repeat(Runs, request(1'000, true)); }
   CHECK(call(1'000) == 0);
