Log why a node leaves a control process, and each read of the document

The log said "the control process is stale" both for a process that reports to be behind and for one from which no currency message came, so that a node that abandons a running transfer could not be told from one that leaves a partitioned process. Reads that were answered left no line, so that an older answer could not be told from a late node. No decision changes.

--- a/control/src/DocumentService.cpp
+++ b/control/src/DocumentService.cpp
@@ -118,8 +118,12 @@
   // here.
   std::shared_ptr<const document::WholeDocument> Result;
   bool Current = co_await confirmCurrent("read");
-  if (Current)
+  if (Current) {
     Result = State.wholeDocument();
+    base::logger("operator")
+        ->info("document read label={} applied={}", Result->Label.value(),
+               Log.appliedIndex().value());
+  }
   co_return Result;
 }
 
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -387,7 +387,16 @@
   // Even without a replacement, a new connection to the same process may work
   // where this one is silent.
   if (Channel || Replacement || isSilent(*Stale))
-    Stale->Channel->close("the control process is stale");
+    Stale->Channel->close(staleReason(*Stale));
+}
+
+std::string Follower::Impl::staleReason(const Connection &Conn) const {
+  base::Millis Silent = Time.now() - Conn.LastCurrencyTime;
+  if (isSilent(Conn))
+    return fmt::format("no currency message for {} ms, {} bytes received",
+                       Silent.count(), Conn.Channel->bytesReceived());
+  return fmt::format("the control process is stale by {} ms",
+                     Conn.Staleness.count());
 }
 
 FollowerStatus Follower::Impl::status() const {
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -82,6 +82,8 @@
   void sendEvidence();
   bool isSilent(const Connection &Conn) const;
   bool isStale(const Connection &Conn) const;
+  /// Why a stale connection is closed, for the log.
+  std::string staleReason(const Connection &Conn) const;
   base::Millis nextBackoff();
   void postToControl(protocol::MessageType Type, std::uint64_t Stream,
                      base::Bytes Payload);
