Keep a connection to control while an update is arriving

Callers on nodes with a busy link saw the previous configuration for seconds after a new one had been acknowledged (CONFIG). The node took its control process for silent 1.8 s after the last currency message, also while a delta of 151,648 bytes was arriving: currency messages wait behind it. It closed the connection, and the next one began the transfer from zero.

A part of a message that arrives, and an update, now count as a sign of life. A process that sends only heartbeats still counts as silent, and a channel without any byte is closed after 2 s as before.

The protocol test pins that a waiting read is no incomplete message.

--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -137,7 +137,7 @@
              Chooser.process(Conn->ProcessIndex).Address.text(),
              Status.Connections + 1);
   Active = Conn;
-  Conn->LastCurrencyTime = Time.now();
+  Conn->LastHeardTime = Time.now();
   Applier.reset();
   ++Status.Connections;
   ConnectionCount->Increment();
@@ -174,6 +174,7 @@
   switch (Message.Type) {
   case MessageType::Snapshot:
   case MessageType::Delta:
+    From.LastHeardTime = Time.now();
     return handleUpdate(Message);
   case MessageType::Currency:
     return handleCurrency(From, control::decodeCurrency(Message.Payload));
@@ -203,7 +204,7 @@
 
 void Follower::Impl::handleCurrency(Connection &From,
                                     const control::Currency &Message) {
-  From.LastCurrencyTime = Time.now();
+  From.LastHeardTime = Time.now();
   From.Staleness = Message.SinceCurrent;
   addControlProcesses(Message.Controls);
   FailedAttempts = 0;
@@ -335,8 +336,17 @@
   return Id;
 }
 
+base::Millis Follower::Impl::silence(const Connection &Conn) const {
+  // `Currency` messages wait behind a large update, which may take longer than
+  // the timeout on a busy link.
+  base::TimePoint Heard = std::max(
+      Conn.LastHeardTime,
+      Conn.Channel->incompleteMessageTime().value_or(Conn.LastHeardTime));
+  return Time.now() - Heard;
+}
+
 bool Follower::Impl::isSilent(const Connection &Conn) const {
-  return Time.now() - Conn.LastCurrencyTime >= Settings.SilenceTimeout;
+  return silence(Conn) >= Settings.SilenceTimeout;
 }
 
 bool Follower::Impl::isStale(const Connection &Conn) const {
@@ -391,10 +401,10 @@
 }
 
 std::string Follower::Impl::staleReason(const Connection &Conn) const {
-  base::Millis Silent = Time.now() - Conn.LastCurrencyTime;
   if (isSilent(Conn))
-    return fmt::format("no currency message for {} ms, {} bytes received",
-                       Silent.count(), Conn.Channel->bytesReceived());
+    return fmt::format("no update or currency message for {} ms, {} bytes "
+                       "received",
+                       silence(Conn).count(), Conn.Channel->bytesReceived());
   return fmt::format("the control process is stale by {} ms",
                      Conn.Staleness.count());
 }
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -24,9 +24,9 @@
   struct Connection {
     std::shared_ptr<protocol::Channel> Channel;
     std::size_t ProcessIndex = 0;
-    /// When the last `Currency` message arrived; initially when the connection
-    /// was established.
-    base::TimePoint LastCurrencyTime;
+    /// When the last `Currency` message or update arrived; initially when the
+    /// connection was established.
+    base::TimePoint LastHeardTime;
     /// As reported in the last `Currency` message.
     base::Millis Staleness;
   };
@@ -80,6 +80,9 @@
   void handleCurrency(Connection &From, const control::Currency &Message);
   void subscribe();
   void sendEvidence();
+  /// Time since the control process last sent a `Currency` message or a part of
+  /// an update.
+  base::Millis silence(const Connection &Conn) const;
   bool isSilent(const Connection &Conn) const;
   bool isStale(const Connection &Conn) const;
   /// Why a stale connection is closed, for the log.
--- a/follower/test/Follower_test.cpp
+++ b/follower/test/Follower_test.cpp
@@ -142,6 +142,21 @@
        << Took.count());
 }
 
+// Guards against a node that abandons a running transfer because the messages
+// behind it are late: each new connection begins the transfer from zero.
+TEST_CASE_METHOD(FollowerTest,
+                 "Follower keeps a connection during a long transfer") {
+  Sim.closeConnections(second(), true);
+  Sim.runUntil([&] { return isConnectedTo(0); });
+  waitConverged();
+  std::uint64_t Connections = Node->status().Connections;
+  // 2,000 routes then take about 8 s, longer than the silence timeout.
+  first().Links->BytesPerMs = 20;
+  Sim.fill(3, 2000, 20);
+  Sim.runUntil([&] { return Sim.converged(); }, base::Millis::seconds(12));
+  CHECK(Node->status().Connections == Connections);
+}
+
 // Guards against nodes that stay with a partitioned control process, whose
 // connections work although it receives no commits.
 TEST_CASE_METHOD(FollowerTest, "Follower switches from a stale process") {
--- a/follower/test/Simulation.cpp
+++ b/follower/test/Simulation.cpp
@@ -37,8 +37,10 @@
     return;
   auto Transfer = base::Millis(
       static_cast<std::int64_t>(Message.Payload.size() / Model->BytesPerMs));
-  Model->IdleAt = std::max(Model->IdleAt, Time.now()) + Transfer;
+  base::TimePoint Begin = std::max(Model->IdleAt, Time.now());
+  Model->IdleAt = Begin + Transfer;
   base::TimePoint Due = Model->IdleAt + Model->Latency;
+  Outgoing->push_back({Begin + Model->Latency, Due});
   asio::co_spawn(
       Executor,
       [To = Inner, &Time = Time, Due, Message]() -> asio::awaitable<void> {
@@ -48,6 +50,16 @@
       asio::detached);
 }
 
+std::optional<base::TimePoint> DelayedChannel::incompleteMessageTime() const {
+  base::TimePoint Now = Time.now();
+  if (Incoming && std::any_of(Incoming->begin(), Incoming->end(),
+                              [Now](const Transfer &Each) {
+                                return Each.Begin <= Now && Now < Each.End;
+                              }))
+    return Now;
+  return std::nullopt;
+}
+
 asio::awaitable<protocol::Frame> DelayedChannel::receive() {
   co_return co_await Inner->receive();
 }
@@ -103,6 +115,7 @@
                                                     Uplink, Executor);
     auto ControlEnd = std::make_shared<DelayedChannel>(
         ControlChannel, Owner.Time, Target.Links, Executor);
+    NodeEnd->Incoming = ControlEnd->Outgoing;
     ControlEnd->Tamper = [&Target](protocol::Frame &Message) {
       ++Target.SentMessages[Message.Type];
       if (Target.Tamper)
--- a/follower/test/Simulation.h
+++ b/follower/test/Simulation.h
@@ -30,6 +30,12 @@
   bool DropsMessages = false;
 };
 
+/// The period in which one message arrives.
+struct Transfer {
+  base::TimePoint Begin;
+  base::TimePoint End;
+};
+
 /// One end of a link with latency and limited, shared bandwidth.
 class DelayedChannel final : public protocol::Channel {
 public:
@@ -47,11 +53,18 @@
   bool hasReceived() const override { return Inner->hasReceived(); }
   void close(const std::string &Reason) override { Inner->close(Reason); }
   bool isOpen() const override { return Inner->isOpen(); }
+  /// While a transfer is running, its bytes arrive at a constant rate.
+  std::optional<base::TimePoint> incompleteMessageTime() const override;
   std::uint64_t bytesSent() const override { return Inner->bytesSent(); }
   std::uint64_t bytesReceived() const override {
     return Inner->bytesReceived();
   }
 
+  /// Transfers towards the other end, which reports them. Shared by both ends.
+  std::shared_ptr<std::vector<Transfer>> Outgoing =
+      std::make_shared<std::vector<Transfer>>();
+  std::shared_ptr<const std::vector<Transfer>> Incoming;
+
   /// Called with each frame before it is sent, and may modify it.
   std::function<void(protocol::Frame &)> Tamper;
 
--- a/protocol/include/amaranth/protocol/Channel.h
+++ b/protocol/include/amaranth/protocol/Channel.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace amaranth::protocol {
@@ -78,6 +79,10 @@
   virtual void close(const std::string &Reason) = 0;
   virtual bool isOpen() const = 0;
 
+  /// When the newest byte of an incomplete message arrived; empty if no message
+  /// is incomplete. Shows that the peer is sending although `receive` waits.
+  virtual std::optional<base::TimePoint> incompleteMessageTime() const = 0;
+
   /// Bytes on the wire so far, frame headers and heartbeats included.
   virtual std::uint64_t bytesSent() const = 0;
   virtual std::uint64_t bytesReceived() const = 0;
--- a/protocol/src/SocketChannel.cpp
+++ b/protocol/src/SocketChannel.cpp
@@ -122,6 +122,7 @@
     throw boost::system::system_error(Failure);
   LastReceived = Time.now();
   takeFrames();
+  HasIncompleteFrame = !Input.empty();
   // Releases the memory of a large frame.
   if (Input.empty() && Input.capacity() > MaxReadBytes)
     Input.shrink_to_fit();
--- a/protocol/src/SocketChannel.h
+++ b/protocol/src/SocketChannel.h
@@ -42,6 +42,11 @@
   bool hasReceived() const override { return Open && !ReceivedFrames.empty(); }
   void close(const std::string &Reason) override;
   bool isOpen() const override { return Open; }
+  std::optional<base::TimePoint> incompleteMessageTime() const override {
+    if (!HasIncompleteFrame)
+      return std::nullopt;
+    return LastReceived;
+  }
   std::uint64_t bytesSent() const override { return Sent; }
   std::uint64_t bytesReceived() const override { return Received; }
 
@@ -65,8 +70,10 @@
   Identity PeerIdentity;
   base::Signal Queued;
   base::Signal Drained;
-  /// Received bytes of incomplete frames.
+  /// Received bytes of an incomplete frame, and free space for the next read
+  /// while one is pending.
   base::Bytes Input;
+  bool HasIncompleteFrame = false;
   /// Complete frames except heartbeats.
   std::deque<Frame> ReceivedFrames;
   std::deque<Outgoing> Queue;
--- a/protocol/test/Connection_test.cpp
+++ b/protocol/test/Connection_test.cpp
@@ -169,6 +169,26 @@
   CHECK(Received == Sizes);
 }
 
+// Guards against a receiver that takes a peer for silent while a large message
+// of that peer is arriving.
+TEST_CASE_METHOD(ConnectionTest,
+                 "Channel reports that a message is arriving in parts") {
+  dial("secret");
+  runUntil([&] { return Client && Accepted; });
+  CHECK_FALSE(Accepted->incompleteMessageTime());
+  Client->post(MessageType::Snapshot, 0, base::Bytes(3U << 20U, 1));
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  Context.restart();
+  while (!Accepted->incompleteMessageTime() &&
+         std::chrono::steady_clock::now() < End)
+    Context.run_one_for(std::chrono::milliseconds(10));
+  REQUIRE(Accepted->incompleteMessageTime());
+  CHECK(*Accepted->incompleteMessageTime() <= Time.now());
+  CHECK(Accepted->bytesReceived() < (3U << 20U));
+  runUntil([&] { return Accepted->bytesReceived() > (3U << 20U); });
+  CHECK_FALSE(Accepted->incompleteMessageTime());
+}
+
 TEST_CASE_METHOD(ConnectionTest, "Dialer with a wrong key is refused") {
   dial("guess");
   CHECK_FALSE(Client);
--- a/protocol/test/MemoryChannel.h
+++ b/protocol/test/MemoryChannel.h
@@ -25,6 +25,9 @@
   bool hasReceived() const override { return !Inbox.empty(); }
   void close(const std::string &Reason) override;
   bool isOpen() const override { return Open; }
+  std::optional<base::TimePoint> incompleteMessageTime() const override {
+    return std::nullopt;
+  }
   std::uint64_t bytesSent() const override { return Sent; }
   std::uint64_t bytesReceived() const override { return Received; }
 
