Let a dial to control go on while the next process is dialed

A node with a full link that had lost its control process could not get a new connection for six seconds, and served the previous configuration (CONFIG). Connecting takes two round trips, and the node gave up after 500 ms and began again at the next process.

Ruled out: processes that refuse (their error is another one).

The time limit now only says when a further process is dialed as well; a dial is given up after 3 s, and the first connection is used. A process that does not answer still delays the attempt at the next one by 500 ms only.

"Follower connects over a slow link" failed before: not converged after 8 s. The simulated dialer keeps the time limit now, which it ignored before.

--- a/follower/include/amaranth/follower/Follower.h
+++ b/follower/include/amaranth/follower/Follower.h
@@ -36,7 +36,12 @@
   /// Services to subscribe to; an empty set means all. If the set is not empty,
   /// the services of published endpoints are added to it.
   std::set<base::ServiceName> Services;
+  /// Time after which a further process is dialed as well. The dial goes on,
+  /// and the first connection is used: a handshake takes two round trips, which
+  /// last longer than this on a link that is full.
   base::Millis DialTimeout = base::Millis::seconds(1);
+  /// Time after which a dial is given up.
+  base::Millis MaxDialTime = base::Millis::seconds(5);
   /// Each reconnect is delayed by a random time up to a limit that doubles from
   /// `BackoffMin` to `BackoffMax`.
   base::Millis BackoffMin = base::Millis(100);
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -49,6 +49,7 @@
     : Settings(std::move(Initial)), Executor(Executor), Time(Time), Dial(Dial),
       Chooser(Settings.Node, Settings.Zone, Settings.ControlProcesses),
       Calls(Executor), SnapshotChanged(Executor), ConnectionChanged(Executor),
+      DialEnded(Executor),
       Random(Settings.Seed != 0 ? Settings.Seed : base::randomU64()),
       AppliedCount(&counter(Metrics, "amaranth_follower_applied_updates_total",
                             "Snapshots and deltas put in force")),
@@ -84,17 +85,60 @@
     Active->Channel->post(Type, Stream, std::move(Payload));
 }
 
-asio::awaitable<std::shared_ptr<protocol::Channel>>
-Follower::Impl::dial(std::size_t ProcessIndex) {
+asio::awaitable<void> Follower::Impl::dial(std::size_t ProcessIndex) {
   base::Address Address = Chooser.process(ProcessIndex).Address;
+  auto Conn = std::make_shared<Connection>();
+  Conn->ProcessIndex = ProcessIndex;
   try {
-    co_return co_await Dial.dial(Address, Settings.DialTimeout);
+    Conn->Channel = co_await Dial.dial(Address, Settings.MaxDialTime);
   } catch (const base::Error &Failure) {
     base::logger("follower")
         ->info("cannot connect to control process control={} error=\"{}\"",
                Address.text(), Failure.what());
   }
-  co_return nullptr;
+  Dialing.erase(ProcessIndex);
+  if (!Conn->Channel)
+    Chooser.avoid(ProcessIndex, Time.now());
+  else if (Stopped || (isConnected() && !isStale(*Active)))
+    // Its heartbeats would keep an unused connection open indefinitely.
+    Conn->Channel->close("no further connection is needed");
+  else
+    Established.push_back(std::move(Conn));
+  DialEnded.notifyAll();
+}
+
+std::shared_ptr<Follower::Impl::Connection> Follower::Impl::takeEstablished() {
+  while (!Established.empty()) {
+    auto Conn = std::move(Established.front());
+    Established.pop_front();
+    if (Conn->Channel->isOpen())
+      return Conn;
+  }
+  return nullptr;
+}
+
+asio::awaitable<std::shared_ptr<Follower::Impl::Connection>>
+Follower::Impl::connect(std::size_t ProcessIndex) {
+  if (Dialing.insert(ProcessIndex).second)
+    asio::co_spawn(
+        Executor,
+        [Self = shared_from_this(), ProcessIndex]() -> asio::awaitable<void> {
+          co_await Self->dial(ProcessIndex);
+        },
+        asio::detached);
+  base::TimePoint End = Time.now() + Settings.DialTimeout;
+  while (Established.empty() && Dialing.contains(ProcessIndex) && !Stopped &&
+         Time.now() < End)
+    co_await base::withTimeout(Time, End - Time.now(), DialEnded.wait());
+  if (Dialing.contains(ProcessIndex))
+    Chooser.avoid(ProcessIndex, Time.now());
+  co_return takeEstablished();
+}
+
+asio::awaitable<void> Follower::Impl::waitForConnection(base::Millis Span) {
+  base::TimePoint End = Time.now() + Span;
+  while (Established.empty() && !Stopped && Time.now() < End)
+    co_await base::withTimeout(Time, End - Time.now(), DialEnded.wait());
 }
 
 base::Millis Follower::Impl::nextBackoff() {
@@ -109,25 +153,20 @@
   while (!Stopped) {
     std::shared_ptr<Connection> Conn = std::exchange(Replacement, nullptr);
     if (!Conn) {
-      std::size_t ProcessIndex = Chooser.next(Time.now()).value();
-      auto Channel = co_await dial(ProcessIndex);
-      if (Channel) {
-        Conn = std::make_shared<Connection>();
-        Conn->Channel = std::move(Channel);
-        Conn->ProcessIndex = ProcessIndex;
-      } else {
-        Chooser.avoid(ProcessIndex, Time.now());
-      }
+      Conn = takeEstablished();
+      if (!Conn)
+        Conn = co_await connect(Chooser.next(Time.now()).value());
     }
-    // Close a connection that was established during `stop`; its heartbeats
-    // would keep it open indefinitely.
+    // Its heartbeats would keep an unused connection open indefinitely.
     if (Conn && Stopped)
       Conn->Channel->close("the node is shutting down");
     else if (Conn)
       co_await runConnection(Conn);
     if (!Stopped && !Replacement)
-      co_await Time.sleepFor(nextBackoff());
+      co_await waitForConnection(nextBackoff());
   }
+  while (auto Unused = takeEstablished())
+    Unused->Channel->close("the node is shutting down");
 }
 
 asio::awaitable<void>
@@ -137,6 +176,8 @@
              Chooser.process(Conn->ProcessIndex).Address.text(),
              Status.Connections + 1);
   Active = Conn;
+  while (auto Unused = takeEstablished())
+    Unused->Channel->close("no further connection is needed");
   Conn->LastHeardTime = Time.now();
   Applier.reset();
   ++Status.Connections;
@@ -377,26 +418,23 @@
     ConsecutiveStale = 0;
   }
   auto ProcessIndex = Chooser.next(Time.now(), Stale->ProcessIndex);
-  std::shared_ptr<protocol::Channel> Channel;
+  std::shared_ptr<Connection> Next;
   if (ProcessIndex)
-    Channel = co_await dial(*ProcessIndex);
-  if (ProcessIndex && !Channel)
-    Chooser.avoid(*ProcessIndex, Time.now());
+    Next = co_await connect(*ProcessIndex);
   // The connection may have closed or caught up during the dial.
   if (Active != Stale || Stopped || !isStale(*Stale)) {
-    if (Channel)
-      Channel->close("the previous connection no longer needs a replacement");
+    if (Next)
+      Next->Channel->close(
+          "the previous connection no longer needs a replacement");
     co_return;
   }
-  if (Channel) {
-    Replacement = std::make_shared<Connection>();
-    Replacement->Channel = std::move(Channel);
-    Replacement->ProcessIndex = *ProcessIndex;
+  if (Next) {
+    Replacement = std::move(Next);
     Chooser.avoid(Stale->ProcessIndex, Time.now());
   }
   // Even without a replacement, a new connection to the same process may work
   // where this one is silent.
-  if (Channel || Replacement || isSilent(*Stale))
+  if (Replacement || isSilent(*Stale))
     Stale->Channel->close(staleReason(*Stale));
 }
 
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -7,9 +7,11 @@
 #include "SnapshotApplier.h"
 #include "amaranth/follower/Follower.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 namespace prometheus {
 class Counter;
@@ -66,8 +68,18 @@
   rollout::EvidenceReport PendingEvidence;
 
 private:
-  boost::asio::awaitable<std::shared_ptr<protocol::Channel>>
-  dial(std::size_t ProcessIndex);
+  /// Dials a process and returns a connection, which may come from an earlier
+  /// dial. Returns null if there is none after `DialTimeout` or if the dial
+  /// fails; a dial that takes longer goes on.
+  boost::asio::awaitable<std::shared_ptr<Connection>>
+  connect(std::size_t ProcessIndex);
+  /// Runs one dial to its end. The connection goes to `Established` if one is
+  /// needed.
+  boost::asio::awaitable<void> dial(std::size_t ProcessIndex);
+  /// Returns an established connection that is still open, or null.
+  std::shared_ptr<Connection> takeEstablished();
+  /// Waits for `Span`, or until a dial has established a connection.
+  boost::asio::awaitable<void> waitForConnection(base::Millis Span);
   boost::asio::awaitable<void> runConnection(std::shared_ptr<Connection> Conn);
   boost::asio::awaitable<void> replaceStaleConnection();
   boost::asio::awaitable<void> subscribeAfter(std::shared_ptr<Connection> Conn,
@@ -91,6 +103,11 @@
   void postToControl(protocol::MessageType Type, std::uint64_t Stream,
                      base::Bytes Payload);
 
+  /// Processes to which a dial is running.
+  std::set<std::size_t> Dialing;
+  /// Connections of dials that took longer than `DialTimeout`, not in use yet.
+  std::deque<std::shared_ptr<Connection>> Established;
+  base::Signal DialEnded;
   std::shared_ptr<Connection> Active;
   /// Established to replace a stale `Active` connection.
   std::shared_ptr<Connection> Replacement;
--- a/follower/test/Follower_test.cpp
+++ b/follower/test/Follower_test.cpp
@@ -157,6 +157,35 @@
   CHECK(Node->status().Connections == Connections);
 }
 
+// Guards against a node that never reaches control over a link on which a
+// handshake takes longer than the time after which it tries the next process.
+TEST_CASE_METHOD(FollowerTest, "Follower connects over a slow link") {
+  for (auto &Process : Sim.Controls)
+    Process->Links->Latency = base::Millis(500);
+  Sim.closeConnections(first(), false);
+  Sim.closeConnections(second(), false);
+  Sim.updateEndpoint(1);
+  Sim.runUntil([&] { return Sim.converged(); }, base::Millis::seconds(8));
+}
+
+// Guards against an unreachable process that delays the attempt at the next
+// one, and against a second connection that stays open.
+TEST_CASE_METHOD(FollowerTest,
+                 "Follower keeps the first of two dialed connections") {
+  first().Links->Latency = base::Millis(500);
+  Sim.closeConnections(second(), true);
+  Sim.closeConnections(first(), false);
+  Sim.run(base::Millis(20));
+  second().Down = false;
+  Sim.updateEndpoint(1);
+  Sim.runUntil([&] { return Sim.converged(); }, base::Millis::seconds(5));
+  CHECK(isConnectedTo(1));
+  Sim.run(base::Millis::seconds(8));
+  CHECK(isConnectedTo(1));
+  for (const auto &Status : first().Service->nodes())
+    CHECK_FALSE(Status.Connected);
+}
+
 // Guards against nodes that stay with a partitioned control process, whose
 // connections work although it receives no commits.
 TEST_CASE_METHOD(FollowerTest, "Follower switches from a stale process") {
--- a/follower/test/Simulation.cpp
+++ b/follower/test/Simulation.cpp
@@ -99,9 +99,12 @@
       : Owner(Owner), Self(std::move(Self)) {}
 
   asio::awaitable<std::shared_ptr<protocol::Channel>>
-  dial(base::Address Peer, base::Millis) override {
+  dial(base::Address Peer, base::Millis Timeout) override {
     Simulation::Control &Target = *Owner.Controls.at(Peer.Port);
-    co_await Owner.Time.sleepFor(Target.Links->Latency * 3);
+    base::Millis Needed = Target.Links->Latency * 3;
+    co_await Owner.Time.sleepFor(std::min(Needed, Timeout));
+    if (Needed > Timeout)
+      throw protocol::ChannelClosed("no connection in time");
     if (Target.Down || Target.Links->DropsMessages)
       throw protocol::ChannelClosed("connection refused");
     auto Executor = Owner.Context.get_executor();
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -40,6 +40,8 @@
 /// fail over to another one quickly.
 constexpr base::Millis RegionBackoffMax = base::Millis(1000);
 constexpr base::Millis RegionDialTimeout = base::Millis(500);
+/// A handshake over a link on which packets wait for half a second each way.
+constexpr base::Millis RegionMaxDialTime = base::Millis(3000);
 /// Three `Currency` messages have been missed by then.
 constexpr base::Millis RegionSilenceTimeout = base::Millis(1800);
 /// Longer than a leader election takes.
@@ -67,6 +69,7 @@
   if (Settings.Interface == InterfaceKind::Platform) {
     Result.BackoffMax = RegionBackoffMax;
     Result.DialTimeout = RegionDialTimeout;
+    Result.MaxDialTime = RegionMaxDialTime;
     Result.SilenceTimeout = RegionSilenceTimeout;
     Result.MaxStaleness = RegionMaxStaleness;
   }
