Compress large updates to nodes

A configuration of 1,640 routes reached nodes with a full link after more than two seconds even without a new connection (CONFIG): one delta of 151,648 bytes competes with all requests of the node.

Ruled out as the cause there: the processor (peak 0.03 of 0.1 cores) and the send side of control (170 Mbit/s).

Nodes and control processes of earlier versions keep sending and receiving plain messages.

"Follower applies 1,640 new routes over a busy link in 2 s" fails without compression.

--- a/control/include/amaranth/control/FollowMessages.h
+++ b/control/include/amaranth/control/FollowMessages.h
@@ -4,6 +4,7 @@
 #include "amaranth/base/Bytes.h"
 #include "amaranth/base/Millis.h"
 #include "amaranth/base/StrongId.h"
+#include "amaranth/protocol/Frame.h"
 #include "amaranth/rollout/Evidence.h"
 
 #include <cstdint>
@@ -26,6 +27,16 @@
   bool Fresh = true;
   /// Services to subscribe to; empty means all.
   std::set<base::ServiceName> Services;
+  /// Updates may be sent as `CompressedUpdate`. Nodes of earlier versions do
+  /// not set it.
+  bool AcceptsCompressed = false;
+};
+
+/// A snapshot piece or a delta in compressed form.
+struct CompressedUpdate {
+  protocol::MessageType Type = protocol::MessageType::Delta;
+  /// The message itself.
+  base::Bytes Payload;
 };
 
 struct Acknowledge {
@@ -115,6 +126,7 @@
 splitEvidence(const rollout::EvidenceReport &Report);
 
 base::Bytes encode(const Subscribe &Value);
+base::Bytes encode(const CompressedUpdate &Value);
 base::Bytes encode(const Acknowledge &Value);
 base::Bytes encode(const ApplyFailure &Value);
 base::Bytes encode(const RetryAfter &Value);
@@ -126,6 +138,7 @@
 base::Bytes encode(const LeaderReport &Value);
 
 Subscribe decodeSubscribe(base::ByteView Data);
+CompressedUpdate decodeCompressedUpdate(base::ByteView Data);
 Acknowledge decodeAcknowledge(base::ByteView Data);
 ApplyFailure decodeApplyFailure(base::ByteView Data);
 RetryAfter decodeRetryAfter(base::ByteView Data);
--- a/control/include/amaranth/control/MeshHistory.h
+++ b/control/include/amaranth/control/MeshHistory.h
@@ -1,7 +1,7 @@
 #ifndef AMARANTH_CONTROL_MESHHISTORY_H
 #define AMARANTH_CONTROL_MESHHISTORY_H
 
-#include "amaranth/base/Bytes.h"
+#include "amaranth/control/EncodedUpdate.h"
 #include "amaranth/document/MeshDelta.h"
 
 #include <deque>
@@ -22,7 +22,7 @@
 public:
   /// Services that a node subscribed to; empty means all.
   using ServiceFilter = std::set<base::ServiceName>;
-  using EncodedMessage = std::shared_ptr<const base::Bytes>;
+  using EncodedMessage = std::shared_ptr<const EncodedUpdate>;
 
   /// A node that is more log entries behind than this receives a full snapshot.
   static constexpr std::uint64_t MaxEntriesBehind = 512;
@@ -47,7 +47,7 @@
 
   /// Encoded current snapshot, split into pieces. Encoded once and shared
   /// between nodes.
-  std::shared_ptr<const std::vector<base::Bytes>>
+  std::shared_ptr<const std::vector<EncodedUpdate>>
   pieces(const ServiceFilter &Services);
 
   /// Number of deltas encoded so far, not counting cache hits.
@@ -57,7 +57,7 @@
   struct View {
     std::shared_ptr<const document::MeshSnapshot> Mesh;
     std::uint64_t Digest = 0;
-    std::shared_ptr<const std::vector<base::Bytes>> Pieces;
+    std::shared_ptr<const std::vector<EncodedUpdate>> Pieces;
   };
   struct Transition {
     base::StateIndex From;
--- a/control/src/FollowMessages.cpp
+++ b/control/src/FollowMessages.cpp
@@ -1,6 +1,6 @@
 #include "amaranth/control/FollowMessages.h"
 
-#include "amaranth/protocol/Frame.h"
+#include "amaranth/protocol/Compression.h"
 #include "follow_generated.h"
 
 #include <fmt/format.h>
@@ -120,9 +120,32 @@
   Builder Out;
   auto Names = writeNames(Out, Value.Services);
   auto Services = Out.CreateVector(Names);
-  return finishBuffer(Out, wire::CreateSubscribe(
-                               Out, Value.Document.value(), Value.State.value(),
-                               Value.Digest, Value.Fresh, Services));
+  return finishBuffer(
+      Out, wire::CreateSubscribe(Out, Value.Document.value(),
+                                 Value.State.value(), Value.Digest, Value.Fresh,
+                                 Services, Value.AcceptsCompressed));
+}
+
+base::Bytes encode(const CompressedUpdate &Value) {
+  Builder Out;
+  auto Data = Out.CreateVector(protocol::compress(Value.Payload));
+  return finishBuffer(Out, wire::CreateCompressedUpdate(
+                               Out, static_cast<std::uint16_t>(Value.Type),
+                               static_cast<std::uint32_t>(Value.Payload.size()),
+                               Data));
+}
+
+CompressedUpdate decodeCompressedUpdate(base::ByteView Data) {
+  const auto &In = readTable<wire::CompressedUpdate>(Data);
+  CompressedUpdate Value;
+  Value.Type = static_cast<protocol::MessageType>(In.type());
+  if (Value.Type != protocol::MessageType::Snapshot &&
+      Value.Type != protocol::MessageType::Delta)
+    throw base::ProtocolError(
+        fmt::format("compressed message of type {}", In.type()));
+  Value.Payload =
+      protocol::decompress({In.data()->data(), In.data()->size()}, In.size());
+  return Value;
 }
 
 Subscribe decodeSubscribe(base::ByteView Data) {
@@ -132,6 +155,7 @@
   Value.State = base::StateIndex(In.state());
   Value.Digest = In.digest();
   Value.Fresh = In.fresh();
+  Value.AcceptsCompressed = In.accepts_compressed();
   if (!In.services())
     return Value;
   checkCount(*In.services(), MaxSubscribedServices);
--- a/control/src/MeshHistory.cpp
+++ b/control/src/MeshHistory.cpp
@@ -90,23 +90,27 @@
       document::makeDelta(*Changed, *Target.Mesh, Target.Digest);
   Delta.FromDocument = Document;
   Delta.FromState = State;
-  auto Bytes =
-      std::make_shared<const base::Bytes>(document::encodeDelta(Delta));
+  base::Bytes Bytes = document::encodeDelta(Delta);
   ++EncodedDeltas;
-  if (Bytes->size() > MaxDeltaBytes)
-    Bytes = nullptr;
+  EncodedMessage Message;
+  if (Bytes.size() <= MaxDeltaBytes)
+    Message = std::make_shared<const EncodedUpdate>(
+        protocol::MessageType::Delta, std::move(Bytes));
   if (Deltas.size() >= MaxCachedDeltas)
     Deltas.clear();
-  Deltas.emplace(std::move(Key), Bytes);
-  return Bytes;
+  Deltas.emplace(std::move(Key), Message);
+  return Message;
 }
 
-std::shared_ptr<const std::vector<base::Bytes>>
+std::shared_ptr<const std::vector<EncodedUpdate>>
 MeshHistory::pieces(const ServiceFilter &Services) {
   View &Target = viewOf(Services);
-  if (!Target.Pieces)
-    Target.Pieces = std::make_shared<const std::vector<base::Bytes>>(
-        document::encodePieces(*Target.Mesh, Target.Digest));
+  if (Target.Pieces)
+    return Target.Pieces;
+  auto Pieces = std::make_shared<std::vector<EncodedUpdate>>();
+  for (base::Bytes &Piece : document::encodePieces(*Target.Mesh, Target.Digest))
+    Pieces->emplace_back(protocol::MessageType::Snapshot, std::move(Piece));
+  Target.Pieces = std::move(Pieces);
   return Target.Pieces;
 }
 
--- a/control/src/NodeSession.cpp
+++ b/control/src/NodeSession.cpp
@@ -260,8 +260,13 @@
   }
   beginUpdate(nullptr);
   Context->Statistics.countDelta();
-  base::Bytes Payload = *Delta;
-  co_await Channel->send(MessageType::Delta, 0, std::move(Payload));
+  co_await send(*Delta);
+}
+
+asio::awaitable<void> NodeSession::send(const EncodedUpdate &Update) {
+  protocol::Frame Message = Update.frame(Applied.AcceptsCompressed);
+  co_await Channel->send(Message.Type, Message.Stream,
+                         std::move(Message.Payload));
 }
 
 asio::awaitable<bool> NodeSession::confirmCurrent() {
@@ -315,10 +320,8 @@
   auto Pieces = Context->History.pieces(Applied.Services);
   beginUpdate(std::move(Slot));
   Context->Statistics.countSnapshot();
-  for (const base::Bytes &Piece : *Pieces) {
-    base::Bytes Payload = Piece;
-    co_await Channel->send(MessageType::Snapshot, 0, std::move(Payload));
-  }
+  for (const EncodedUpdate &Piece : *Pieces)
+    co_await send(Piece);
 }
 
 } // namespace amaranth::control::detail
--- a/control/src/NodeSession.h
+++ b/control/src/NodeSession.h
@@ -96,6 +96,7 @@
   boost::asio::awaitable<void> updateLoop();
   boost::asio::awaitable<void> sendUpdate();
   boost::asio::awaitable<void> sendSnapshot();
+  boost::asio::awaitable<void> send(const EncodedUpdate &Update);
   boost::asio::awaitable<void> runCall(std::uint64_t Stream,
                                        CallRequest Request);
   boost::asio::awaitable<void> commitEndpoint(document::Endpoint Entry);
--- a/control/test/DistributionTables_test.cpp
+++ b/control/test/DistributionTables_test.cpp
@@ -8,6 +8,8 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <random>
+
 namespace amaranth::control {
 
 class DistributionTablesTest {
@@ -112,11 +114,13 @@
   REQUIRE(First);
   CHECK(First == History.deltaFrom({}, base::StateIndex(10), {}));
   CHECK(History.encodedDeltas() == 1);
-  CHECK(*document::applyDelta(Base, document::decodeDelta(*First)) == Mesh);
+  CHECK(*document::applyDelta(Base, document::decodeDelta(First->message())) ==
+        Mesh);
   // Another process may have taken the same content at a different index.
   Base.State = base::StateIndex(13);
   auto Between = History.deltaFrom({}, base::StateIndex(13), {});
-  CHECK(*document::applyDelta(Base, document::decodeDelta(*Between)) == Mesh);
+  CHECK(*document::applyDelta(
+            Base, document::decodeDelta(Between->message())) == Mesh);
   CHECK_FALSE(History.deltaFrom({}, base::StateIndex(9), {}));
   CHECK_FALSE(History.deltaFrom({}, base::StateIndex(21), {}));
   Advance(523);
@@ -126,4 +130,35 @@
   CHECK_FALSE(History.deltaFrom({}, base::StateIndex(20), {}));
 }
 
+// Guards against nodes of an earlier version that receive a message type which
+// they do not know, and against compression that makes a message larger.
+TEST_CASE_METHOD(DistributionTablesTest,
+                 "EncodedUpdate is compressed only where that is useful") {
+  base::Bytes Long(20'000, 'a');
+  EncodedUpdate Large(protocol::MessageType::Delta, Long);
+  CHECK(Large.frame(false).Type == protocol::MessageType::Delta);
+  CHECK(Large.frame(false).Payload == Long);
+  const protocol::Frame &Compressed = Large.frame(true);
+  REQUIRE(Compressed.Type == protocol::MessageType::CompressedUpdate);
+  CHECK(Compressed.Payload.size() < 500);
+  CompressedUpdate Decoded = decodeCompressedUpdate(Compressed.Payload);
+  CHECK(Decoded.Type == protocol::MessageType::Delta);
+  CHECK(Decoded.Payload == Long);
+  EncodedUpdate Small(protocol::MessageType::Delta, base::Bytes(100, 'a'));
+  CHECK(Small.frame(true).Type == protocol::MessageType::Delta);
+  base::Bytes Random(20'000);
+  std::mt19937 Generator(3);
+  for (std::uint8_t &Each : Random)
+    Each = static_cast<std::uint8_t>(Generator());
+  EncodedUpdate Incompressible(protocol::MessageType::Snapshot, Random);
+  CHECK(Incompressible.frame(true).Type == protocol::MessageType::Snapshot);
+}
+
+TEST_CASE_METHOD(DistributionTablesTest,
+                 "CompressedUpdate of another type is refused") {
+  CompressedUpdate Nested{protocol::MessageType::CompressedUpdate,
+                          base::Bytes(2000, 'a')};
+  CHECK_THROWS_AS(decodeCompressedUpdate(encode(Nested)), base::ProtocolError);
+}
+
 } // namespace amaranth::control
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -215,6 +215,7 @@
   switch (Message.Type) {
   case MessageType::Snapshot:
   case MessageType::Delta:
+  case MessageType::CompressedUpdate:
     From.LastHeardTime = Time.now();
     return handleUpdate(Message);
   case MessageType::Currency:
@@ -269,16 +270,32 @@
 
 void Follower::Impl::handleUpdate(const protocol::Frame &Message) {
   try {
-    if (Message.Type == MessageType::Delta)
-      Applier.applyDelta(Message.Payload);
-    else if (!Applier.addPiece(Message.Payload))
-      return;
-    onUpdateApplied();
+    if (apply(Message))
+      onUpdateApplied();
   } catch (const detail::UpdateRefused &Refusal) {
     onUpdateRefused(Refusal);
   }
 }
 
+bool Follower::Impl::apply(const protocol::Frame &Message) {
+  if (Message.Type == MessageType::CompressedUpdate) {
+    control::CompressedUpdate Update = decompress(Message.Payload);
+    return apply({Update.Type, Message.Stream, std::move(Update.Payload)});
+  }
+  if (Message.Type == MessageType::Snapshot)
+    return Applier.addPiece(Message.Payload);
+  Applier.applyDelta(Message.Payload);
+  return true;
+}
+
+control::CompressedUpdate Follower::Impl::decompress(base::ByteView Payload) {
+  try {
+    return control::decodeCompressedUpdate(Payload);
+  } catch (const base::ProtocolError &Failure) {
+    throw detail::UpdateRefused(base::StateIndex(), Failure.what());
+  }
+}
+
 void Follower::Impl::onUpdateApplied() {
   const document::MeshSnapshot &Mesh = *Applier.current();
   FailedAttempts = 0;
@@ -314,6 +331,7 @@
 void Follower::Impl::subscribe() {
   control::Subscribe Message;
   Message.Services = Settings.Services;
+  Message.AcceptsCompressed = true;
   if (const auto &Mesh = Applier.current()) {
     Message.Document = Mesh->Document;
     Message.State = Mesh->State;
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -5,6 +5,7 @@
 #include "ControlChooser.h"
 #include "EndpointPublisher.h"
 #include "SnapshotApplier.h"
+#include "amaranth/control/FollowMessages.h"
 #include "amaranth/follower/Follower.h"
 
 #include <deque>
@@ -86,6 +87,11 @@
                                               base::Millis Delay);
   void handle(Connection &From, const protocol::Frame &Message);
   void handleUpdate(const protocol::Frame &Message);
+  /// Applies a snapshot piece or a delta. Returns whether a new snapshot is in
+  /// effect. Throws `UpdateRefused`.
+  bool apply(const protocol::Frame &Message);
+  /// Throws `UpdateRefused` if the message is malformed.
+  static control::CompressedUpdate decompress(base::ByteView Payload);
   void onUpdateApplied();
   void onUpdateRefused(const detail::UpdateRefused &Refusal);
   void addControlProcesses(const std::vector<std::string> &Addresses);
--- a/follower/test/Follower_test.cpp
+++ b/follower/test/Follower_test.cpp
@@ -3,6 +3,7 @@
 #include "amaranth/document/SnapshotCodec.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 namespace amaranth::follower::testing {
 
@@ -157,6 +158,47 @@
   CHECK(Node->status().Connections == Connections);
 }
 
+// Guards against a large configuration that is late on a link that requests
+// have filled to nine tenths: 35 KB/s are left of 2.8 Mbit/s, and the users
+// require it within 2 s.
+TEST_CASE_METHOD(FollowerTest,
+                 "Follower applies 1,640 new routes over a busy link in 2 s") {
+  REQUIRE(isConnectedTo(0));
+  std::size_t Compressed = first().CompressedMessages;
+  first().Links->BytesPerMs = 35;
+  Sim.commit(true, [&](document::MeshSnapshot &Mesh) {
+    document::Route Entry = Mesh.Routes.begin()->second;
+    for (int I = 0; I < 1640; ++I) {
+      std::string Random = fmt::format("{:07x}", Sim.Random() & 0xfffffffU);
+      Entry.Name = base::RouteName("r-" + Random);
+      Entry.Host = Random.substr(3) + ".example";
+      Entry.PathPrefix = "/" + Random.substr(1) + "/";
+      Entry.Objective = base::Millis(800);
+      Mesh.Routes.emplace(Entry.Name, Entry);
+    }
+  });
+  auto Took = Sim.runUntil([&] { return Sim.converged(); });
+  CHECK(Took <= base::Millis::seconds(2));
+  CHECK(*Node->current() == *Sim.Latest);
+  CHECK(first().CompressedMessages == Compressed + 1);
+}
+
+// Guards against a damaged update that is applied in part (P3).
+TEST_CASE_METHOD(FollowerTest,
+                 "Follower refuses all of a damaged compressed update") {
+  std::size_t Damaged = 0;
+  first().Tamper = [&](protocol::Frame &Message) {
+    if (Message.Type == MessageType::CompressedUpdate && Damaged < 20)
+      Message.Payload[(++Damaged * 97) % Message.Payload.size()] ^= 0x5a;
+  };
+  auto Applied = Node->current();
+  Sim.fill(4, 300, 20);
+  Sim.runUntil([&] { return Node->status().RefusedUpdates > 2; });
+  CHECK(Node->current() == Applied);
+  first().Tamper = nullptr;
+  waitConverged();
+}
+
 // Guards against a node that never reaches control over a link on which a
 // handshake takes longer than the time after which it tries the next process.
 TEST_CASE_METHOD(FollowerTest, "Follower connects over a slow link") {
--- a/follower/test/Simulation.cpp
+++ b/follower/test/Simulation.cpp
@@ -1,5 +1,7 @@
 #include "Simulation.h"
 
+#include "amaranth/control/FollowMessages.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
@@ -120,7 +122,12 @@
         ControlChannel, Owner.Time, Target.Links, Executor);
     NodeEnd->Incoming = ControlEnd->Outgoing;
     ControlEnd->Tamper = [&Target](protocol::Frame &Message) {
-      ++Target.SentMessages[Message.Type];
+      protocol::MessageType Type = Message.Type;
+      if (Type == protocol::MessageType::CompressedUpdate) {
+        ++Target.CompressedMessages;
+        Type = control::decodeCompressedUpdate(Message.Payload).Type;
+      }
+      ++Target.SentMessages[Type];
       if (Target.Tamper)
         Target.Tamper(Message);
     };
--- a/follower/test/Simulation.h
+++ b/follower/test/Simulation.h
@@ -134,8 +134,10 @@
     bool Lagging = false;
     std::vector<std::weak_ptr<DelayedChannel>> OpenChannels;
     std::function<void(protocol::Frame &)> Tamper;
-    /// Number of messages sent to nodes, by type.
+    /// Number of messages sent to nodes, by type. Compressed messages count
+    /// under the type of their content.
     std::map<protocol::MessageType, std::size_t> SentMessages;
+    std::size_t CompressedMessages = 0;
   };
   struct Node {
     std::unique_ptr<protocol::Dialer> Dial;
--- a/protocol/include/amaranth/protocol/Frame.h
+++ b/protocol/include/amaranth/protocol/Frame.h
@@ -46,6 +46,9 @@
   EndpointUpdate = 206,
   EvidenceReport = 207,
   ApplyFailure = 208,
+  /// A compressed `Snapshot` or `Delta`, only for nodes that subscribe with
+  /// `accepts_compressed`.
+  CompressedUpdate = 209,
 
   // Calls of a node to its control process.
   CallRequest = 300,
