Treat a response with an undefined status as broken

Such a response now ends the connection and counts as broken: 502, or a retry where the request may run again. Callers never got the 000 itself.

Before: UpstreamClient took "abcd" from the body of a response with 000, 001, 099, 101, 600 and 999; the request of "Response with status 000 is answered with 502" did not end within its limit. The stand-in upstream of that test read into an empty buffer when a connection carried no request, and then never noticed the end of the connection.

--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -37,6 +37,15 @@
 constexpr unsigned MaxSkippedResponses = 8;
 constexpr std::size_t MaxSkippedBytes = 1U << 20U;
 
+/// A further response follows. 101 is none of these: no request asks for
+/// another protocol.
+bool isInformational(unsigned Status) {
+  return Status >= 100 && Status < 200 && Status != 101;
+}
+
+/// RFC 9110 defines no status beyond 599.
+bool isFinalStatus(unsigned Status) { return Status >= 200 && Status <= 599; }
+
 struct PooledConnection {
   explicit PooledConnection(tcp::socket Connected)
       : Socket(std::move(Connected)) {}
@@ -253,7 +262,15 @@
     Incoming->body_limit(boost::none);
     Incoming->skip(Head);
     co_await readSome(true);
-  } while (Incoming->get().result_int() < 200);
+  } while (isInformational(Incoming->get().result_int()));
+  // What follows such a head may be a body, so the connection is not used
+  // again.
+  if (!isFinalStatus(Incoming->get().result_int())) {
+    abort();
+    throw UpstreamError(true, RefusalReason::UpstreamBroken,
+                        fmt::format("response with the undefined status {:03}",
+                                    Incoming->get().result_int()));
+  }
   Answered = true;
   const auto &Message = Incoming->get();
   ResponseHead Result;
--- a/dataplane/test/EndlessResponse_test.cpp
+++ b/dataplane/test/EndlessResponse_test.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -57,6 +59,7 @@
     boost::system::error_code Failure;
     auto Token = asio::redirect_error(asio::use_awaitable, Failure);
     std::string Request;
+    std::array<char, 64> Unread{};
     co_await asio::async_read_until(*Socket, asio::dynamic_buffer(Request),
                                     "\r\n\r\n", Token);
     co_await asio::async_write(*Socket, asio::buffer(Test.Prefix), Token);
@@ -67,7 +70,7 @@
           co_await asio::async_write(*Socket, asio::buffer(Test.Filler), Token);
     // Without a filler, the response just never ends.
     while (!Failure && !Test.Stopping)
-      co_await Socket->async_read_some(asio::buffer(Request), Token);
+      co_await Socket->async_read_some(asio::buffer(Unread), Token);
     ++Test.Closed;
   }
 
@@ -98,6 +101,24 @@
   bool Stopping = false;
 };
 
+// Guards against a caller that receives a status of 000, or the body behind it
+// as the response, or waits until its deadline for another head.
+TEST_CASE_METHOD(EndlessResponseTest,
+                 "Response with status 000 is answered with 502") {
+  for (const std::string &Body :
+       {std::string(), std::string("HTTP/1.1 200 OK\r\n"
+                                   "Content-Length: 4\r\n\r\nabcd")}) {
+    base::TimePoint Start = Time.now();
+    auto Result = exchange("HTTP/1.1 000 \r\nContent-Length: " +
+                               std::to_string(Body.size()) + "\r\n\r\n" + Body,
+                           "");
+    CHECK(Result->status() == 502);
+    CHECK_FALSE(Result->has("abcd"));
+    CHECK(Time.now() - Start < base::Millis(1000));
+    checkClosed();
+  }
+}
+
 // Guards against a head without end that fills the memory of the gate or holds
 // its slot until the deadline.
 TEST_CASE_METHOD(EndlessResponseTest, "Endless head is answered with 502") {
--- a/dataplane/test/UpstreamClient_test.cpp
+++ b/dataplane/test/UpstreamClient_test.cpp
@@ -155,4 +155,20 @@
   }
 }
 
+// Guards against a status that HTTP does not define, such as 000. It was
+// skipped like an informational one, so that its body was read as a response.
+TEST_CASE_METHOD(UpstreamClientTest,
+                 "Response with an undefined status fails") {
+  for (const char *Status : {"000", "001", "099", "101", "600", "999"}) {
+    INFO(Status);
+    std::string Inner = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd";
+    CHECK_FALSE(exchangeBody(
+        std::string("HTTP/1.1 ") + Status + " X\r\nContent-Length: " +
+        std::to_string(Inner.size()) + "\r\n\r\n" + Inner));
+  }
+  CHECK(exchangeBody("HTTP/1.1 103 Early Hints\r\n\r\n"
+                     "HTTP/1.1 599 X\r\nContent-Length: 4\r\n\r\nabcd") ==
+        "abcd");
+}
+
 } // namespace amaranth::dataplane
