Close connections to control that are no longer needed

When a stale control process caught up while its replacement was still being dialed, the connection of that dial stayed open without use, kept alive by heartbeats. It is closed with the next currency message that shows the process in use to be current. "Follower closes a late connection that is not needed" failed before.

--- a/follower/include/amaranth/follower/Follower.h
+++ b/follower/include/amaranth/follower/Follower.h
@@ -48,8 +48,8 @@
   base::Millis BackoffMax = base::Millis::seconds(5);
   /// A control process that sends neither a `Currency` message nor a part of an
   /// update for this time counts as stale, and the follower switches to another
-  /// one. Also the initial pause
-  /// between rounds over all control processes while all of them are stale.
+  /// one. Also the initial pause between rounds over all control processes
+  /// while all of them are stale.
   base::Millis SilenceTimeout = base::Millis::seconds(5);
   /// A control process also counts as stale if the staleness that it reports
   /// reaches this limit.
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -100,7 +100,6 @@
   if (!Conn->Channel)
     Chooser.avoid(ProcessIndex, Time.now());
   else if (Stopped || (isConnected() && !isStale(*Active)))
-    // Its heartbeats would keep an unused connection open indefinitely.
     Conn->Channel->close("no further connection is needed");
   else
     Established.push_back(std::move(Conn));
@@ -117,6 +116,12 @@
   return nullptr;
 }
 
+void Follower::Impl::closeEstablished() {
+  // Heartbeats would keep unused connections open indefinitely.
+  while (auto Unused = takeEstablished())
+    Unused->Channel->close("no further connection is needed");
+}
+
 asio::awaitable<std::shared_ptr<Follower::Impl::Connection>>
 Follower::Impl::connect(std::size_t ProcessIndex) {
   if (Dialing.insert(ProcessIndex).second)
@@ -157,7 +162,6 @@
       if (!Conn)
         Conn = co_await connect(Chooser.next(Time.now()).value());
     }
-    // Its heartbeats would keep an unused connection open indefinitely.
     if (Conn && Stopped)
       Conn->Channel->close("the node is shutting down");
     else if (Conn)
@@ -165,8 +169,7 @@
     if (!Stopped && !Replacement)
       co_await waitForConnection(nextBackoff());
   }
-  while (auto Unused = takeEstablished())
-    Unused->Channel->close("the node is shutting down");
+  closeEstablished();
 }
 
 asio::awaitable<void>
@@ -176,8 +179,7 @@
              Chooser.process(Conn->ProcessIndex).Address.text(),
              Status.Connections + 1);
   Active = Conn;
-  while (auto Unused = takeEstablished())
-    Unused->Channel->close("no further connection is needed");
+  closeEstablished();
   Conn->LastHeardTime = Time.now();
   Applier.reset();
   ++Status.Connections;
@@ -254,6 +256,7 @@
     // `tickLoop` replaces the connection.
     return;
   }
+  closeEstablished();
   ConsecutiveStale = 0;
   StaleRounds = 0;
   Chooser.stopAvoiding(From.ProcessIndex);
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -79,6 +79,7 @@
   boost::asio::awaitable<void> dial(std::size_t ProcessIndex);
   /// Returns an established connection that is still open, or null.
   std::shared_ptr<Connection> takeEstablished();
+  void closeEstablished();
   /// Waits for `Span`, or until a dial has established a connection.
   boost::asio::awaitable<void> waitForConnection(base::Millis Span);
   boost::asio::awaitable<void> runConnection(std::shared_ptr<Connection> Conn);
--- a/follower/test/Follower_test.cpp
+++ b/follower/test/Follower_test.cpp
@@ -199,6 +199,24 @@
   waitConverged();
 }
 
+// Guards against a connection that stays open without use because the process
+// that it was to replace caught up while it was dialed.
+TEST_CASE_METHOD(FollowerTest,
+                 "Follower closes a late connection that is not needed") {
+  REQUIRE(isConnectedTo(0));
+  second().Links->Latency = base::Millis(1000);
+  first().Log->Staleness = base::Millis(6000);
+  auto Connected = [&] {
+    auto Nodes = second().Service->nodes();
+    return !Nodes.empty() && Nodes.front().Connected;
+  };
+  Sim.runUntil(Connected);
+  first().Log->Staleness = {};
+  Sim.run(base::Millis::seconds(6));
+  CHECK(isConnectedTo(0));
+  CHECK_FALSE(Connected());
+}
+
 // Guards against a node that never reaches control over a link on which a
 // handshake takes longer than the time after which it tries the next process.
 TEST_CASE_METHOD(FollowerTest, "Follower connects over a slow link") {
