--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,8 +1,15 @@
 #!/bin/bash
 # Builds the stand-ins of the second review into target/review-2. Run it after
-# the build of the deploy file.
+# the build of the deploy file. The files of review/standin are used as they
+# are.
 set -eu
 cd "$(dirname "$0")/.."
-mkdir -p target/review-2
-g++ -std=c++20 -O2 -Wall -Wextra -pthread -o target/review-2/configuration-storm \
-  review/standin-2/ConfigurationStorm.cpp
+Out=target/review-2
+Flags="-std=c++20 -O2 -Wall -Wextra -pthread"
+mkdir -p "$Out"
+for Part in Stage Target; do
+  g++ $Flags -c -o "$Out/$Part.o" "review/standin/$Part.cpp"
+done
+g++ $Flags -o "$Out/configuration-storm" review/standin-2/ConfigurationStorm.cpp
+g++ $Flags -o "$Out/crash-by-caller" review/standin-2/CrashByCaller.cpp \
+  "$Out/Stage.o" "$Out/Target.o"
