--- a/control/include/amaranth/control/MeshHistory.h
+++ b/control/include/amaranth/control/MeshHistory.h
@@ -26,6 +26,12 @@
 
   /// A node that is more log entries behind than this receives a full snapshot.
   static constexpr std::uint64_t MaxEntriesBehind = 512;
+  /// Limit on the stored keys of changed entries. The oldest changes are
+  /// dropped, and nodes that need them receive a full snapshot, which is not
+  /// much larger than a delta of so many entries. A key takes about 100 bytes.
+  static constexpr std::size_t MaxKeys = 65'536;
+  /// Limit on the encoded messages in the cache, in bytes.
+  static constexpr std::size_t MaxCachedBytes = 16U << 20U;
 
   /// Makes `Newest` the current snapshot unless it is null or not newer than
   /// the current one. Returns whether the current snapshot changed.
@@ -52,6 +58,10 @@
 
   /// Number of deltas encoded so far, not counting cache hits.
   std::uint64_t encodedDeltas() const { return EncodedDeltas; }
+  /// Number of stored keys of changed entries.
+  std::size_t keyCount() const { return KeyCount; }
+  /// Size of the encoded messages in the cache, in bytes.
+  std::size_t cachedBytes() const { return CachedBytes; }
 
 private:
   struct View {
@@ -66,11 +76,16 @@
   using DeltaKey = std::tuple<std::uint64_t, std::uint64_t, ServiceFilter>;
 
   View &viewOf(const ServiceFilter &Services);
+  /// Makes room for a message in the cache. Invalidates references to views.
+  void reserveCache(std::size_t Bytes);
+  void clearCache();
   std::optional<document::MeshKeys> changedSince(base::StateIndex State) const;
 
   std::shared_ptr<const document::MeshSnapshot> Current;
   /// In ascending order; the last transition leads to the current snapshot.
   std::deque<Transition> Transitions;
+  std::size_t KeyCount = 0;
+  std::size_t CachedBytes = 0;
   std::map<ServiceFilter, View> Views;
   std::map<DeltaKey, EncodedMessage> Deltas;
   std::uint64_t EncodedDeltas = 0;
--- a/control/include/amaranth/control/OperatorServer.h
+++ b/control/include/amaranth/control/OperatorServer.h
@@ -27,6 +27,10 @@
   base::Millis IdleTimeout = base::Millis::seconds(30);
   /// Maximum size of a request body.
   std::size_t MaxBodyBytes = MaxOperatorBodyBytes;
+  /// Maximum size of all bodies of requests and responses that are in memory,
+  /// in bytes, at least `MaxBodyBytes`. A request above this limit gets 503 at
+  /// once. A body of unknown length counts as `MaxBodyBytes`.
+  std::size_t MaxBufferedBytes = 16U << 20U;
   ApiTimeouts Api;
 };
 
--- a/control/src/AuditLog.cpp
+++ b/control/src/AuditLog.cpp
@@ -15,6 +15,13 @@
   return Request.Operator.value() + '\n' + Request.Operation.value();
 }
 
+/// Memory that the entry takes. Depends on its content only, so that all
+/// processes drop the same entries.
+std::size_t memoryBytes(const AuditEntry &Entry) {
+  return sizeof(AuditEntry) + Entry.Actor.size() + Entry.Section.size() +
+         Entry.Operation.size() + Entry.Result.size() + Entry.Reason.size();
+}
+
 } // namespace
 
 void truncateUtf8(std::string &Text, std::size_t Max) {
@@ -32,9 +39,12 @@
   for (std::string *Text : {&Entry.Actor, &Entry.Section, &Entry.Operation})
     truncateUtf8(*Text, MaxAuditTextBytes);
   truncateUtf8(Entry.Reason, MaxAuditReasonBytes);
+  StoredBytes += memoryBytes(Entry);
   Entries.push_back(std::move(Entry));
-  if (Entries.size() > MaxAuditEntries)
+  while (Entries.size() > MaxAuditEntries || StoredBytes > MaxAuditBytes) {
+    StoredBytes -= memoryBytes(Entries.front());
     Entries.pop_front();
+  }
 }
 
 std::vector<AuditEntry> AuditLog::newest(std::size_t Limit) const {
--- a/control/src/AuditLog.h
+++ b/control/src/AuditLog.h
@@ -10,11 +10,14 @@
 namespace amaranth::control::detail {
 
 inline constexpr std::size_t MaxAuditEntries = 100'000;
+/// Limit on the memory of the entries. It is reached before `MaxAuditEntries`
+/// when the texts are long.
+inline constexpr std::size_t MaxAuditBytes = 16U << 20U;
 
 /// Truncates `Text` to at most `Max` bytes without splitting a UTF-8 character.
 void truncateUtf8(std::string &Text, std::size_t Max);
 
-/// The newest entries of the audit trail.
+/// The newest entries of the audit trail, within limits of number and bytes.
 class AuditLog {
 public:
   /// Truncates long texts, so that an entry takes at most about 1 KiB.
@@ -27,6 +30,7 @@
 
 private:
   std::deque<AuditEntry> Entries;
+  std::size_t StoredBytes = 0;
 };
 
 inline constexpr std::size_t MaxOperations = 10'000;
--- a/control/src/MeshHistory.cpp
+++ b/control/src/MeshHistory.cpp
@@ -27,22 +27,37 @@
                        "document version of the control state decreased");
     Transitions.push_back(
         {Current->State, document::changedKeys(*Current, *Newest)});
+    KeyCount += Transitions.back().Changed.size();
   }
   Current = std::move(Newest);
   while (!Transitions.empty() &&
-         Current->State.value() - Transitions.front().From.value() >
-             MaxEntriesBehind)
+         (Current->State.value() - Transitions.front().From.value() >
+              MaxEntriesBehind ||
+          KeyCount > MaxKeys)) {
+    KeyCount -= Transitions.front().Changed.size();
     Transitions.pop_front();
+  }
+  clearCache();
+  return true;
+}
+
+void MeshHistory::clearCache() {
   Views.clear();
   Deltas.clear();
-  return true;
+  CachedBytes = 0;
+}
+
+void MeshHistory::reserveCache(std::size_t Bytes) {
+  if (CachedBytes + Bytes > MaxCachedBytes)
+    clearCache();
+  CachedBytes += Bytes;
 }
 
 MeshHistory::View &MeshHistory::viewOf(const ServiceFilter &Services) {
   if (auto Found = Views.find(Services); Found != Views.end())
     return Found->second;
   if (Views.size() >= MaxCachedViews)
-    Views.clear();
+    clearCache();
   View NewView;
   NewView.Mesh = Current;
   if (!Services.empty())
@@ -97,21 +112,28 @@
     Message = std::make_shared<const EncodedUpdate>(
         protocol::MessageType::Delta, std::move(Bytes));
   if (Deltas.size() >= MaxCachedDeltas)
-    Deltas.clear();
+    clearCache();
+  if (Message)
+    reserveCache(Message->frame(false).Payload.size());
   Deltas.emplace(std::move(Key), Message);
   return Message;
 }
 
 std::shared_ptr<const std::vector<EncodedUpdate>>
 MeshHistory::pieces(const ServiceFilter &Services) {
-  View &Target = viewOf(Services);
+  const View &Target = viewOf(Services);
   if (Target.Pieces)
     return Target.Pieces;
   auto Pieces = std::make_shared<std::vector<EncodedUpdate>>();
-  for (base::Bytes &Piece : document::encodePieces(*Target.Mesh, Target.Digest))
+  std::size_t Bytes = 0;
+  for (base::Bytes &Piece :
+       document::encodePieces(*Target.Mesh, Target.Digest)) {
+    Bytes += Piece.size();
     Pieces->emplace_back(protocol::MessageType::Snapshot, std::move(Piece));
-  Target.Pieces = std::move(Pieces);
-  return Target.Pieces;
+  }
+  reserveCache(Bytes);
+  viewOf(Services).Pieces = Pieces;
+  return Pieces;
 }
 
 } // namespace amaranth::control
--- a/control/src/OperatorServer.cpp
+++ b/control/src/OperatorServer.cpp
@@ -52,12 +52,12 @@
   bool Idle = true;
 };
 
-ApiRequest toApiRequest(const http::request<http::string_body> &From) {
+ApiRequest toApiRequest(http::request<http::string_body> &&From) {
   ApiRequest Result;
   Result.Method = std::string(From.method_string());
   Result.Target = std::string(From.target());
   Result.Authorization = std::string(From[http::field::authorization]);
-  Result.Body = From.body();
+  Result.Body = std::move(From.body());
   return Result;
 }
 
@@ -73,6 +73,35 @@
   return Result;
 }
 
+/// A part of `OperatorServerSettings::MaxBufferedBytes` that a request or a
+/// response takes while the object lives.
+class BufferReservation {
+public:
+  explicit BufferReservation(std::size_t &Total) : Total(Total) {}
+  ~BufferReservation() { Total -= Size; }
+  BufferReservation(const BufferReservation &) = delete;
+  BufferReservation &operator=(const BufferReservation &) = delete;
+
+  /// Replaces the reserved size; returns false and changes nothing if the total
+  /// would exceed `Limit`.
+  bool resize(std::size_t NewSize, std::size_t Limit) {
+    if (Total - Size + NewSize > Limit)
+      return false;
+    Total += NewSize - Size;
+    Size = NewSize;
+    return true;
+  }
+
+private:
+  std::size_t &Total;
+  std::size_t Size = 0;
+};
+
+ApiResponse overloadResponse() {
+  return {503, "application/json",
+          detail::errorJson("too many large requests are in progress")};
+}
+
 /// Returns the response to a request that could not be read, or nothing if the
 /// peer closed the connection.
 std::optional<ApiResponse>
@@ -170,8 +199,15 @@
     if (!co_await waitForRequest(Client))
       co_return false;
     Client->Idle = false;
-    auto Code = co_await base::withTimeout(Time, Settings.TransferTimeout,
-                                           readRequest(Client, Input));
+    BufferReservation Buffered(BufferedBytes);
+    bool Overloaded = false;
+    auto Code = co_await base::withTimeout(
+        Time, Settings.TransferTimeout,
+        readRequest(Client, Input, Buffered, Overloaded));
+    if (Overloaded) {
+      co_await write(Client, toHttpResponse(overloadResponse(), 11, false));
+      co_return false;
+    }
     if (!Code)
       co_return false;
     if (*Code) {
@@ -181,12 +217,15 @@
       co_return false;
     }
     http::request<http::string_body> Request = Input.release();
-    ApiRequest Call = toApiRequest(Request);
+    unsigned Version = Request.version();
+    bool MayKeepAlive = Request.keep_alive();
+    ApiRequest Call = toApiRequest(std::move(Request));
     ApiResponse Answer = co_await Api.handle(std::move(Call));
-    bool KeepAlive = Request.keep_alive() && !Stopping;
-    bool Sent =
-        co_await write(Client, toHttpResponse(std::move(Answer),
-                                              Request.version(), KeepAlive));
+    if (!Buffered.resize(Answer.Body.size(), Settings.MaxBufferedBytes))
+      Answer = overloadResponse();
+    bool KeepAlive = MayKeepAlive && !Stopping;
+    bool Sent = co_await write(
+        Client, toHttpResponse(std::move(Answer), Version, KeepAlive));
     co_return Sent &&KeepAlive;
   }
 
@@ -207,13 +246,20 @@
   }
 
   /// Reads the header first, so that a request whose Content-Length is too
-  /// large is rejected without reading the body.
-  static asio::awaitable<boost::system::error_code>
-  readRequest(std::shared_ptr<Connection> Client, Parser &Input) {
+  /// large is rejected without reading the body. Sets `Overloaded` if the body
+  /// does not fit into `MaxBufferedBytes` now.
+  asio::awaitable<boost::system::error_code>
+  readRequest(std::shared_ptr<Connection> Client, Parser &Input,
+              BufferReservation &Buffered, bool &Overloaded) {
     auto [Code, Count] = co_await http::async_read_header(
         Client->Socket, Client->Buffer, Input, AsTuple);
     if (Code || Input.is_done())
       co_return Code;
+    std::size_t Expected =
+        Input.content_length().value_or(Settings.MaxBodyBytes);
+    Overloaded = !Buffered.resize(Expected, Settings.MaxBufferedBytes);
+    if (Overloaded)
+      co_return boost::system::error_code();
     if (Input.get()[http::field::expect] == "100-continue") {
       http::response<http::empty_body> Continue(http::status::continue_, 11);
       auto [WriteCode, Written] =
@@ -274,6 +320,8 @@
   base::Signal ConnectionEnded;
   prometheus::Gauge &OpenConnections;
   std::set<std::shared_ptr<Connection>> Connections;
+  /// Sizes of the bodies in memory.
+  std::size_t BufferedBytes = 0;
   bool Stopping = false;
 };
 
--- a/control/test/ControlState_test.cpp
+++ b/control/test/ControlState_test.cpp
@@ -372,4 +372,32 @@
   CHECK(base::invariantChecks() > Before);
 }
 
+// Guards against an audit trail that exceeds the memory of the process, and the
+// size of its snapshots, although it is within its number of entries.
+TEST_CASE_METHOD(ControlStateTest,
+                 "audit entries with long texts are bounded by bytes") {
+  constexpr unsigned Changes = 40'000;
+  constexpr std::size_t MaxBytes = 17U << 20U;
+  const std::string Zone(160, 'z');
+  for (unsigned I = 0; I < Changes; ++I)
+    run(SetEvacuation{base::OperatorName(std::string(160, 'o')),
+                      base::AvailabilityZone(Zone),
+                      true,
+                      {},
+                      false});
+  auto Entries = State.audit(Changes);
+  std::size_t Bytes = 0;
+  for (const AuditEntry &Entry : Entries)
+    Bytes += sizeof Entry + Entry.Actor.size() + Entry.Section.size() +
+             Entry.Reason.size();
+  CHECK(Entries.size() < Changes);
+  CHECK(Bytes > MaxBytes / 2);
+  CHECK(Bytes < MaxBytes);
+  CHECK(Entries.front().Index == base::LogIndex(Index));
+  // A restored state keeps the same entries.
+  ControlState Restored;
+  Restored.restore(State.snapshot());
+  CHECK(Restored.audit(Changes).size() == Entries.size());
+}
+
 } // namespace amaranth::control
--- a/control/test/DistributionTables_test.cpp
+++ b/control/test/DistributionTables_test.cpp
@@ -97,6 +97,28 @@
   CHECK_THROWS_AS(decodeLeaderReport(Encoded), base::ProtocolError);
 }
 
+// Guards against a history that exceeds the memory of the process because each
+// of its changes concerns all routes.
+TEST_CASE_METHOD(DistributionTablesTest,
+                 "MeshHistory drops old changes above the limit of keys") {
+  constexpr std::uint64_t Endpoints = 2'000;
+  putEndpoints(Endpoints);
+  MeshHistory History;
+  for (std::uint64_t State = 1; State <= 100; ++State) {
+    Mesh.State = base::StateIndex(State);
+    for (auto &[Id, Entry] : Mesh.Endpoints.edit())
+      ++Entry.Sequence;
+    History.add(std::make_shared<document::MeshSnapshot>(Mesh));
+    REQUIRE(History.keyCount() <= MeshHistory::MaxKeys);
+    History.deltaFrom({}, base::StateIndex(State - 1), {});
+    History.pieces({});
+    REQUIRE(History.cachedBytes() <= MeshHistory::MaxCachedBytes);
+  }
+  CHECK(History.keyCount() > MeshHistory::MaxKeys - Endpoints);
+  CHECK_FALSE(History.deltaFrom({}, base::StateIndex(60), {}));
+  CHECK(History.deltaFrom({}, base::StateIndex(99), {}));
+}
+
 // Guards against encoding work that grows with the number of nodes.
 TEST_CASE_METHOD(DistributionTablesTest,
                  "MeshHistory encodes a delta once for all nodes") {
--- a/control/test/OperatorServer_test.cpp
+++ b/control/test/OperatorServer_test.cpp
@@ -37,6 +37,7 @@
     OperatorServerSettings Result;
     Result.Listen = {"127.0.0.1", 0};
     Result.MaxConnections = 3;
+    Result.MaxBufferedBytes = MaxOperatorBodyBytes + 1000;
     return Result;
   }
 
@@ -219,6 +220,27 @@
       "431 "));
 }
 
+// Guards against requests with large bodies that exceed the memory of the
+// process together.
+TEST_CASE_METHOD(OperatorServerTest,
+                 "large requests above the limit of buffered bytes get 503") {
+  auto Head = [](std::size_t Length) {
+    return "POST /v1/apply HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+           std::to_string(Length) + "\r\n\r\n";
+  };
+  {
+    tcp::socket First = open();
+    CHECK(exchange(First, Head(MaxOperatorBodyBytes)).empty());
+    tcp::socket Second = open();
+    CHECK(contains(exchange(Second, Head(2000)), "503 Service Unavailable"));
+    CHECK(Closed);
+    tcp::socket Small = open();
+    CHECK(exchange(Small, Head(500)).empty());
+  }
+  poll();
+  CHECK(contains(apply("op1"), "200 OK"));
+}
+
 TEST_CASE_METHOD(OperatorServerTest, "slow and idle connections are closed") {
   tcp::socket Idle = open();
   tcp::socket Slow = open();
--- a/replication/include/amaranth/replication/LogStorage.h
+++ b/replication/include/amaranth/replication/LogStorage.h
@@ -28,6 +28,7 @@
   base::ReplicaId id() const;
 
   RecoveredState recover() override;
+  EntryRef load(const LogEntry &Entry) override;
   std::uint64_t write(StorageWrite Write) override;
   std::uint64_t lastQueuedWrite() const override;
   std::uint64_t lastSyncedWrite() const override;
--- a/replication/include/amaranth/replication/Replica.h
+++ b/replication/include/amaranth/replication/Replica.h
@@ -45,11 +45,16 @@
   /// is set. A removed learner that comes back joins again.
   base::Millis LearnerRemovalTimeout = base::Millis::seconds(30);
 
-  /// Number of entries applied between two snapshots.
+  /// A snapshot is taken, and the log below it discarded, after this number of
+  /// applied entries or bytes, whichever comes first. Where the state is larger
+  /// than `CompactBytes`, its size counts instead, so that snapshots write at
+  /// most as much as the log does.
   std::uint64_t CompactEntries = 10'000;
-  /// Entries kept in memory below the snapshot, so that a member that lags
-  /// slightly does not need a snapshot.
+  std::size_t CompactBytes = 16U << 20U;
+  /// Entries and bytes kept in memory below the snapshot, so that a member that
+  /// lags slightly does not need a snapshot.
   std::uint64_t TrailingEntries = 1'000;
+  std::size_t TrailingBytes = 8U << 20U;
   /// A learner may become a voter when it lags by at most this many entries.
   std::uint64_t MaxPromotionLagEntries = 64;
 
@@ -61,12 +66,23 @@
   std::size_t SnapshotChunkBytes = 192U << 10U;
   /// The receiver rejects a larger snapshot.
   std::size_t MaxSnapshotBytes = 512U << 20U;
-  /// Limits on the commands that wait at the leader to be committed.
+  /// Limits on the commands that wait at the leader to be committed. The bytes
+  /// are those of all uncommitted entries of its log, also of entries whose
+  /// proposal has timed out. A leader whose own disk is behind by more bytes
+  /// than this gives up its leadership.
   std::size_t MaxQueuedCommands = 4096;
   std::size_t MaxQueuedBytes = 16U << 20U;
 
   /// Seed of the random election timeouts; 0 selects a random seed.
   std::uint64_t Seed = 0;
+
+  /// Upper bound on the memory of the log for a state of `StateBytes`, in
+  /// bytes: what is kept below the snapshot, what is applied until the next
+  /// one, and what is not committed.
+  std::size_t maxLogMemoryBytes(std::size_t StateBytes) const;
+  /// Upper bound on the disk space of the log and of the snapshot, which is
+  /// there twice while it is replaced, in bytes.
+  std::size_t maxDiskBytes(std::size_t StateBytes) const;
 };
 
 /// A replica of the log. Example of its setup in a control process:
@@ -163,6 +179,8 @@
   std::uint64_t clusterId() const;
   /// Index of the first entry that has not been compacted.
   base::LogIndex firstLogIndex() const;
+  /// Memory of the log entries in bytes.
+  std::size_t logMemoryBytes() const;
 
 private:
   std::shared_ptr<class ReplicaCore> Core;
--- a/replication/include/amaranth/replication/Storage.h
+++ b/replication/include/amaranth/replication/Storage.h
@@ -30,6 +30,18 @@
 /// up to this size.
 inline constexpr std::size_t MaxEntryPayloadBytes = 2U << 20U;
 
+/// Upper bound on the memory and disk space that an entry takes besides its
+/// payload.
+inline constexpr std::size_t EntryOverheadBytes = 192;
+
+/// Payloads that `Storage::recover` loads, in bytes. Later ones are left on
+/// disk, so that a process with a long log does not exceed its memory.
+inline constexpr std::size_t MaxRecoveredPayloadBytes = 16U << 20U;
+
+/// A file of the log that has reached this size is followed by a new one.
+/// Covered entries are discarded by whole files.
+inline constexpr std::size_t LogSegmentBytes = 4U << 20U;
+
 enum class EntryKind : std::uint8_t { Command = 1, Noop = 2, Membership = 3 };
 
 /// One entry of the replicated log.
@@ -39,6 +51,14 @@
   base::WallTime Time;
   EntryKind Kind = EntryKind::Command;
   base::Bytes Payload;
+  /// Size of the payload if it was left on disk; see `Storage::load`.
+  std::size_t UnloadedBytes = 0;
+
+  bool isLoaded() const { return UnloadedBytes == 0; }
+  /// Memory that the entry takes once it is loaded, in bytes.
+  std::size_t memoryBytes() const {
+    return EntryOverheadBytes + Payload.size() + UnloadedBytes;
+  }
 };
 
 /// Shared between the in-memory log and the disk thread, hence immutable.
@@ -93,7 +113,7 @@
                                   StoredVote, StoredIdentity>;
 
 /// State read from stable storage at startup. `Entries` start right after the
-/// snapshot.
+/// snapshot. The payloads of later commands may not be loaded.
 struct RecoveredState {
   StoredIdentity Identity;
   StoredVote Vote;
@@ -112,6 +132,10 @@
   /// called once, before `write`. Throws `StorageError`.
   virtual RecoveredState recover() = 0;
 
+  /// Returns `Entry` with its payload. `Entry` was returned by `recover`, and
+  /// no write has removed or replaced it since. Throws `StorageError`.
+  virtual EntryRef load(const LogEntry &Entry) = 0;
+
   /// Queues a write and returns its number. Numbers are consecutive and start
   /// at 1. An entry above `MaxEntryPayloadBytes` is a `failure`.
   virtual std::uint64_t write(StorageWrite Write) = 0;
--- a/replication/src/Files.cpp
+++ b/replication/src/Files.cpp
@@ -55,12 +55,10 @@
     throwSystemError("fsync", Folder.string());
 }
 
-base::Bytes readFile(const std::filesystem::path &Path) {
-  FileDescriptor File(Path, O_RDONLY);
-  struct stat Status {};
-  if (::fstat(File.fd(), &Status) != 0)
-    throwSystemError("fstat", Path.string());
-  base::Bytes Data(static_cast<std::size_t>(Status.st_size));
+/// Reads up to `Size` bytes from the current position on.
+static base::Bytes readUpTo(const FileDescriptor &File, std::size_t Size,
+                            const std::string &Name) {
+  base::Bytes Data(Size);
   std::size_t BytesRead = 0;
   while (BytesRead < Data.size()) {
     ssize_t Count =
@@ -68,7 +66,7 @@
     if (Count < 0 && errno == EINTR)
       continue;
     if (Count < 0)
-      throwSystemError("read", Path.string());
+      throwSystemError("read", Name);
     if (Count == 0)
       break;
     BytesRead += static_cast<std::size_t>(Count);
@@ -77,16 +75,37 @@
   return Data;
 }
 
+base::Bytes readFile(const std::filesystem::path &Path) {
+  FileDescriptor File(Path, O_RDONLY);
+  struct stat Status {};
+  if (::fstat(File.fd(), &Status) != 0)
+    throwSystemError("fstat", Path.string());
+  return readUpTo(File, static_cast<std::size_t>(Status.st_size),
+                  Path.string());
+}
+
+base::Bytes readFilePart(const std::filesystem::path &Path,
+                         std::uint64_t Offset, std::size_t Size) {
+  FileDescriptor File(Path, O_RDONLY);
+  if (::lseek(File.fd(), static_cast<off_t>(Offset), SEEK_SET) < 0)
+    throwSystemError("lseek", Path.string());
+  return readUpTo(File, Size, Path.string());
+}
+
 void replaceChecksummedFile(const std::filesystem::path &Path,
-                            base::ByteView Data) {
+                            std::initializer_list<base::ByteView> Parts) {
   std::filesystem::path Temporary = Path;
   Temporary += ".new";
   {
     FileDescriptor File(Temporary, O_WRONLY | O_CREAT | O_TRUNC);
+    base::Hasher64 Hash;
+    for (base::ByteView Part : Parts)
+      Hash.update(Part);
     Encoder Checksum;
-    Checksum.u64(base::hash64(Data));
+    Checksum.u64(Hash.digest());
     writeFully(File.fd(), Checksum.Data, Temporary.string());
-    writeFully(File.fd(), Data, Temporary.string());
+    for (base::ByteView Part : Parts)
+      writeFully(File.fd(), Part, Temporary.string());
     syncFile(File.fd(), Temporary.string());
   }
   if (::rename(Temporary.c_str(), Path.c_str()) != 0)
@@ -98,10 +117,10 @@
 readChecksummedFile(const std::filesystem::path &Path) {
   if (!std::filesystem::exists(Path))
     return std::nullopt;
-  base::Bytes Contents = readFile(Path);
-  Decoder Checksum(Contents, Path.string());
+  base::Bytes Data = readFile(Path);
+  Decoder Checksum(Data, Path.string());
   std::uint64_t Expected = Checksum.u64();
-  base::Bytes Data(Contents.begin() + sizeof Expected, Contents.end());
+  Data.erase(Data.begin(), Data.begin() + sizeof Expected);
   if (base::hash64(Data) != Expected)
     throw StorageError(fmt::format("{}: checksum mismatch at offset 0: the "
                                    "file is corrupt",
@@ -140,8 +159,10 @@
   return Value;
 }
 
+base::ByteView Decoder::lengthPrefixedView() { return takeBytes(u64()); }
+
 base::Bytes Decoder::lengthPrefixed() {
-  base::ByteView Encoded = takeBytes(u64());
+  base::ByteView Encoded = lengthPrefixedView();
   return {Encoded.begin(), Encoded.end()};
 }
 
--- a/replication/src/Files.h
+++ b/replication/src/Files.h
@@ -5,6 +5,7 @@
 #include "amaranth/replication/Storage.h"
 
 #include <filesystem>
+#include <initializer_list>
 #include <optional>
 #include <utility>
 
@@ -38,11 +39,15 @@
 /// Makes the creation, renaming and removal of files in the folder durable.
 void syncFolder(const std::filesystem::path &Folder);
 base::Bytes readFile(const std::filesystem::path &Path);
+/// Reads up to `Size` bytes from `Offset` on; fewer at the end of the file.
+base::Bytes readFilePart(const std::filesystem::path &Path,
+                         std::uint64_t Offset, std::size_t Size);
 
-/// Atomically and durably replaces the file by a checksum followed by `Data`.
-/// After a crash, the file has either its old or its new contents.
+/// Atomically and durably replaces the file by a checksum followed by `Parts`,
+/// one after the other. After a crash, the file has either its old or its new
+/// contents.
 void replaceChecksummedFile(const std::filesystem::path &Path,
-                            base::ByteView Data);
+                            std::initializer_list<base::ByteView> Parts);
 /// Returns the data of a file written by `replaceChecksummedFile`, or nothing
 /// if the file does not exist. Throws `StorageError` if the checksum does not
 /// match.
@@ -68,6 +73,8 @@
       : Remaining(Data), Name(std::move(Name)) {}
   std::uint64_t u64();
   base::Bytes lengthPrefixed();
+  /// Like `lengthPrefixed`, but refers to the input instead of copying it.
+  base::ByteView lengthPrefixedView();
   bool atEnd() const { return Remaining.empty(); }
 
 private:
--- a/replication/src/Follower.cpp
+++ b/replication/src/Follower.cpp
@@ -51,8 +51,9 @@
       continue;
     ++*InProgress;
     spawn([Self, Connection, InProgress, Reply,
-           Message = std::move(Message)]() -> asio::awaitable<void> {
-      base::Bytes Answer = co_await Self->handle(Message.Type, Message.Payload);
+           Message = std::move(Message)]() mutable -> asio::awaitable<void> {
+      base::Bytes Answer =
+          co_await Self->handle(Message.Type, std::move(Message.Payload));
       --*InProgress;
       Connection->post(Reply, Message.Stream, std::move(Answer));
     });
@@ -67,7 +68,11 @@
   if (Stopped)
     co_return Reply;
   try {
-    Reply = co_await dispatch(Type, Request);
+    auto Decoded = dispatch(Type, Request);
+    // The decoded request may wait for the disk; the encoded one must not take
+    // memory meanwhile.
+    Request = {};
+    Reply = co_await std::move(Decoded);
   } catch (const base::ProtocolError &Error) {
     Logger->warn("malformed request type={} error=\"{}\"",
                  static_cast<unsigned>(Type), Error.what());
@@ -203,6 +208,9 @@
     updateStaleness();
   }
   Reply.term = term();
+  // While the disk is slow, the leader repeats the request after each timeout.
+  // The entries of the repetitions must not take memory.
+  Request.entries.clear();
   // The leader counts this reply towards the commit, so all entries that it
   // covers must be durable.
   co_await waitUntilSynced(Disk, Disk.lastQueuedWrite());
--- a/replication/src/Leader.cpp
+++ b/replication/src/Leader.cpp
@@ -75,7 +75,8 @@
   std::size_t Bytes = 0;
   for (std::uint64_t Index = Peer.NextIndex;
        Index <= Log.lastIndex() && Bytes < Settings.MaxAppendBytes; ++Index) {
-    const LogEntry &Entry = *Log.at(Index);
+    EntryRef Loaded = loadedEntry(Index);
+    const LogEntry &Entry = *Loaded;
     auto Item = std::make_unique<wire::EntryT>();
     Item->term = Entry.EntryTerm.value();
     Item->index = Index;
--- a/replication/src/LogStorage.cpp
+++ b/replication/src/LogStorage.cpp
@@ -60,24 +60,30 @@
       .Data;
 }
 
-base::Bytes encode(const StoredSnapshot &Value) {
+/// Encodes what precedes the bytes of the state, which are too many to copy.
+base::Bytes encodeSnapshotHead(const StoredSnapshot &Value) {
   return detail::Encoder()
       .u64(Value.Index.value())
       .u64(Value.IndexTerm.value())
       .u64(static_cast<std::uint64_t>(Value.Time.count()))
       .lengthPrefixed(Value.Membership)
-      .lengthPrefixed(Value.State)
+      .u64(Value.State.size())
       .Data;
 }
 
-SnapshotRef decodeSnapshot(const base::Bytes &Data, const std::string &Name) {
+/// Takes over the memory of `Data`.
+SnapshotRef decodeSnapshot(base::Bytes Data, const std::string &Name) {
   detail::Decoder Input(Data, Name);
   auto Value = std::make_shared<StoredSnapshot>();
   Value->Index = base::LogIndex(Input.u64());
   Value->IndexTerm = base::Term(Input.u64());
   Value->Time = base::WallTime(static_cast<std::int64_t>(Input.u64()));
   Value->Membership = Input.lengthPrefixed();
-  Value->State = Input.lengthPrefixed();
+  base::ByteView State = Input.lengthPrefixedView();
+  auto Start = Data.begin() + (State.data() - Data.data());
+  Data.erase(Start + static_cast<std::ptrdiff_t>(State.size()), Data.end());
+  Data.erase(Data.begin(), Start);
+  Value->State = std::move(Data);
   return Value;
 }
 
@@ -139,7 +145,7 @@
   RecoveredState Loaded;
   base::ReplicaId Id;
 
-  /// Accessed only by the disk thread after it has started.
+  /// Accessed only by the disk thread after it has started, except for `load`.
   detail::Segments Log;
   std::atomic<std::uint64_t> Syncs{0};
 
@@ -163,7 +169,7 @@
   StoredIdentity Identity;
   while (Identity.Id.value() == 0)
     Identity.Id = base::ReplicaId(base::randomU64());
-  detail::replaceChecksummedFile(Path, encode(Identity));
+  detail::replaceChecksummedFile(Path, {encode(Identity)});
   return Identity;
 }
 
@@ -177,17 +183,19 @@
     return;
   }
   if (const auto *Vote = std::get_if<StoredVote>(&Write)) {
-    detail::replaceChecksummedFile(Folder / "vote", encode(*Vote));
+    detail::replaceChecksummedFile(Folder / "vote", {encode(*Vote)});
     return;
   }
   if (const auto *Identity = std::get_if<StoredIdentity>(&Write)) {
-    detail::replaceChecksummedFile(Folder / "identity", encode(*Identity));
+    detail::replaceChecksummedFile(Folder / "identity", {encode(*Identity)});
     return;
   }
   const auto &Save = std::get<SaveSnapshot>(Write);
   // After a crash, the log must not end below the snapshot's index.
   Log.sync();
-  detail::replaceChecksummedFile(Folder / "snapshot", encode(*Save.Snapshot));
+  detail::replaceChecksummedFile(
+      Folder / "snapshot",
+      {encodeSnapshotHead(*Save.Snapshot), Save.Snapshot->State});
   if (Save.DiscardLog)
     Log.removeAllSegments();
   else
@@ -278,10 +286,10 @@
   }
   std::filesystem::path SnapshotPath = Folder / "snapshot";
   if (auto Data = detail::readChecksummedFile(SnapshotPath))
-    Result.Snapshot = decodeSnapshot(*Data, SnapshotPath.string());
+    Result.Snapshot = decodeSnapshot(std::move(*Data), SnapshotPath.string());
   std::uint64_t SnapshotEnd =
       Result.Snapshot ? Result.Snapshot->Index.value() : 0;
-  Result.Entries = Log.recover(SnapshotEnd);
+  Result.Entries = Log.recover(SnapshotEnd, MaxRecoveredPayloadBytes);
   Result.Identity =
       loadIdentity(!Vote && !Result.Snapshot && Result.Entries.empty());
   if (Result.Snapshot && !trimToSnapshot(*Result.Snapshot, Result.Entries))
@@ -295,6 +303,10 @@
   return Result;
 }
 
+EntryRef LogStorage::load(const LogEntry &Entry) {
+  return Inner->Log.load(Entry);
+}
+
 std::uint64_t LogStorage::write(StorageWrite Write) {
   {
     std::lock_guard<std::mutex> Guard(Inner->Mutex);
--- a/replication/src/MemoryLog.h
+++ b/replication/src/MemoryLog.h
@@ -7,7 +7,8 @@
 
 namespace amaranth::replication {
 
-/// The in-memory part of the log: all entries above the base entry.
+/// The in-memory part of the log: all entries above the base entry. Entries
+/// from recovery may have their payload on disk only.
 class MemoryLog {
 public:
   MemoryLog() = default;
@@ -27,6 +28,12 @@
   /// First index of the consecutive entries that share the term of `Index`.
   std::uint64_t firstIndexOfTerm(std::uint64_t Index) const;
 
+  /// Memory of the entries above `Index`, in bytes, as if all were loaded.
+  /// `Index` is at most `lastIndex`.
+  std::size_t bytesAbove(std::uint64_t Index) const;
+  /// Memory of the loaded entries in bytes.
+  std::size_t loadedBytes() const { return LoadedBytes; }
+
   /// The index of `Entry` must follow `lastIndex`.
   void append(EntryRef Entry);
   void truncateFrom(std::uint64_t Index);
@@ -34,9 +41,19 @@
   void compactTo(std::uint64_t Index);
 
 private:
+  struct Slot {
+    EntryRef Entry;
+    /// Total of `LogEntry::memoryBytes` of this entry and all before it.
+    std::uint64_t EndBytes = 0;
+  };
+
+  std::uint64_t endBytes(std::uint64_t Index) const;
+
   std::uint64_t BaseIndex = 0;
   std::uint64_t BaseTerm = 0;
-  std::deque<EntryRef> Entries;
+  std::uint64_t BaseEndBytes = 0;
+  std::size_t LoadedBytes = 0;
+  std::deque<Slot> Entries;
 };
 
 } // namespace amaranth::replication
--- a/replication/src/Proposals.cpp
+++ b/replication/src/Proposals.cpp
@@ -19,22 +19,6 @@
     co_await Each->Changed.wait();
 }
 
-/// Adds the size of a pending command to a total for its own lifetime.
-class ScopedByteCount {
-public:
-  ScopedByteCount(std::size_t &Total, std::size_t Size)
-      : Total(Total), Size(Size) {
-    Total += Size;
-  }
-  ~ScopedByteCount() { Total -= Size; }
-  ScopedByteCount(const ScopedByteCount &) = delete;
-  ScopedByteCount &operator=(const ScopedByteCount &) = delete;
-
-private:
-  std::size_t &Total;
-  std::size_t Size;
-};
-
 void throwOutcome(wire::Outcome Outcome, const std::string &Message) {
   if (Outcome == wire::Outcome::NotLeader)
     throw NotLeader(Message);
@@ -90,10 +74,17 @@
   if (Command.size() > Settings.MaxCommandBytes)
     throw RequestRejected("the command is too large");
   if (PendingProposals.size() >= Settings.MaxQueuedCommands ||
-      QueuedBytes + Command.size() > Settings.MaxQueuedBytes)
+      Log.bytesAbove(CommitIndex) + Command.size() > Settings.MaxQueuedBytes)
     throw NotLeader(
         "overloaded: too many commands are waiting to be committed");
-  ScopedByteCount Counted(QueuedBytes, Command.size());
+  // The majority has these entries, but the disk thread still holds them.
+  if (Log.bytesAbove(DurableIndex) > Settings.MaxQueuedBytes) {
+    Logger->warn("giving up the leadership because the disk is behind id={:x} "
+                 "durable={} last={}",
+                 self(), DurableIndex, Log.lastIndex());
+    becomeFollower();
+    throw NotLeader("the disk of the leader is behind");
+  }
   std::uint64_t Index = appendLocal(EntryKind::Command, std::move(Command));
   co_return co_await awaitEntry(Index, Timeout);
 }
--- a/replication/src/Replica.cpp
+++ b/replication/src/Replica.cpp
@@ -19,6 +19,23 @@
 
 } // namespace
 
+std::size_t ReplicaSettings::maxLogMemoryBytes(std::size_t StateBytes) const {
+  // Each part may exceed its limit by the entry that reaches it.
+  std::size_t Entry = MaxCommandBytes + EntryOverheadBytes;
+  std::size_t Applied = std::max(CompactBytes, StateBytes) + Entry;
+  std::size_t Uncommitted = MaxQueuedBytes + Entry;
+  return TrailingBytes + Applied + Uncommitted;
+}
+
+std::size_t ReplicaSettings::maxDiskBytes(std::size_t StateBytes) const {
+  std::size_t Entry = MaxCommandBytes + EntryOverheadBytes;
+  std::size_t Applied = std::max(CompactBytes, StateBytes) + Entry;
+  // While a snapshot is being written, as much may be applied again. The first
+  // and the last segment may contain entries that are not needed.
+  std::size_t Segments = 2 * (LogSegmentBytes + Entry);
+  return 2 * StateBytes + 2 * Applied + MaxQueuedBytes + Entry + Segments;
+}
+
 ReplicaCore::ReplicaCore(Storage &Disk, StateMachine &State, Transport &Net,
                          ReplicaSettings Options, base::Clock &Time,
                          const asio::any_io_executor &Executor)
@@ -43,6 +60,7 @@
                                    Membership::decode(Base.Membership));
     State.restore(Base.State);
     CommitIndex = SnapshotIndex = Log.baseIndex();
+    SnapshotBytes = Base.State.size();
     CommitTime = Base.Time;
   }
   for (EntryRef &Entry : Found.Entries) {
@@ -165,11 +183,12 @@
     return;
   AMARANTH_INVARIANT(Index <= Log.lastIndex(),
                      "a committed entry is in the log");
-  while (CommitIndex < Index)
-    applyEntry(*Log.at(CommitIndex + 1));
+  while (CommitIndex < Index) {
+    applyEntry(*loadedEntry(CommitIndex + 1));
+    if (isCompactionDue())
+      compact();
+  }
   updateStaleness();
-  if (CommitIndex - SnapshotIndex >= Settings.CompactEntries)
-    compact();
   if (CurrentRole == RaftRole::Leader) {
     ReplicationNeeded.notifyAll();
     continueReplacement();
@@ -177,6 +196,11 @@
   Changed.notifyAll();
 }
 
+EntryRef ReplicaCore::loadedEntry(std::uint64_t Index) {
+  const EntryRef &Entry = Log.at(Index);
+  return Entry->isLoaded() ? Entry : Disk.load(*Entry);
+}
+
 void ReplicaCore::applyEntry(const LogEntry &Entry) {
   AMARANTH_INVARIANT(Entry.Index.value() == CommitIndex + 1,
                      "entries are applied once and in order");
@@ -314,6 +338,8 @@
   return base::LogIndex(Core->Log.baseIndex() + 1);
 }
 
+std::size_t Replica::logMemoryBytes() const { return Core->Log.loadedBytes(); }
+
 std::vector<MemberStatus> Replica::members() const {
   std::vector<MemberStatus> Result;
   for (const Member &Each : Core->committedMembership().Members) {
--- a/replication/src/ReplicaCore.h
+++ b/replication/src/ReplicaCore.h
@@ -93,6 +93,8 @@
   void truncateFrom(std::uint64_t Index);
   void commitTo(std::uint64_t Index);
   void applyEntry(const LogEntry &Entry);
+  /// The entry with its payload, read from disk if necessary.
+  EntryRef loadedEntry(std::uint64_t Index);
   const Membership &membership() const;
   const Membership &committedMembership() const;
   std::string addressOf(base::ReplicaId Id) const;
@@ -130,7 +132,11 @@
   }
 
   // Snapshots.cpp.
+  bool isCompactionDue() const;
   void compact();
+  /// Discards the entries that neither the snapshot nor `TrailingEntries` and
+  /// `TrailingBytes` require.
+  void discardCoveredEntries();
   boost::asio::awaitable<base::Bytes> onSnapshot(wire::SnapshotChunkT Chunk);
   /// Returns true once the snapshot is complete and installed.
   bool receiveChunk(const wire::SnapshotChunkT &Chunk);
@@ -262,6 +268,10 @@
   StoredVote Vote;
   MemoryLog Log;
   std::uint64_t SnapshotIndex = 0;
+  /// Size of the state in the last snapshot.
+  std::size_t SnapshotBytes = 0;
+  /// Number of the write that stores the last snapshot.
+  std::uint64_t SnapshotWrite = 0;
 
   /// Membership entries with their log indices; the last one is in effect.
   std::deque<std::pair<std::uint64_t, Membership>> MembershipHistory;
@@ -291,7 +301,6 @@
   std::map<base::ReplicaId, std::shared_ptr<PeerState>> Peers;
   std::uint64_t TermStartIndex = 0;
   std::uint64_t ReadRound = 0;
-  std::size_t QueuedBytes = 0;
   std::multimap<std::uint64_t, std::shared_ptr<PendingProposal>>
       PendingProposals;
   std::weak_ptr<const OutgoingSnapshot> Outgoing;
--- a/replication/src/Segments.cpp
+++ b/replication/src/Segments.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// A segment that has reached this size is followed by a new one.
-constexpr std::uint64_t SegmentSizeThresholdBytes = 16U << 20U;
 /// "ALOG" in little-endian byte order.
 constexpr std::uint32_t RecordMagic = 0x474f4c41;
 
@@ -69,19 +67,21 @@
   std::memcpy(Out.data() + Start, &Header, sizeof Header);
 }
 
-EntryRef decodeEntry(const RecordHeader &Header, const std::uint8_t *Payload) {
+std::shared_ptr<LogEntry> decodeHeader(const RecordHeader &Header) {
   auto Entry = std::make_shared<LogEntry>();
   Entry->Index = base::LogIndex(Header.Index);
   Entry->EntryTerm = base::Term(Header.Term);
   Entry->Time = base::WallTime(Header.Time);
   Entry->Kind = static_cast<EntryKind>(Header.Kind);
-  Entry->Payload.assign(Payload, Payload + Header.Length);
   return Entry;
 }
 
 } // namespace
 
-std::vector<EntryRef> Segments::recover(std::uint64_t CoveredIndex) {
+std::vector<EntryRef> Segments::recover(std::uint64_t Covered,
+                                        std::size_t MaxPayloadBytes) {
+  CoveredIndex = Covered;
+  LoadableBytes = MaxPayloadBytes;
   for (const auto &Item : std::filesystem::directory_iterator(Folder)) {
     std::string Name = Item.path().filename().string();
     if (!Name.starts_with("log-"))
@@ -140,14 +140,55 @@
       truncateTornTail(Target, Data);
       return;
     }
-    Entries.push_back(
-        decodeEntry(*Header, Data.data() + Target.End + sizeof(RecordHeader)));
+    std::size_t RecordBytes = sizeof(RecordHeader) + Header->Length;
+    Entries.push_back(recoverEntry(
+        Target, base::ByteView(Data).subspan(Target.End, RecordBytes)));
     Target.RecordOffsets.push_back(Target.End);
-    Target.End += sizeof(RecordHeader) + Header->Length;
+    Target.End += RecordBytes;
     ++Expected;
   }
 }
 
+EntryRef Segments::recoverEntry(const Segment &Source, base::ByteView Record) {
+  RecordHeader Header{};
+  std::memcpy(&Header, Record.data(), sizeof Header);
+  base::ByteView Payload = Record.subspan(sizeof Header);
+  std::shared_ptr<LogEntry> Entry = decodeHeader(Header);
+  // Only the entry at the covered index is compared with the snapshot, by its
+  // term.
+  bool IsCovered = Header.Index <= CoveredIndex;
+  // The replica needs all memberships at once.
+  bool IsNeeded = Entry->Kind == EntryKind::Membership;
+  if (IsNeeded || (!IsCovered && Payload.size() <= LoadableBytes)) {
+    Entry->Payload.assign(Payload.begin(), Payload.end());
+    LoadableBytes -= std::min(LoadableBytes, Payload.size());
+    return Entry;
+  }
+  if (!IsCovered) {
+    // Later entries are applied after this one.
+    LoadableBytes = 0;
+    Unloaded[Header.Index] = {Source.Path, Source.End};
+  }
+  Entry->UnloadedBytes = Payload.size();
+  return Entry;
+}
+
+EntryRef Segments::load(const LogEntry &Entry) const {
+  const Location &Place = Unloaded.at(Entry.Index.value());
+  base::Bytes Record = readFilePart(Place.Path, Place.Offset,
+                                    sizeof(RecordHeader) + Entry.UnloadedBytes);
+  std::optional<RecordHeader> Header = readRecord(Record, 0);
+  if (!Header || Header->Index != Entry.Index.value() ||
+      Header->Term != Entry.EntryTerm.value())
+    throw StorageError(fmt::format("{}: corrupt record of entry {} at offset "
+                                   "{}",
+                                   Place.Path.string(), Entry.Index.value(),
+                                   Place.Offset));
+  std::shared_ptr<LogEntry> Result = decodeHeader(*Header);
+  Result->Payload.assign(Record.begin() + sizeof(RecordHeader), Record.end());
+  return Result;
+}
+
 void Segments::truncateTornTail(Segment &LastSegment, const base::Bytes &Data) {
   std::uint64_t InvalidIndex =
       LastSegment.First + LastSegment.RecordOffsets.size();
@@ -210,8 +251,7 @@
       throw StorageError(fmt::format(
           "{}: entry {} has {} bytes, the limit is {}", Folder.string(),
           Entry->Index.value(), Entry->Payload.size(), MaxEntryPayloadBytes));
-    if (SegmentFiles.empty() ||
-        SegmentFiles.back().End >= SegmentSizeThresholdBytes) {
+    if (SegmentFiles.empty() || SegmentFiles.back().End >= LogSegmentBytes) {
       Flush();
       startSegment(Entry->Index.value());
     }
--- a/replication/src/Segments.h
+++ b/replication/src/Segments.h
@@ -4,6 +4,7 @@
 #include "Files.h"
 
 #include <deque>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -21,10 +22,15 @@
   explicit Segments(std::filesystem::path Folder) : Folder(std::move(Folder)) {}
 
   /// Reads all records and truncates a torn tail of the last segment. A
-  /// snapshot covers the entries up to `CoveredIndex`; they may have gaps. If
-  /// other synced data is corrupt, throws a `StorageError` with the file and
-  /// the offset.
-  std::vector<EntryRef> recover(std::uint64_t CoveredIndex);
+  /// snapshot covers the entries up to `CoveredIndex`; they may have gaps. The
+  /// payloads of the first `MaxPayloadBytes` above it are loaded, those of
+  /// later commands are not. If other synced data is corrupt, throws a
+  /// `StorageError` with the file and the offset.
+  std::vector<EntryRef> recover(std::uint64_t CoveredIndex,
+                                std::size_t MaxPayloadBytes);
+  /// Returns the entry with its payload, read from disk. May run on another
+  /// thread than the other functions. Throws `StorageError`.
+  EntryRef load(const LogEntry &Entry) const;
 
   /// Writes the entries. They are durable after the next `sync`.
   void append(const std::vector<EntryRef> &Entries);
@@ -45,8 +51,16 @@
     std::uint64_t End = 0;
   };
 
+  /// Where a record is stored whose payload was not loaded.
+  struct Location {
+    std::filesystem::path Path;
+    std::uint64_t Offset = 0;
+  };
+
   void readSegment(Segment &Target, bool IsLast,
                    std::vector<EntryRef> &Entries);
+  /// Decodes a record, without its payload if that would exceed the limits.
+  EntryRef recoverEntry(const Segment &Source, base::ByteView Record);
   void truncateTornTail(Segment &LastSegment, const base::Bytes &Data);
   void openLastSegment();
   /// Durable on return.
@@ -59,6 +73,12 @@
   FileDescriptor CurrentFile;
   bool HasUnsyncedRecords = false;
   std::uint64_t SyncedIndex = 0;
+
+  std::uint64_t CoveredIndex = 0;
+  /// Payloads that `recover` may still load, in bytes.
+  std::size_t LoadableBytes = 0;
+  /// By index; not changed after `recover`.
+  std::map<std::uint64_t, Location> Unloaded;
 };
 
 } // namespace amaranth::replication::detail
--- a/replication/src/Snapshots.cpp
+++ b/replication/src/Snapshots.cpp
@@ -8,6 +8,16 @@
 
 namespace amaranth::replication {
 
+bool ReplicaCore::isCompactionDue() const {
+  // A second snapshot would wait in memory behind the first one.
+  if (SnapshotWrite > Disk.lastSyncedWrite())
+    return false;
+  std::size_t AppliedBytes =
+      Log.bytesAbove(SnapshotIndex) - Log.bytesAbove(CommitIndex);
+  return CommitIndex - SnapshotIndex >= Settings.CompactEntries ||
+         AppliedBytes >= std::max(Settings.CompactBytes, SnapshotBytes);
+}
+
 void ReplicaCore::compact() {
   auto Snapshot = std::make_shared<StoredSnapshot>();
   Snapshot->Index = base::LogIndex(CommitIndex);
@@ -15,10 +25,27 @@
   Snapshot->Time = CommitTime;
   Snapshot->Membership = committedMembership().encode();
   Snapshot->State = State.snapshot();
-  Disk.write(SaveSnapshot{Snapshot, false});
+  SnapshotBytes = Snapshot->State.size();
+  SnapshotWrite = Disk.write(SaveSnapshot{Snapshot, false});
   SnapshotIndex = CommitIndex;
-  if (CommitIndex > Log.baseIndex() + Settings.TrailingEntries)
-    Log.compactTo(CommitIndex - Settings.TrailingEntries);
+  discardCoveredEntries();
+  Logger->debug("snapshot taken id={:x} index={} bytes={} log_bytes={}", self(),
+                SnapshotIndex, SnapshotBytes, Log.loadedBytes());
+}
+
+void ReplicaCore::discardCoveredEntries() {
+  std::uint64_t Base = Log.baseIndex();
+  auto Exceeds = [&](std::uint64_t From) {
+    return SnapshotIndex - From > Settings.TrailingEntries ||
+           Log.bytesAbove(From) - Log.bytesAbove(SnapshotIndex) >
+               Settings.TrailingBytes;
+  };
+  // The disk discards its copies of the covered entries, so those that are not
+  // loaded cannot be kept.
+  while (Base < SnapshotIndex &&
+         (Exceeds(Base) || !Log.at(Base + 1)->isLoaded()))
+    ++Base;
+  Log.compactTo(Base);
   while (MembershipHistory.size() > 1 &&
          MembershipHistory[1].first <= Log.baseIndex())
     MembershipHistory.pop_front();
@@ -36,6 +63,8 @@
     Reply.offset = Incoming ? Incoming->Data.size() : 0;
   }
   Reply.term = term();
+  // Frees the memory while the disk is slow; the leader sends more meanwhile.
+  Chunk.data = {};
   co_await waitUntilSynced(Disk, Disk.lastQueuedWrite());
   if (term() != Reply.term)
     co_return base::Bytes();
@@ -47,6 +76,8 @@
       Incoming->Index != Chunk.index || Incoming->Digest != Chunk.digest)
     Incoming = IncomingSnapshot{Chunk.term, Chunk.index, Chunk.digest, {}};
   base::Bytes &Data = Incoming->Data;
+  // Without this, the memory would double while it grows.
+  Data.reserve(Chunk.total);
   if (Chunk.offset != Data.size() ||
       Data.size() + Chunk.data.size() > Chunk.total)
     return false;
@@ -79,10 +110,11 @@
   Snapshot->Membership = Last.membership;
   Snapshot->State = std::move(Incoming->Data);
   State.restore(Snapshot->State);
-  std::uint64_t Number = Disk.write(SaveSnapshot{Snapshot, true});
+  SnapshotBytes = Snapshot->State.size();
+  SnapshotWrite = Disk.write(SaveSnapshot{Snapshot, true});
   Log = MemoryLog(Last.index, Last.index_term);
   PendingSyncs.clear();
-  PendingSyncs.emplace_back(Number, Last.index);
+  PendingSyncs.emplace_back(SnapshotWrite, Last.index);
   DurableIndex = 0;
   MembershipHistory.clear();
   MembershipHistory.emplace_back(Last.index,
--- a/replication/test/Cluster.cpp
+++ b/replication/test/Cluster.cpp
@@ -24,6 +24,8 @@
   std::string Command(base::asText(Entry.Command));
   check(Entry.Index.value(), Command);
   Applied[Entry.Index.value()] = Command;
+  while (Applied.size() > KeptCommands)
+    Applied.erase(Applied.begin());
   base::ByteView Result = base::asBytes(Command);
   std::string Index = std::to_string(Entry.Index.value());
   Result = base::asBytes(Index);
@@ -67,6 +69,7 @@
   Target.Disk =
       std::make_unique<SimulatedDisk>(Target.Image, Time, Executor, Random());
   Target.Machine = std::make_unique<RecordingStateMachine>(ExpectedCommands);
+  Target.Machine->KeptCommands = KeptCommands;
   Target.PeerTransport = Network.makeTransport(Target.Address);
   ReplicaSettings OwnSettings = Settings;
   OwnSettings.Address = Target.Address;
--- a/replication/test/Cluster.h
+++ b/replication/test/Cluster.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -30,6 +31,8 @@
 
   CommandsByIndex Applied;
   std::uint64_t RestoreCount = 0;
+  /// Older commands are dropped, so that the state stays small.
+  std::size_t KeptCommands = std::numeric_limits<std::size_t>::max();
 
 private:
   void check(std::uint64_t Index, const std::string &Command);
@@ -99,6 +102,8 @@
   base::ManualClock Time;
   SimulatedNetwork Network;
   ReplicaSettings Settings;
+  /// `RecordingStateMachine::KeptCommands` of processes started from now on.
+  std::size_t KeptCommands = std::numeric_limits<std::size_t>::max();
   /// The command that every replica must apply at each index.
   CommandsByIndex ExpectedCommands;
   CommandsByIndex Acknowledged;
--- a/replication/test/LogStorage_test.cpp
+++ b/replication/test/LogStorage_test.cpp
@@ -121,6 +121,55 @@
   CHECK(Disk->syncCount() < 200);
 }
 
+// Guards against a process that exceeds its memory at each start because its
+// log is long.
+TEST_CASE_METHOD(LogStorageTest,
+                 "LogStorage loads payloads above the limit on demand only") {
+  constexpr std::uint64_t Count = 24;
+  for (std::uint64_t I = 1; I <= Count; ++I)
+    Disk->write(AppendEntries{{entry(I, 1, MaxEntryPayloadBytes / 2)}});
+  waitForSync();
+  open();
+  REQUIRE(Recovered.Entries.size() == Count);
+  std::size_t Loaded = 0;
+  for (const EntryRef &Entry : Recovered.Entries)
+    Loaded += Entry->Payload.size();
+  CHECK(Loaded <= MaxRecoveredPayloadBytes);
+  for (const EntryRef &Entry : Recovered.Entries) {
+    CHECK(Entry->memoryBytes() ==
+          EntryOverheadBytes + MaxEntryPayloadBytes / 2);
+    if (Entry->isLoaded())
+      continue;
+    EntryRef Complete = Disk->load(*Entry);
+    CHECK(Complete->isLoaded());
+    CHECK(Complete->EntryTerm == Entry->EntryTerm);
+    CHECK(Complete->Payload ==
+          entry(Entry->Index.value(), 1, MaxEntryPayloadBytes / 2)->Payload);
+  }
+  CHECK_FALSE(Recovered.Entries.back()->isLoaded());
+}
+
+// Guards against damaged payloads that are applied because only the headers
+// were checked at the start.
+TEST_CASE_METHOD(LogStorageTest,
+                 "LogStorage reports a payload that was damaged after the "
+                 "start") {
+  constexpr std::size_t Size = MaxEntryPayloadBytes;
+  for (std::uint64_t I = 1; I <= 10; ++I)
+    Disk->write(AppendEntries{{entry(I, 1, Size)}});
+  waitForSync();
+  open();
+  const LogEntry &Last = *Recovered.Entries.back();
+  REQUIRE_FALSE(Last.isLoaded());
+  CHECK(Disk->load(Last)->Payload.size() == Size);
+  fs::path LastSegment;
+  for (const auto &Item : fs::directory_iterator(Folder))
+    if (Item.path().filename().string().starts_with("log-"))
+      LastSegment = std::max(LastSegment, Item.path());
+  flipBit(LastSegment, fs::file_size(LastSegment) - 1);
+  CHECK_THROWS_AS(Disk->load(Last), StorageError);
+}
+
 // Guards against a replica that fails to start after a crash during a write.
 TEST_CASE_METHOD(LogStorageTest, "LogStorage truncates a torn tail") {
   append(1, 3);
--- a/replication/test/ReplicaRandom_test.cpp
+++ b/replication/test/ReplicaRandom_test.cpp
@@ -32,6 +32,14 @@
     TestCluster.Settings.CompactEntries = 60;
     TestCluster.Settings.TrailingEntries = 10;
     TestCluster.Settings.SnapshotChunkBytes = 300;
+    // Some runs compact by bytes, and leave payloads on disk at a restart.
+    if (Seed % 3 == 0)
+      TestCluster.Settings.CompactBytes = 20 * EntryOverheadBytes;
+    if (Seed % 5 < 3)
+      TestCluster.Settings.TrailingBytes = 3 * EntryOverheadBytes;
+    if (Seed % 2 == 0)
+      for (std::size_t I = 0; I < TestCluster.size(); ++I)
+        TestCluster.at(I).Image.MaxRecoveredBytes = 40;
     // With one entry per append request, a leader that wrongly commits an entry
     // of an earlier term by counting replicas is detected.
     if (Seed % 4 < 2)
--- a/replication/test/SimulatedDisk.cpp
+++ b/replication/test/SimulatedDisk.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <utility>
+
 namespace asio = boost::asio;
 
 namespace amaranth::replication::testing {
@@ -38,7 +40,27 @@
   DiskImage &Image = Inner->Image;
   while (Image.Identity.Id.value() == 0)
     Image.Identity.Id = base::ReplicaId(Inner->Random());
-  return {Image.Identity, Image.Vote, Image.Snapshot, Image.Entries};
+  RecoveredState Result{Image.Identity, Image.Vote, Image.Snapshot, {}};
+  std::size_t Loaded = 0;
+  for (const EntryRef &Entry : Image.Entries) {
+    Loaded += Entry->Payload.size();
+    if (Loaded <= Image.MaxRecoveredBytes || Entry->Payload.empty() ||
+        Entry->Kind != EntryKind::Command) {
+      Result.Entries.push_back(Entry);
+      continue;
+    }
+    auto OnDisk = std::make_shared<LogEntry>(*Entry);
+    OnDisk->UnloadedBytes = std::exchange(OnDisk->Payload, {}).size();
+    Result.Entries.push_back(std::move(OnDisk));
+  }
+  return Result;
+}
+
+EntryRef SimulatedDisk::load(const LogEntry &Entry) {
+  for (const EntryRef &Stored : Inner->Image.Entries)
+    if (Stored->Index == Entry.Index && Stored->EntryTerm == Entry.EntryTerm)
+      return Stored;
+  throw StorageError("the entry is not on the disk");
 }
 
 std::uint64_t SimulatedDisk::write(StorageWrite Write) {
--- a/replication/test/SimulatedDisk.h
+++ b/replication/test/SimulatedDisk.h
@@ -18,6 +18,8 @@
   std::vector<EntryRef> Entries;
   /// Every write fails, also after a restart of the process.
   bool Full = false;
+  /// Payloads that are loaded at a restart, in bytes.
+  std::size_t MaxRecoveredBytes = MaxRecoveredPayloadBytes;
 
   void apply(const StorageWrite &Write);
 };
@@ -31,6 +33,7 @@
                 std::uint64_t Seed);
 
   RecoveredState recover() override;
+  EntryRef load(const LogEntry &Entry) override;
   std::uint64_t write(StorageWrite Write) override;
   std::uint64_t lastQueuedWrite() const override { return Inner->Written; }
   std::uint64_t lastSyncedWrite() const override { return Inner->Synced; }
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -53,6 +53,10 @@
 constexpr base::Millis RegionElectionMin = base::Millis(400);
 constexpr base::Millis RegionElectionMax = base::Millis(800);
 
+/// Largest state in such a cluster: a document of `MaxDocumentBodyBytes` as
+/// text and decoded, the audit trail, and the labels of accepted documents.
+constexpr std::size_t RegionMaxSnapshotBytes = 64U << 20U;
+
 /// Time that operators' calls in progress have at a shutdown. Longer than a
 /// commit takes while there is a majority.
 constexpr base::Millis OperatorDrainTime = base::Millis(2000);
@@ -68,6 +72,7 @@
     Result.HeartbeatInterval = RegionHeartbeat;
     Result.ElectionTimeoutMin = RegionElectionMin;
     Result.ElectionTimeoutMax = RegionElectionMax;
+    Result.MaxSnapshotBytes = RegionMaxSnapshotBytes;
     return Result;
   }
   auto &Addresses = Settings.Join ? Result.KnownPeers : Result.InitialVoters;
