--- a/dataplane/include/amaranth/dataplane/CrashQuarantine.h
+++ b/dataplane/include/amaranth/dataplane/CrashQuarantine.h
@@ -25,8 +25,10 @@
 /// itself and control may not have committed. Entry server and gate of a node
 /// share it. Single-threaded.
 ///
-/// A request that an upstream has answered is no suspect, because a crashing
-/// request crashes every upstream that runs it.
+/// A request that an upstream has answered is no suspect of the next crash,
+/// because a crashing request crashes every upstream that runs it. An answer
+/// excuses one crash only, since the request may have begun to crash upstreams
+/// after it, or crash those of another version.
 class CrashQuarantine {
 public:
   /// How long the node's own observations count, like those in the snapshot.
@@ -49,14 +51,19 @@
   /// since. A convicted request is no suspect.
   bool isSuspect(std::uint64_t Fingerprint);
 
+  /// Adds a suspect that another node has named. An answer that this node has
+  /// recorded still excuses it.
   void addSuspect(std::uint64_t Fingerprint);
+  /// Adds a suspect of a crash that this node has seen. Answers recorded before
+  /// no longer excuse it.
+  void recordCrash(std::uint64_t Fingerprint);
   void convict(std::uint64_t Fingerprint);
   /// Records that an upstream has answered the request.
   void recordAnswer(std::uint64_t Fingerprint);
 
   /// Finds the cause of a crash among the `Running` requests, which are
   /// distinct. Convicts the only suspect among them, or makes suspects of all
-  /// that have not been answered before.
+  /// that have not been answered since their last crash.
   CrashAttribution attributeCrash(const std::vector<std::uint64_t> &Running);
 
 private:
--- a/dataplane/src/CrashQuarantine.cpp
+++ b/dataplane/src/CrashQuarantine.cpp
@@ -52,6 +52,11 @@
   Suspects.insert(Fingerprint, Time.now());
 }
 
+void CrashQuarantine::recordCrash(std::uint64_t Fingerprint) {
+  Answered.erase(Fingerprint);
+  addSuspect(Fingerprint);
+}
+
 void CrashQuarantine::convict(std::uint64_t Fingerprint) {
   Convicted.insert(Fingerprint, Time.now());
 }
@@ -81,8 +86,10 @@
   if (!Result.Suspects.empty())
     return Result;
   for (std::uint64_t Fingerprint : Running) {
-    if (wasAnswered(Fingerprint))
+    if (wasAnswered(Fingerprint)) {
+      Answered.erase(Fingerprint);
       continue;
+    }
     addSuspect(Fingerprint);
     Result.Suspects.push_back(Fingerprint);
   }
--- a/dataplane/src/EntryRequest.cpp
+++ b/dataplane/src/EntryRequest.cpp
@@ -328,8 +328,13 @@
   RequestHash = From.Customer ? hashOf({Request.Method, Request.Target,
                                         From.Customer->Name.value()})
                               : hashOf({Request.Method, Request.Target});
-  Fingerprint = hashOf({Service.value(), Request.Method, Request.Target,
-                        base::asText(BodyPrefix)});
+  // Covers what the upstream may base its work on. An answer to the same path
+  // and body from another caller says nothing about this request.
+  Fingerprint =
+      hashOf({Service.value(), Request.Method, Request.Target,
+              Context->Options.CallerService.value(),
+              From.Customer ? From.Customer->Name.value() : std::string(),
+              base::asText(BodyPrefix)});
   co_return std::nullopt;
 }
 
@@ -764,7 +769,7 @@
   if (Refused.Reason == RefusalReason::Quarantined)
     Context->Quarantine.convict(Fingerprint);
   if (Refused.Suspect)
-    Context->Quarantine.addSuspect(Fingerprint);
+    Context->Quarantine.recordCrash(Fingerprint);
 }
 
 void EntryRequest::countEvidence(const document::MeshSnapshot &Snapshot,
--- a/dataplane/test/CrashIsolation_test.cpp
+++ b/dataplane/test/CrashIsolation_test.cpp
@@ -118,6 +118,36 @@
   CHECK(Suspects == 1);
 }
 
+// Guards against a request that is never convicted, and takes down the service
+// for as long as it is sent, because another caller's equal request is
+// answered.
+TEST_CASE_METHOD(CrashIsolationTest,
+                 "Request that crashes upstreams for one caller is convicted "
+                 "although others are answered") {
+  CallerService = "x";
+  TestNode &Crashing = addNode("x");
+  CallerService = "y";
+  TestNode &Harmless = addNode("y");
+  auto AnswerOthers = [&] {
+    for (std::size_t I = 0; I < 6; ++I) {
+      auto Other = get(Harmless, "/crash-for/x");
+      finishInTime(Other);
+      CHECK(Other->status() == 200);
+    }
+  };
+  AnswerOthers();
+  auto First = get(Crashing, "/crash-for/x");
+  finishInTime(First);
+  CHECK(First->status() == 502);
+  applyQuarantine();
+  auto Again = get(Crashing, "/crash-for/x");
+  finishInTime(Again);
+  CHECK(Again->status() == 503);
+  CHECK(crashedUpstreams() == 2);
+  // The other caller's request is not refused as convicted.
+  AnswerOthers();
+}
+
 // Guards against a popular request that is refused for minutes because it is
 // running whenever an upstream crashes.
 TEST_CASE_METHOD(CrashIsolationTest,
@@ -239,6 +269,30 @@
   CHECK(Quarantine.isSuspect(1));
 }
 
+// Guards against a request that is cleared for a minute by an answer from
+// before it began to crash upstreams, or from another version of the service.
+TEST_CASE_METHOD(CrashQuarantineTest,
+                 "Answer excuses a request from one crash only") {
+  Quarantine.recordAnswer(1);
+  CHECK(Quarantine.attributeCrash({1, 2}).Suspects ==
+        std::vector<std::uint64_t>{2});
+  Quarantine.recordAnswer(2);
+  CHECK(Quarantine.attributeCrash({1}).Suspects ==
+        std::vector<std::uint64_t>{1});
+  CHECK(Quarantine.attributeCrash({1}).Culprit == 1);
+}
+
+TEST_CASE_METHOD(CrashQuarantineTest,
+                 "Crash after an answer makes the request a suspect again") {
+  Quarantine.recordAnswer(1);
+  Quarantine.addSuspect(1);
+  CHECK_FALSE(Quarantine.isSuspect(1));
+  Quarantine.recordCrash(1);
+  CHECK(Quarantine.isSuspect(1));
+  Quarantine.recordAnswer(1);
+  CHECK_FALSE(Quarantine.isSuspect(1));
+}
+
 TEST_CASE_METHOD(CrashQuarantineTest,
                  "Own observations expire and are bounded") {
   Quarantine.addSuspect(1);
--- a/dataplane/test/MeshFixture.cpp
+++ b/dataplane/test/MeshFixture.cpp
@@ -56,11 +56,13 @@
 };
 
 EntrySettings entrySettings(const std::string &Zone,
-                            std::size_t ResponseBufferBytes) {
+                            std::size_t ResponseBufferBytes,
+                            const std::string &CallerService) {
   EntrySettings Options;
   Options.ListenAddress = {"127.0.0.1", 0};
   Options.LoadBalancing.Zone = base::AvailabilityZone(Zone);
   Options.ResponseBufferBytes = ResponseBufferBytes;
+  Options.CallerService = base::ServiceName(CallerService);
   return Options;
 }
 
@@ -71,7 +73,8 @@
                    FakeSnapshots &Snapshots, FakeControl &Control,
                    std::unique_ptr<HttpDialect> NodeDialect,
                    std::size_t ResponseBufferBytes,
-                   std::uint64_t LinkBytesPerSecond)
+                   std::uint64_t LinkBytesPerSecond,
+                   const std::string &CallerService)
     : Counters(Registry), OwnDialect(std::move(NodeDialect)),
       Dialect(*OwnDialect), Dialer(identity(Name, Zone), Keys, Time),
       Inner(Context.get_executor(), {"127.0.0.1", 0}, identity(Name, Zone),
@@ -87,9 +90,10 @@
           Context.get_executor(), base::NodeId(Name), Time, Snapshots, Peers,
           Registry, [] { return true; }, 1),
       Exchanges(Context.get_executor(), UpstreamGate, Time, &Limits),
-      Entry(Context.get_executor(), entrySettings(Zone, ResponseBufferBytes),
-            Time, Snapshots, Control, Quarantine, Peers, Counters, Dialect,
-            Quotas, Budgets, Runs),
+      Entry(Context.get_executor(),
+            entrySettings(Zone, ResponseBufferBytes, CallerService), Time,
+            Snapshots, Control, Quarantine, Peers, Counters, Dialect, Quotas,
+            Budgets, Runs),
       Announcements(UpstreamGate, "key"),
       Announce(Context.get_executor(), {"127.0.0.1", 0}, Time, &Announcements,
                Registry, [] { return true; }) {}
@@ -137,7 +141,7 @@
                                std::uint64_t LinkBytesPerSecond) {
   Nodes.push_back(std::make_unique<TestNode>(
       Context, Time, Name, Zone, *NodeSnapshots, Control, MakeDialect(),
-      ResponseBufferBytes, LinkBytesPerSecond));
+      ResponseBufferBytes, LinkBytesPerSecond, CallerService));
   TestNode &Node = *Nodes.back();
   spawn(Node.Inner.serve([&Node](std::shared_ptr<protocol::Channel> Link) {
     return Node.Exchanges.serve(std::move(Link));
@@ -219,7 +223,14 @@
     Body.append(base::asText({Buffer.data(), Count}));
   while (Held && Request.Target.starts_with("/hold"))
     co_await Release.wait();
-  if (Request.Target.starts_with("/crash")) {
+  constexpr std::string_view CrashForCaller = "/crash-for/";
+  if (Request.Target.starts_with(CrashForCaller)) {
+    const std::string *Sender = findHeader(Request.Fields, "X-Test-Caller");
+    if (Sender && *Sender == Request.Target.substr(CrashForCaller.size())) {
+      Upstream.crash();
+      co_return;
+    }
+  } else if (Request.Target.starts_with("/crash")) {
     Upstream.crash();
     co_return;
   }
--- a/dataplane/test/MeshFixture.h
+++ b/dataplane/test/MeshFixture.h
@@ -67,6 +67,7 @@
   void setUpstreamFields(Headers &Fields,
                          const UpstreamMetadata &Metadata) const override {
     Native.setUpstreamFields(Fields, Metadata);
+    Fields.emplace_back("X-Test-Caller", Metadata.CallerService);
   }
   ResponseClass classifyResponse(const ResponseHead &Head,
                                  const std::string & /*Attempt*/,
@@ -101,7 +102,8 @@
            const std::string &Name, const std::string &Zone,
            FakeSnapshots &Snapshots, FakeControl &Control,
            std::unique_ptr<HttpDialect> NodeDialect,
-           std::size_t ResponseBufferBytes, std::uint64_t LinkBytesPerSecond);
+           std::size_t ResponseBufferBytes, std::uint64_t LinkBytesPerSecond,
+           const std::string &CallerService);
 
   prometheus::Registry Registry;
   Metrics Counters;
@@ -181,6 +183,8 @@
   boost::asio::io_context Context;
   base::ManualClock Time;
   FakeSnapshots Snapshots{Context.get_executor()};
+  /// Service of the callers of nodes that are added later.
+  std::string CallerService;
   /// What nodes that are added later apply.
   FakeSnapshots *NodeSnapshots = &Snapshots;
   FakeControl Control{Time};
