--- a/dataplane/src/UpstreamClient.cpp
+++ b/dataplane/src/UpstreamClient.cpp
@@ -52,28 +52,46 @@
 
   /// False if the upstream has closed the connection or sent data that belongs
   /// to no request.
-  bool usable() {
-    if (!Socket.is_open())
-      return false;
-    char Byte = 0;
-    return ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <
-               0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
-  }
+  bool usable() { return Socket.is_open() && peek() == Peeked::Nothing; }
 
   /// False if the upstream has closed the connection and all data was read.
-  bool isOpen() {
-    if (!Socket.is_open())
-      return false;
+  bool isOpen() { return Socket.is_open() && peek() != Peeked::End; }
+
+  /// Must be called with the result of each operation on the socket. A reset is
+  /// reported to one operation only; the others see the end of the data.
+  void recordResult(const boost::system::error_code &Failure) {
+    // EPIPE: the upstream closed its side in order before it reset the
+    // connection, so all that it sent has arrived. An operation is cancelled
+    // only when this process closes the socket.
+    bool AfterOrderlyEnd = Failure == asio::error::broken_pipe;
+    if (Failure && !AfterOrderlyEnd && Failure != asio::error::eof &&
+        Failure != asio::error::operation_aborted &&
+        Failure.category() == asio::error::get_system_category())
+      Reset = true;
+  }
+  /// True if any operation has seen that the connection did not end in order.
+  bool wasReset() const { return Reset; }
+
+  tcp::socket Socket;
+  base::TimePoint LastUsed;
+
+private:
+  enum class Peeked : std::uint8_t { Nothing, Data, End };
+
+  Peeked peek() {
     char Byte = 0;
     auto Count =
         ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return Count > 0 ||
-           (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+    if (Count > 0)
+      return Peeked::Data;
+    if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      return Peeked::Nothing;
+    if (Count < 0)
+      recordResult({errno, asio::error::get_system_category()});
+    return Peeked::End;
   }
 
-  tcp::socket Socket;
-  base::TimePoint LastUsed;
+  bool Reset = false;
 };
 
 using Parser = http::response_parser<http::buffer_body>;
@@ -148,6 +166,7 @@
     std::size_t Written = co_await asio::async_write(
         Connection->Socket, asio::buffer(Text),
         asio::redirect_error(asio::use_awaitable, Failure));
+    Connection->recordResult(Failure);
     if (Failure)
       throw UpstreamError(Written != 0, RefusalReason::UpstreamBroken,
                           Failure.message());
@@ -245,8 +264,13 @@
     co_await http::async_read_some(Connection->Socket, Buffer, *Incoming,
                                    Token);
   ReadDeadline = base::TimePoint::max();
+  Connection->recordResult(Failure);
   if (Failure && Failure != http::error::need_buffer)
     fail(Failure);
+  // The end of the connection is the end of such a body only if the connection
+  // was not reset. The write of the request may have consumed the error.
+  if (Incoming->is_done() && Incoming->need_eof() && Connection->wasReset())
+    fail(asio::error::connection_reset);
 }
 
 asio::awaitable<ResponseHead> Call::readHead() {
--- a/dataplane/test/UpstreamClient_test.cpp
+++ b/dataplane/test/UpstreamClient_test.cpp
@@ -94,6 +94,144 @@
   UpstreamClient Client;
 };
 
+/// An upstream that sends a part of a response without a length to an upload
+/// that it does not read, and then ends the connection.
+class EarlyResponseTest : public UpstreamClientTest {
+protected:
+  /// Starts an upload that fills the buffers of the connection.
+  void startUpload() {
+    asio::co_spawn(
+        Context,
+        [this]() -> asio::awaitable<void> {
+          Peer.emplace(co_await Listener.async_accept(asio::use_awaitable));
+          std::string Request;
+          co_await asio::async_read_until(*Peer, asio::dynamic_buffer(Request),
+                                          "\r\n\r\n", asio::use_awaitable);
+          std::string Response = "HTTP/1.1 200 OK\r\n\r\n" + Body;
+          co_await asio::async_write(*Peer, asio::buffer(Response),
+                                     asio::use_awaitable);
+        },
+        asio::detached);
+    asio::co_spawn(
+        Context,
+        [this]() -> asio::awaitable<void> {
+          UpstreamClient::FieldSource Fields = [] {
+            return Headers{{"Host", "h"}};
+          };
+          Running = co_await Client.begin("POST", "/", std::move(Fields),
+                                          UnknownLength, false);
+          base::Bytes Large(UploadBytes);
+          co_await Running->writeBody(Large);
+        },
+        [this](std::exception_ptr) { UploadEnded = true; });
+    run();
+    REQUIRE_FALSE(UploadEnded);
+    REQUIRE(Running);
+  }
+
+  /// Reads the response. Returns its body, or `std::nullopt` if the call fails.
+  std::optional<std::string> readResponse() {
+    std::optional<std::string> Result;
+    asio::co_spawn(
+        Context,
+        [&]() -> asio::awaitable<void> {
+          co_await Running->readHead();
+          std::string Text;
+          std::array<std::uint8_t, 256> Buffer{};
+          while (std::size_t Count = co_await Running->readBody(Buffer))
+            Text.append(Buffer.begin(), Buffer.begin() + Count);
+          Result = Text;
+        },
+        [&](std::exception_ptr) { ResponseEnded = true; });
+    run();
+    return Result;
+  }
+
+  void resetConnection() {
+    Peer->set_option(asio::socket_base::linger(true, 0));
+    Peer->close();
+    run();
+  }
+
+  void run() {
+    Context.restart();
+    Context.run_for(std::chrono::milliseconds(200));
+  }
+
+  static constexpr std::size_t UploadBytes = 16U << 20U;
+  const std::string Body = std::string(700, 'x');
+  std::optional<tcp::socket> Peer;
+  std::shared_ptr<UpstreamCall> Running;
+  bool UploadEnded = false;
+  bool ResponseEnded = false;
+};
+
+// Guards against a part of a response that is delivered as a complete one,
+// because the write of the upload consumed the reset of the connection.
+TEST_CASE_METHOD(EarlyResponseTest,
+                 "Early response fails if the upload saw the reset") {
+  startUpload();
+  resetConnection();
+  REQUIRE(UploadEnded);
+  CHECK_FALSE(readResponse());
+  CHECK(ResponseEnded);
+}
+
+// The same, where the check for open connections consumed the reset.
+TEST_CASE_METHOD(EarlyResponseTest,
+                 "Early response fails if a check of the connection saw the "
+                 "reset") {
+  std::optional<std::string> Result;
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        Peer.emplace(co_await Listener.async_accept(asio::use_awaitable));
+        std::string Response = "HTTP/1.1 200 OK\r\n\r\n" + Body;
+        co_await asio::async_write(*Peer, asio::buffer(Response),
+                                   asio::use_awaitable);
+      },
+      asio::detached);
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        UpstreamClient::FieldSource Fields = [] {
+          return Headers{{"Host", "h"}};
+        };
+        Running =
+            co_await Client.begin("GET", "/", std::move(Fields), 0, false);
+        co_await Running->writeEnd();
+        co_await Running->readHead();
+        base::Bytes Buffer(Body.size());
+        std::size_t Count = 0;
+        while (Count < Body.size())
+          Count += co_await Running->readBody(
+              std::span<std::uint8_t>(Buffer).subspan(Count));
+        // Ends the connection while this call does not read.
+        Peer->set_option(asio::socket_base::linger(true, 0));
+        Peer->close();
+        CHECK_FALSE(Client.hasOpenConnection());
+        co_await Running->readBody(Buffer);
+        Result = "complete";
+      },
+      [&](std::exception_ptr) { ResponseEnded = true; });
+  run();
+  CHECK(ResponseEnded);
+  CHECK_FALSE(Result);
+}
+
+// Guards against early responses that are lost although the upstream ended them
+// in order.
+TEST_CASE_METHOD(EarlyResponseTest,
+                 "Early response is complete if the upstream ended it in "
+                 "order") {
+  startUpload();
+  Peer->shutdown(tcp::socket::shutdown_send);
+  run();
+  SECTION("and goes on reading") {}
+  SECTION("and then resets the connection") { resetConnection(); }
+  CHECK(readResponse() == Body);
+}
+
 TEST_CASE_METHOD(UpstreamClientTest,
                  "refusesConnections without a listener is true") {
   Listener.close();
