--- a/dataplane/test/EndlessResponse_test.cpp
+++ b/dataplane/test/EndlessResponse_test.cpp
@@ -2,13 +2,16 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
+#include <vector>
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -62,8 +65,14 @@
     std::array<char, 64> Unread{};
     co_await asio::async_read_until(*Socket, asio::dynamic_buffer(Request),
                                     "\r\n\r\n", Token);
+    std::vector<char> Upload(Test.UploadBytesBeforePrefix);
+    co_await asio::async_read(*Socket, asio::buffer(Upload), Token);
     co_await asio::async_write(*Socket, asio::buffer(Test.Prefix), Token);
-    if (Test.ClosesAfterPrefix)
+    if (Test.ResetsAfterPrefix)
+      Socket->set_option(asio::socket_base::linger(true, 0));
+    if (Test.EndsInOrderAfterPrefix)
+      Socket->shutdown(tcp::socket::shutdown_send);
+    if (Test.ClosesAfterPrefix || Test.ResetsAfterPrefix)
       Socket->close();
     while (!Failure && !Test.Stopping && !Test.Filler.empty())
       Test.BytesWritten +=
@@ -95,12 +104,57 @@
   std::string Prefix;
   std::string Filler;
   bool ClosesAfterPrefix = false;
+  bool ResetsAfterPrefix = false;
+  bool EndsInOrderAfterPrefix = false;
+  /// How much of the request's body the upstream reads before `Prefix`.
+  std::size_t UploadBytesBeforePrefix = 0;
   std::size_t BytesWritten = 0;
   unsigned Connections = 0;
   unsigned Closed = 0;
   bool Stopping = false;
 };
 
+/// An upstream that answers uploads early, with a body that ends with the
+/// connection.
+class EarlyResponseToUploadTest : public EndlessResponseTest {
+protected:
+  /// Sends an upload of which the upstream reads `BytesRead` first. Returns
+  /// whether the caller received a complete 200 with the body.
+  bool receivesCompleteResponse(std::size_t BytesRead) {
+    UploadBytesBeforePrefix = BytesRead;
+    Prefix = "HTTP/1.1 200 OK\r\n\r\n" + std::string(ResponseBytes, 'x');
+    auto Result = post(Node, "/x", std::string(UploadBytes, 'u'));
+    runUntil([&] { return Result->Done; });
+    // The body comes in chunks, whose framing contains no 'x'.
+    return Result->status() == 200 && Result->Text.ends_with("0\r\n\r\n") &&
+           std::ranges::count(Result->body(), 'x') == ResponseBytes;
+  }
+
+  static constexpr std::size_t Rounds = 20;
+  static constexpr std::size_t UploadBytes = 3U << 20U;
+  static constexpr std::size_t ResponseBytes = 700;
+};
+
+// Guards against a part of a response that reaches the caller as a complete one
+// because the upload consumed the reset of the connection.
+TEST_CASE_METHOD(EarlyResponseToUploadTest,
+                 "Early response that is reset during the upload never reaches "
+                 "the caller as complete") {
+  ResetsAfterPrefix = true;
+  std::size_t Complete = 0;
+  for (std::size_t Round = 0; Round < Rounds; ++Round)
+    Complete += receivesCompleteResponse(Round * UploadBytes / Rounds) ? 1 : 0;
+  CHECK(Complete == 0);
+}
+
+TEST_CASE_METHOD(EarlyResponseToUploadTest,
+                 "Early response that ends in order during the upload reaches "
+                 "the caller") {
+  EndsInOrderAfterPrefix = true;
+  for (std::size_t Round = 0; Round < Rounds; ++Round)
+    CHECK(receivesCompleteResponse(Round * UploadBytes / Rounds));
+}
+
 // Guards against a caller that receives a status of 000, or the body behind it
 // as the response, or waits until its deadline for another head.
 TEST_CASE_METHOD(EndlessResponseTest,
