--- a/replication/src/Snapshots.cpp
+++ b/replication/src/Snapshots.cpp
@@ -29,8 +29,8 @@
   SnapshotWrite = Disk.write(SaveSnapshot{Snapshot, false});
   SnapshotIndex = CommitIndex;
   discardCoveredEntries();
-  Logger->debug("snapshot taken id={:x} index={} bytes={} log_bytes={}", self(),
-                SnapshotIndex, SnapshotBytes, Log.loadedBytes());
+  Logger->info("snapshot taken id={:x} index={} bytes={} log_bytes={}", self(),
+               SnapshotIndex, SnapshotBytes, Log.loadedBytes());
 }
 
 void ReplicaCore::discardCoveredEntries() {
--- a/replication/test/ReplicaBytes_test.cpp
+++ b/replication/test/ReplicaBytes_test.cpp
@@ -129,6 +129,24 @@
   }
 }
 
+// Guards against a member that never catches up, or a leader that exceeds its
+// memory, when the log is discarded while a snapshot is being sent.
+TEST_CASE_METHOD(ReplicaBytesTest,
+                 "Member behind the discarded log catches up while large "
+                 "changes go on") {
+  TestCluster.Settings.SnapshotChunkBytes = CommandBytes / 2;
+  startAll();
+  commitMany(3);
+  std::size_t Lagging = (leaderIndex() + 1) % 3;
+  TestCluster.kill(Lagging);
+  commitMany(40);
+  TestCluster.start(Lagging);
+  std::uint64_t Last = commitMany(40);
+  CHECK(waitUntilApplied(Lagging, Last));
+  CHECK(TestCluster.at(Lagging).Machine->RestoreCount > 0);
+  checkMemory(Lagging);
+}
+
 // Guards against a leader without a majority whose log grows with each
 // proposal that times out.
 TEST_CASE_METHOD(ReplicaBytesTest,
--- a/tools/daemon/src/ControlDaemon.cpp
+++ b/tools/daemon/src/ControlDaemon.cpp
@@ -57,6 +57,9 @@
 /// text and decoded, the audit trail, and the labels of accepted documents.
 constexpr std::size_t RegionMaxSnapshotBytes = 64U << 20U;
 
+/// State for which the limits of the log are logged at the start.
+constexpr std::size_t AssumedStateBytes = 4U << 20U;
+
 /// Time that operators' calls in progress have at a shutdown. Longer than a
 /// commit takes while there is a majority.
 constexpr base::Millis OperatorDrainTime = base::Millis(2000);
@@ -234,6 +237,11 @@
         "authentication is disabled: every process that can reach {} and {} "
         "is trusted",
         P.Inner.local().text(), P.Operators.address().text());
+  replication::ReplicaSettings Limits = replicaSettings(P.Settings);
+  base::logger("control")->info(
+      "limits of the log memory_bytes={} disk_bytes={} state_bytes={}",
+      Limits.maxLogMemoryBytes(AssumedStateBytes),
+      Limits.maxDiskBytes(AssumedStateBytes), AssumedStateBytes);
   base::logger("control")->info(
       "control process started replica={} zone={} inner={} operator={}",
       P.Self.Id, P.Settings.Zone.value(), P.Inner.local().text(),
