--- a/replication/src/Snapshots.cpp
+++ b/replication/src/Snapshots.cpp
@@ -34,17 +34,17 @@
 }
 
 void ReplicaCore::discardCoveredEntries() {
-  std::uint64_t Base = Log.baseIndex();
   auto Exceeds = [&](std::uint64_t From) {
     return SnapshotIndex - From > Settings.TrailingEntries ||
            Log.bytesAbove(From) - Log.bytesAbove(SnapshotIndex) >
                Settings.TrailingBytes;
   };
-  // The disk discards its copies of the covered entries, so those that are not
-  // loaded cannot be kept.
-  while (Base < SnapshotIndex &&
-         (Exceeds(Base) || !Log.at(Base + 1)->isLoaded()))
-    ++Base;
+  // The disk discards its copies of the covered entries, so the payloads of all
+  // that are kept must be loaded.
+  std::uint64_t Base = SnapshotIndex;
+  while (Base > Log.baseIndex() && Log.at(Base)->isLoaded() &&
+         !Exceeds(Base - 1))
+    --Base;
   Log.compactTo(Base);
   while (MembershipHistory.size() > 1 &&
          MembershipHistory[1].first <= Log.baseIndex())
--- a/replication/test/ReplicaBytes_test.cpp
+++ b/replication/test/ReplicaBytes_test.cpp
@@ -147,6 +147,41 @@
   checkMemory(Lagging);
 }
 
+// Guards against a leader that ends by itself because a member needs entries
+// whose payloads were left on disk and have been discarded there.
+TEST_CASE_METHOD(ReplicaBytesTest,
+                 "Member that lags behind a restarted leader catches up") {
+  std::size_t LagAfter = GENERATE(range<std::size_t>(3, 12));
+  std::size_t Loaded = GENERATE(range<std::size_t>(4, 8));
+  INFO("lags after " << LagAfter << " commands, " << Loaded << " loaded");
+  ReplicaSettings Limits = TestCluster.Settings;
+  TestCluster.Settings.CompactBytes = TestCluster.Settings.TrailingBytes =
+      std::numeric_limits<std::size_t>::max() / 2;
+  startAll();
+  for (std::size_t I = 0; I < LagAfter; ++I)
+    TestCluster.commit(largeCommand(I));
+  std::size_t Lagging = (leaderIndex() + 1) % 3;
+  TestCluster.runFor(base::Millis::seconds(1));
+  TestCluster.kill(Lagging);
+  std::uint64_t Last = 0;
+  for (std::size_t I = 0; I < 30; ++I)
+    Last = TestCluster.commit(largeCommand(100 + I));
+  TestCluster.runFor(base::Millis::seconds(2));
+  TestCluster.Settings = Limits;
+  for (std::size_t I = 0; I < TestCluster.size(); ++I) {
+    TestCluster.kill(I);
+    TestCluster.at(I).Image.MaxRecoveredBytes = Loaded * CommandBytes;
+  }
+  for (std::size_t I = 0; I < TestCluster.size(); ++I)
+    if (I != Lagging)
+      TestCluster.start(I);
+  leaderIndex();
+  TestCluster.runFor(base::Millis::seconds(2));
+  TestCluster.start(Lagging);
+  for (std::size_t I = 0; I < TestCluster.size(); ++I)
+    CHECK(waitUntilApplied(I, Last));
+}
+
 // Guards against a leader without a majority whose log grows with each
 // proposal that times out.
 TEST_CASE_METHOD(ReplicaBytesTest,
--- a/replication/test/SimulatedDisk.cpp
+++ b/replication/test/SimulatedDisk.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
 
 #include <utility>
 
@@ -60,6 +61,9 @@
   for (const EntryRef &Stored : Inner->Image.Entries)
     if (Stored->Index == Entry.Index && Stored->EntryTerm == Entry.EntryTerm)
       return Stored;
+  // Without this, only the replica would end.
+  FAIL_CHECK("a replica loads entry " << Entry.Index
+                                      << ", which is not on its disk");
   throw StorageError("the entry is not on the disk");
 }
 
