Search for a current control process among the members, side by side

Cause: a node kept every control process that it had ever heard of, also those that were replaced, and dialed them one after the other, 500 ms each, before one that runs.

Ruled out: late detection (1.8 s of the 3 s that a node has) and control processes without a leader (other nodes followed the new version).

Change: known are the seeds and the members of the newest list, ordered by the log index that the sender had applied. Processes are dialed side by side, 150 ms apart within a region, and the first whose `Currency` message says that it is current is used. Control processes send that message first on each connection. Histograms and a log line for each dial show a failover. The pause between searches is bounded by 1.8 s within a region.

--- a/control/include/amaranth/control/FollowMessages.h
+++ b/control/include/amaranth/control/FollowMessages.h
@@ -56,15 +56,16 @@
   base::Millis Delay;
 };
 
-/// Tells a node how up to date its control process is. Sent every 500 ms and
-/// after each subscription.
+/// Tells a node how up to date its control process is. Sent first on each
+/// connection, every 500 ms, and after each subscription.
 struct Currency {
   base::LogIndex Applied;
   /// Time since the control process last heard from a leader or, as the leader,
   /// from a majority.
   base::Millis SinceCurrent;
-  /// Addresses of all control processes. Empty if they are unchanged since the
-  /// last time they were sent on this connection.
+  /// Addresses of the members of the cluster when `Applied` was applied, so
+  /// that lists can be ordered. Empty if they are unchanged since the last time
+  /// they were sent on this connection.
   std::vector<std::string> Controls;
 };
 /// Maximum number of control process addresses in a message.
--- a/control/src/NodeSession.cpp
+++ b/control/src/NodeSession.cpp
@@ -110,6 +110,8 @@
         co_await Self->updateLoop();
       },
       asio::detached);
+  // A node that asks several processes subscribes only at one that is current.
+  sendCurrency();
   std::string Reason;
   try {
     while (Channel->isOpen())
--- a/follower/include/amaranth/follower/Follower.h
+++ b/follower/include/amaranth/follower/Follower.h
@@ -31,14 +31,18 @@
 struct FollowerSettings {
   base::NodeId Node;
   base::AvailabilityZone Zone;
-  /// Must contain at least one entry.
+  /// Must contain at least one entry. The node learns of others from those that
+  /// it connects to.
   std::vector<ControlProcess> ControlProcesses;
   /// Services to subscribe to; an empty set means all. If the set is not empty,
   /// the services of published endpoints are added to it.
   std::set<base::ServiceName> Services;
   /// Time after which a further process is dialed as well. The dial goes on,
-  /// and the first connection is used: a handshake takes two round trips, which
-  /// last longer than this on a link that is full.
+  /// and the first connection to a current process is used.
+  base::Millis DialStagger = base::Millis(250);
+  /// Time that a search waits for answers after the last process was dialed. A
+  /// dial goes on after that: a handshake takes two round trips, which last
+  /// longer than this on a link that is full.
   base::Millis DialTimeout = base::Millis::seconds(1);
   /// Time after which a dial is given up.
   base::Millis MaxDialTime = base::Millis::seconds(5);
@@ -48,9 +52,11 @@
   base::Millis BackoffMax = base::Millis::seconds(5);
   /// A control process that sends neither a `Currency` message nor a part of an
   /// update for this time counts as stale, and the follower switches to another
-  /// one. Also the initial pause between rounds over all control processes
-  /// while all of them are stale.
+  /// one. Also the initial pause between searches while all control processes
+  /// are stale.
   base::Millis SilenceTimeout = base::Millis::seconds(5);
+  /// The pause between searches doubles up to this limit.
+  base::Millis MaxStalePause = base::Millis::seconds(80);
   /// A control process also counts as stale if the staleness that it reports
   /// reaches this limit.
   base::Millis MaxStaleness = base::Millis::seconds(5);
@@ -59,6 +65,10 @@
   std::size_t MaxCallsInFlight = 256;
   /// Seed for the random delays; 0 uses a seed from the operating system.
   std::uint64_t Seed = 0;
+
+  /// Limits for control processes in the region of the node, so that it fails
+  /// over to another one quickly.
+  static FollowerSettings withinRegion();
 };
 
 /// State of a follower.
@@ -106,9 +116,9 @@
   void publish(document::Endpoint Entry) override;
   void report(const rollout::EvidenceReport &Report) override;
 
-  /// Adds control processes that the node may connect to. Those already known
-  /// are ignored.
-  void addControlProcesses(const std::vector<ControlProcess> &Processes);
+  /// Replaces the control processes of the settings. Members that the node
+  /// learned of are kept. An empty list is ignored.
+  void setControlProcesses(const std::vector<ControlProcess> &Processes);
 
   FollowerStatus status() const;
 
--- /dev/null
+++ b/follower/src/ControlSearch.cpp
@@ -0,0 +1,234 @@
+#include "ControlSearch.h"
+
+#include "amaranth/base/Log.h"
+#include "amaranth/base/Timeout.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace amaranth::follower::detail {
+
+std::vector<base::Address>
+parseMembers(const std::vector<std::string> &Addresses) {
+  std::vector<base::Address> Result;
+  for (const std::string &Text : Addresses)
+    if (auto Address = base::parseAddress(Text))
+      Result.push_back(*Address);
+  return Result;
+}
+
+ControlSearch::ControlSearch(const FollowerSettings &Settings,
+                             const asio::any_io_executor &Executor,
+                             base::Clock &Time, protocol::Dialer &Dial)
+    : Settings(Settings), Executor(Executor), Time(Time), Dial(Dial),
+      Chooser(Settings.Node, Settings.Zone, Settings.ControlProcesses),
+      Changed(Executor) {}
+
+asio::awaitable<ControlSearch::ConnectionPtr>
+ControlSearch::find(std::optional<base::Address> Excluded,
+                    std::function<bool()> IsNeeded) {
+  auto Self = shared_from_this();
+  Wanted = true;
+  std::set<base::Address> Asked;
+  if (Excluded)
+    Asked.insert(*Excluded);
+  auto IsAnswerDue = [this, &Asked](const auto &Entry) {
+    return Asked.contains(Entry.second.Process);
+  };
+  base::TimePoint End = Time.now() + Settings.DialTimeout;
+  while (IsNeeded()) {
+    if (ConnectionPtr Current = takeCurrent())
+      co_return Current;
+    base::TimePoint Now = Time.now();
+    auto Target = Chooser.next(Now, Asked);
+    bool MayDial = Running.size() < MaxRunningDials && Now >= NextDialTime;
+    if (Target && (MayDial || isBeingDialed(Target->Process.Address))) {
+      Asked.insert(Target->Process.Address);
+      if (!isBeingDialed(Target->Process.Address))
+        startDial(*Target);
+      End = Now + Settings.DialTimeout;
+      continue;
+    }
+    bool AnswersAreDue =
+        std::any_of(Running.begin(), Running.end(), IsAnswerDue);
+    if (!Target && (!AnswersAreDue || Now >= End)) {
+      ConnectionPtr LeastStale = takeLeastStale();
+      closeAnswers();
+      co_return LeastStale;
+    }
+    bool WaitsForStagger = Target && Running.size() < MaxRunningDials;
+    // At the limit, the end of a dial notifies.
+    base::TimePoint Until = WaitsForStagger
+                                ? NextDialTime
+                                : (Target ? Now + Settings.MaxDialTime : End);
+    co_await Time.waitFor(Changed, Until);
+  }
+  co_return nullptr;
+}
+
+void ControlSearch::startDial(const ControlChooser::Choice &Target) {
+  const base::Address &Process = Target.Process.Address;
+  base::logger("follower")
+      ->info(
+          "dialing control process control={} known_as={} failed_recently={} "
+          "dials_running={} processes_known={}",
+          Process.text(), Target.IsMember ? "member" : "seed", Target.IsAvoided,
+          Running.size(), Chooser.size());
+  std::uint64_t Id = ++Dials;
+  Running.emplace(Id, RunningDial{Process, Time.now()});
+  NextDialTime = Time.now() + Settings.DialStagger;
+  asio::co_spawn(
+      Executor,
+      [Self = shared_from_this(), Id, Process]() -> asio::awaitable<void> {
+        co_await Self->dial(Id, Process);
+      },
+      asio::detached);
+}
+
+asio::awaitable<void> ControlSearch::dial(std::uint64_t Id,
+                                          base::Address Process) {
+  std::string Reason;
+  ConnectionPtr Answer;
+  try {
+    Answer = co_await connect(Process);
+  } catch (const base::Error &Failure) {
+    Reason = Failure.what();
+  }
+  Running.erase(Id);
+  if (Answer)
+    onAnswer(std::move(Answer));
+  else
+    onFailure(Process, Reason);
+  Changed.notifyAll();
+}
+
+asio::awaitable<ControlSearch::ConnectionPtr>
+ControlSearch::connect(base::Address Process) {
+  base::TimePoint End = Time.now() + Settings.MaxDialTime;
+  auto Answer = std::make_shared<ControlConnection>();
+  Answer->Process = Process;
+  Answer->Channel = co_await Dial.dial(Process, Settings.MaxDialTime);
+  std::string Reason;
+  try {
+    // The address of a VM that is gone may be in use by a node.
+    if (Answer->Channel->peer().ProcessRole != protocol::Role::Control)
+      throw base::ProtocolError("the peer is not a control process");
+    auto First = co_await base::withTimeout(Time, End - Time.now(),
+                                            Answer->Channel->receive());
+    if (!First)
+      throw base::TimeoutError("no currency message in time");
+    if (First->Type != protocol::MessageType::Currency)
+      throw base::ProtocolError(
+          fmt::format("message type {} before a currency message",
+                      static_cast<unsigned>(First->Type)));
+    Answer->FirstReport = control::decodeCurrency(First->Payload);
+    Answer->Staleness = Answer->FirstReport.SinceCurrent;
+    Answer->LastHeardTime = Time.now();
+    co_return Answer;
+  } catch (const base::Error &Failure) {
+    Reason = Failure.what();
+  }
+  Answer->Channel->close(Reason);
+  throw base::Error(Reason);
+}
+
+void ControlSearch::onAnswer(ConnectionPtr Answer) {
+  const control::Currency &Report = Answer->FirstReport;
+  Chooser.setMembers(Report.Applied, parseMembers(Report.Controls));
+  if (!isCurrent(*Answer)) {
+    base::logger("follower")
+        ->info("control process is not current control={} stale_ms={} "
+               "applied={}",
+               Answer->Process.text(), Answer->Staleness.count(),
+               Report.Applied.value());
+    Chooser.avoid(Answer->Process, Time.now());
+    NextDialTime = Time.now();
+  }
+  if (Wanted)
+    Answers.push_back(std::move(Answer));
+  else
+    Answer->Channel->close("no further connection is needed");
+}
+
+void ControlSearch::onFailure(const base::Address &Process,
+                              const std::string &Reason) {
+  base::logger("follower")
+      ->info("cannot connect to control process control={} error=\"{}\"",
+             Process.text(), Reason);
+  Chooser.avoid(Process, Time.now());
+  NextDialTime = Time.now();
+}
+
+bool ControlSearch::isCurrent(const ControlConnection &Answer) const {
+  return Answer.Staleness < Settings.MaxStaleness;
+}
+
+bool ControlSearch::isBeingDialed(const base::Address &Process) const {
+  base::TimePoint Now = Time.now();
+  return std::any_of(Running.begin(), Running.end(), [&](const auto &Entry) {
+    const RunningDial &Each = Entry.second;
+    return Each.Process == Process && Now - Each.Began < Settings.DialTimeout;
+  });
+}
+
+ControlSearch::ConnectionPtr ControlSearch::takeCurrent() {
+  std::erase_if(Answers, [](const ConnectionPtr &Answer) {
+    return !Answer->Channel->isOpen();
+  });
+  auto Found = std::find_if(
+      Answers.begin(), Answers.end(),
+      [this](const ConnectionPtr &Answer) { return isCurrent(*Answer); });
+  if (Found == Answers.end())
+    return nullptr;
+  ConnectionPtr Result = std::move(*Found);
+  Answers.erase(Found);
+  return Result;
+}
+
+ControlSearch::ConnectionPtr ControlSearch::takeLeastStale() {
+  auto Found = std::min_element(
+      Answers.begin(), Answers.end(),
+      [](const ConnectionPtr &Left, const ConnectionPtr &Right) {
+        return Left->Staleness < Right->Staleness;
+      });
+  if (Found == Answers.end())
+    return nullptr;
+  ConnectionPtr Result = std::move(*Found);
+  Answers.erase(Found);
+  return Result;
+}
+
+bool ControlSearch::hasCurrent() const {
+  return std::any_of(Answers.begin(), Answers.end(),
+                     [this](const ConnectionPtr &Answer) {
+                       return Answer->Channel->isOpen() && isCurrent(*Answer);
+                     });
+}
+
+asio::awaitable<void> ControlSearch::waitForCurrent(base::Millis Span) {
+  auto Self = shared_from_this();
+  base::TimePoint End = Time.now() + Span;
+  while (Wanted && !hasCurrent() && Time.now() < End)
+    co_await Time.waitFor(Changed, End);
+}
+
+void ControlSearch::finish() {
+  if (!Wanted)
+    return;
+  Wanted = false;
+  closeAnswers();
+  Changed.notifyAll();
+}
+
+void ControlSearch::closeAnswers() {
+  // Heartbeats would keep unused connections open indefinitely.
+  for (const ConnectionPtr &Answer : std::exchange(Answers, {}))
+    Answer->Channel->close("no further connection is needed");
+}
+
+} // namespace amaranth::follower::detail
--- a/follower/src/Follower.cpp
+++ b/follower/src/Follower.cpp
@@ -1,7 +1,7 @@
 #include "amaranth/follower/Follower.h"
 
 #include "CallTable.h"
-#include "ControlChooser.h"
+#include "ControlSearch.h"
 #include "EndpointPublisher.h"
 #include "FollowerImpl.h"
 #include "SnapshotApplier.h"
@@ -16,6 +16,23 @@
 
 namespace amaranth::follower {
 
+FollowerSettings FollowerSettings::withinRegion() {
+  FollowerSettings Result;
+  Result.BackoffMax = base::Millis(1000);
+  Result.DialStagger = base::Millis(150);
+  Result.DialTimeout = base::Millis(500);
+  // A handshake over a link on which packets wait for half a second each way.
+  Result.MaxDialTime = base::Millis(3000);
+  // Three `Currency` messages have been missed by then.
+  Result.SilenceTimeout = base::Millis(1800);
+  // With the time of a search, a node returns within 3 s to processes that are
+  // current again.
+  Result.MaxStalePause = Result.SilenceTimeout;
+  // Longer than a leader election takes.
+  Result.MaxStaleness = base::Millis(1200);
+  return Result;
+}
+
 Follower::Follower(FollowerSettings Settings,
                    const asio::any_io_executor &Executor, base::Clock &Time,
                    protocol::Dialer &Dial, prometheus::Registry &Metrics)
@@ -78,9 +95,10 @@
 
 FollowerStatus Follower::status() const { return Shared->status(); }
 
-void Follower::addControlProcesses(
+void Follower::setControlProcesses(
     const std::vector<ControlProcess> &Processes) {
-  Shared->Chooser.add(Processes);
+  Shared->Search->processes().setSeeds(Processes);
+  Shared->Search->wake();
 }
 
 } // namespace amaranth::follower
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <algorithm>
@@ -24,11 +25,13 @@
 constexpr base::Millis TickInterval = base::Millis(250);
 /// Upper limit for the delay that a control process can request.
 constexpr base::Millis MaxRetryAfterDelay = base::Millis::seconds(30);
-/// Limits the pause between rounds over stale control processes: with the
-/// default `SilenceTimeout` of 5 s it doubles up to 80 s.
-constexpr unsigned MaxStaleDoublings = 4;
 constexpr unsigned MaxBackoffDoublings = 10;
 
+const prometheus::Histogram::BucketBoundaries FailoverBucketsMs = {
+    100, 250, 500, 1000, 1500, 2000, 2500, 3000, 4000, 6000, 10'000, 30'000};
+const prometheus::Histogram::BucketBoundaries FailoverDialBuckets = {
+    1, 2, 3, 4, 6, 8, 12, 16, 32};
+
 prometheus::Counter &counter(prometheus::Registry &Metrics, const char *Name,
                              const char *Help) {
   return prometheus::BuildCounter().Name(Name).Help(Help).Register(Metrics).Add(
@@ -41,15 +44,26 @@
       {});
 }
 
+prometheus::Histogram &
+histogram(prometheus::Registry &Metrics, const char *Name, const char *Help,
+          const prometheus::Histogram::BucketBoundaries &Buckets) {
+  return prometheus::BuildHistogram()
+      .Name(Name)
+      .Help(Help)
+      .Register(Metrics)
+      .Add({}, Buckets);
+}
+
 } // namespace
 
 Follower::Impl::Impl(FollowerSettings Initial,
                      const asio::any_io_executor &Executor, base::Clock &Time,
                      protocol::Dialer &Dial, prometheus::Registry &Metrics)
     : Settings(std::move(Initial)), Executor(Executor), Time(Time), Dial(Dial),
-      Chooser(Settings.Node, Settings.Zone, Settings.ControlProcesses),
+      Search(std::make_shared<detail::ControlSearch>(Settings, Executor, Time,
+                                                     Dial)),
       Calls(Executor), SnapshotChanged(Executor), ConnectionChanged(Executor),
-      DialEnded(Executor),
+      StalePause(Settings.SilenceTimeout),
       Random(Settings.Seed != 0 ? Settings.Seed : base::randomU64()),
       AppliedCount(&counter(Metrics, "amaranth_follower_applied_updates_total",
                             "Snapshots and deltas put in force")),
@@ -59,6 +73,15 @@
                                "Connections to control processes")),
       ReceivedBytes(&counter(Metrics, "amaranth_follower_received_bytes_total",
                              "Bytes received from control processes")),
+      FailoverTime(&histogram(
+          Metrics, "amaranth_follower_failover_ms",
+          "Time from the last message of a current control process to the "
+          "first one on the next connection",
+          FailoverBucketsMs)),
+      FailoverDials(&histogram(
+          Metrics, "amaranth_follower_failover_dials",
+          "Dials until the next connection to a current control process",
+          FailoverDialBuckets)),
       DocumentGauge(&gauge(Metrics, "amaranth_follower_document_version",
                            "Document version in force")),
       StateGauge(&gauge(Metrics, "amaranth_follower_state_index",
@@ -76,6 +99,7 @@
     Active->Channel->close("the node is shutting down");
   if (Replacement)
     Replacement->Channel->close("the node is shutting down");
+  Search->wake();
   ConnectionChanged.notifyAll();
 }
 
@@ -85,67 +109,6 @@
     Active->Channel->post(Type, Stream, std::move(Payload));
 }
 
-asio::awaitable<void> Follower::Impl::dial(std::size_t ProcessIndex) {
-  base::Address Address = Chooser.process(ProcessIndex).Address;
-  auto Conn = std::make_shared<Connection>();
-  Conn->ProcessIndex = ProcessIndex;
-  try {
-    Conn->Channel = co_await Dial.dial(Address, Settings.MaxDialTime);
-  } catch (const base::Error &Failure) {
-    base::logger("follower")
-        ->info("cannot connect to control process control={} error=\"{}\"",
-               Address.text(), Failure.what());
-  }
-  Dialing.erase(ProcessIndex);
-  if (!Conn->Channel)
-    Chooser.avoid(ProcessIndex, Time.now());
-  else if (Stopped || (isConnected() && !isStale(*Active)))
-    Conn->Channel->close("no further connection is needed");
-  else
-    Established.push_back(std::move(Conn));
-  DialEnded.notifyAll();
-}
-
-std::shared_ptr<Follower::Impl::Connection> Follower::Impl::takeEstablished() {
-  while (!Established.empty()) {
-    auto Conn = std::move(Established.front());
-    Established.pop_front();
-    if (Conn->Channel->isOpen())
-      return Conn;
-  }
-  return nullptr;
-}
-
-void Follower::Impl::closeEstablished() {
-  // Heartbeats would keep unused connections open indefinitely.
-  while (auto Unused = takeEstablished())
-    Unused->Channel->close("no further connection is needed");
-}
-
-asio::awaitable<std::shared_ptr<Follower::Impl::Connection>>
-Follower::Impl::connect(std::size_t ProcessIndex) {
-  if (Dialing.insert(ProcessIndex).second)
-    asio::co_spawn(
-        Executor,
-        [Self = shared_from_this(), ProcessIndex]() -> asio::awaitable<void> {
-          co_await Self->dial(ProcessIndex);
-        },
-        asio::detached);
-  base::TimePoint End = Time.now() + Settings.DialTimeout;
-  while (Established.empty() && Dialing.contains(ProcessIndex) && !Stopped &&
-         Time.now() < End)
-    co_await base::withTimeout(Time, End - Time.now(), DialEnded.wait());
-  if (Dialing.contains(ProcessIndex))
-    Chooser.avoid(ProcessIndex, Time.now());
-  co_return takeEstablished();
-}
-
-asio::awaitable<void> Follower::Impl::waitForConnection(base::Millis Span) {
-  base::TimePoint End = Time.now() + Span;
-  while (Established.empty() && !Stopped && Time.now() < End)
-    co_await base::withTimeout(Time, End - Time.now(), DialEnded.wait());
-}
-
 base::Millis Follower::Impl::nextBackoff() {
   std::int64_t Limit = std::min(Settings.BackoffMin.count() << FailedAttempts,
                                 Settings.BackoffMax.count());
@@ -155,38 +118,38 @@
 }
 
 asio::awaitable<void> Follower::Impl::connectLoop() {
+  // Not a temporary: g++ 12 destroys lambdas in the operand of co_await twice.
+  std::function<bool()> IsNeeded = [this] { return !Stopped; };
   while (!Stopped) {
     std::shared_ptr<Connection> Conn = std::exchange(Replacement, nullptr);
-    if (!Conn) {
-      Conn = takeEstablished();
-      if (!Conn)
-        Conn = co_await connect(Chooser.next(Time.now()).value());
-    }
+    if (!Conn)
+      Conn = co_await Search->find(std::nullopt, IsNeeded);
     if (Conn && Stopped)
       Conn->Channel->close("the node is shutting down");
-    else if (Conn)
+    else if (Conn) {
+      if (isStale(*Conn))
+        pauseSearches();
       co_await runConnection(Conn);
+    }
     if (!Stopped && !Replacement)
-      co_await waitForConnection(nextBackoff());
+      co_await Search->waitForCurrent(nextBackoff());
   }
-  closeEstablished();
+  Search->finish();
 }
 
 asio::awaitable<void>
 Follower::Impl::runConnection(std::shared_ptr<Connection> Conn) {
   base::logger("follower")
       ->info("connected to control process control={} connections={}",
-             Chooser.process(Conn->ProcessIndex).Address.text(),
-             Status.Connections + 1);
+             Conn->Process.text(), Status.Connections + 1);
   Active = Conn;
-  closeEstablished();
-  Conn->LastHeardTime = Time.now();
   Applier.reset();
   ++Status.Connections;
   ConnectionCount->Increment();
   subscribe();
   sendEndpoints(true);
   ConnectionChanged.notifyAll();
+  handleCurrency(*Conn, Conn->FirstReport);
   std::string Reason = "closed";
   std::uint64_t CountedBytes = 0;
   auto CountBytes = [this, Conn, &CountedBytes] {
@@ -204,11 +167,11 @@
   }
   base::logger("follower")
       ->info("connection to control process closed control={} reason=\"{}\"",
-             Chooser.process(Conn->ProcessIndex).Address.text(), Reason);
+             Conn->Process.text(), Reason);
   Conn->Channel->close(Reason);
   CountBytes();
   if (!Replacement)
-    Chooser.avoid(Conn->ProcessIndex, Time.now());
+    Search->processes().avoid(Conn->Process, Time.now());
   Active = nullptr;
   Calls.failAll();
 }
@@ -250,25 +213,33 @@
                                     const control::Currency &Message) {
   From.LastHeardTime = Time.now();
   From.Staleness = Message.SinceCurrent;
-  addControlProcesses(Message.Controls);
+  Search->processes().setMembers(Message.Applied,
+                                 detail::parseMembers(Message.Controls));
   FailedAttempts = 0;
-  if (isStale(From)) {
-    // `tickLoop` replaces the connection.
-    return;
+  if (isStale(From))
+    ConnectionChanged.notifyAll(); // `tickLoop` replaces the connection.
+  else
+    onCurrent(From);
+}
+
+void Follower::Impl::onCurrent(const Connection &From) {
+  Search->finish();
+  StalePause = Settings.SilenceTimeout;
+  NextSwitchTime = {};
+  Search->processes().stopAvoiding(From.Process);
+  base::TimePoint Now = Time.now();
+  if (LastCurrentTime && LastCurrentChannel.lock() != From.Channel) {
+    base::Millis Took = Now - *LastCurrentTime;
+    std::uint64_t Dials = Search->dials() - DialsAtLastCurrent;
+    FailoverTime->Observe(static_cast<double>(Took.count()));
+    FailoverDials->Observe(static_cast<double>(Dials));
+    base::logger("follower")
+        ->info("current again control={} after_ms={} dials={}",
+               From.Process.text(), Took.count(), Dials);
   }
-  closeEstablished();
-  ConsecutiveStale = 0;
-  StaleRounds = 0;
-  Chooser.stopAvoiding(From.ProcessIndex);
-}
-
-void Follower::Impl::addControlProcesses(
-    const std::vector<std::string> &Addresses) {
-  std::vector<ControlProcess> Processes;
-  for (const std::string &Text : Addresses)
-    if (auto Address = base::parseAddress(Text))
-      Processes.push_back({*Address, base::AvailabilityZone()});
-  Chooser.add(Processes);
+  LastCurrentChannel = From.Channel;
+  LastCurrentTime = Now;
+  DialsAtLastCurrent = Search->dials();
 }
 
 void Follower::Impl::handleUpdate(const protocol::Frame &Message) {
@@ -306,8 +277,7 @@
     base::logger("follower")
         ->info("document in force document={} state={} control={}",
                Mesh.Document.value(), Mesh.State.value(),
-               Active ? Chooser.process(Active->ProcessIndex).Address.text()
-                      : std::string());
+               Active ? Active->Process.text() : std::string());
   LoggedDocument = Mesh.Document;
   ++Status.AppliedUpdates;
   AppliedCount->Increment();
@@ -415,46 +385,61 @@
   return isSilent(Conn) || Conn.Staleness >= Settings.MaxStaleness;
 }
 
+base::Millis Follower::Impl::nextTickDelay() const {
+  if (!isConnected())
+    return TickInterval;
+  base::Millis UntilSilent = Settings.SilenceTimeout - silence(*Active);
+  return UntilSilent > base::Millis(0) ? std::min(UntilSilent, TickInterval)
+                                       : TickInterval;
+}
+
 asio::awaitable<void> Follower::Impl::tickLoop() {
   while (!Stopped) {
-    co_await Time.sleepFor(TickInterval);
+    co_await Time.waitFor(ConnectionChanged, Time.now() + nextTickDelay());
     if (Stopped)
       co_return;
     sendEvidence();
     sendEndpoints(false);
-    if (isConnected() && isStale(*Active) && Time.now() >= NextSwitchTime)
+    if (isConnected() && isStale(*Active) &&
+        (Time.now() >= NextSwitchTime || Search->hasCurrent()))
       co_await replaceStaleConnection();
   }
 }
 
+void Follower::Impl::pauseSearches() {
+  NextSwitchTime = Time.now() + StalePause;
+  StalePause = std::min(StalePause * 2, Settings.MaxStalePause);
+}
+
 asio::awaitable<void> Follower::Impl::replaceStaleConnection() {
   auto Stale = Active;
-  // Within one round, switch to the next process without a pause: in a network
-  // partition, it may be in the same minority as the stale one.
-  ++ConsecutiveStale;
-  if (ConsecutiveStale >= Chooser.size()) {
-    NextSwitchTime =
-        Time.now() + Settings.SilenceTimeout * (1LL << StaleRounds);
-    StaleRounds = std::min(StaleRounds + 1, MaxStaleDoublings);
-    ConsecutiveStale = 0;
-  }
-  auto ProcessIndex = Chooser.next(Time.now(), Stale->ProcessIndex);
-  std::shared_ptr<Connection> Next;
-  if (ProcessIndex)
-    Next = co_await connect(*ProcessIndex);
-  // The connection may have closed or caught up during the dial.
-  if (Active != Stale || Stopped || !isStale(*Stale)) {
+  // A new connection to a silent process may work, but is tried last.
+  std::optional<base::Address> Excluded;
+  if (isSilent(*Stale))
+    Search->processes().avoid(Stale->Process, Time.now());
+  else
+    Excluded = Stale->Process;
+  // The connection may close or catch up during the search.
+  std::function<bool()> IsNeeded = [this, Stale] {
+    return Active == Stale && !Stopped && isStale(*Stale);
+  };
+  auto Next = co_await Search->find(Excluded, IsNeeded);
+  if (!IsNeeded()) {
     if (Next)
       Next->Channel->close(
           "the previous connection no longer needs a replacement");
     co_return;
   }
-  if (Next) {
+  // A process that is stale as well is only better than a silent one.
+  bool IsUsable = Next && (!isStale(*Next) || isSilent(*Stale));
+  if (IsUsable) {
     Replacement = std::move(Next);
-    Chooser.avoid(Stale->ProcessIndex, Time.now());
+    Search->processes().avoid(Stale->Process, Time.now());
+  } else {
+    if (Next)
+      Next->Channel->close("the control process is stale");
+    pauseSearches();
   }
-  // Even without a replacement, a new connection to the same process may work
-  // where this one is silent.
   if (Replacement || isSilent(*Stale))
     Stale->Channel->close(staleReason(*Stale));
 }
@@ -471,7 +456,7 @@
 FollowerStatus Follower::Impl::status() const {
   FollowerStatus Result = Status;
   if (isConnected())
-    Result.ControlAddress = Chooser.process(Active->ProcessIndex).Address;
+    Result.ControlAddress = Active->Process;
   Result.EndpointsCommitted = Publisher.allCommitted();
   return Result;
 }
--- a/follower/src/FollowerImpl.h
+++ b/follower/src/FollowerImpl.h
@@ -2,46 +2,36 @@
 #define AMARANTH_FOLLOWER_SRC_FOLLOWERIMPL_H
 
 #include "CallTable.h"
-#include "ControlChooser.h"
+#include "ControlSearch.h"
 #include "EndpointPublisher.h"
 #include "SnapshotApplier.h"
 #include "amaranth/control/FollowMessages.h"
 #include "amaranth/follower/Follower.h"
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 
 namespace prometheus {
 class Counter;
 class Gauge;
+class Histogram;
 } // namespace prometheus
 
 namespace amaranth::follower {
 
 /// Maintains the connection to a control process and handles its messages.
 struct Follower::Impl : std::enable_shared_from_this<Follower::Impl> {
-  /// An established connection and the freshness of its control process.
-  struct Connection {
-    std::shared_ptr<protocol::Channel> Channel;
-    std::size_t ProcessIndex = 0;
-    /// When the last `Currency` message or update arrived; initially when the
-    /// connection was established.
-    base::TimePoint LastHeardTime;
-    /// As reported in the last `Currency` message.
-    base::Millis Staleness;
-  };
+  using Connection = detail::ControlConnection;
 
   Impl(FollowerSettings Settings, const boost::asio::any_io_executor &Executor,
        base::Clock &Time, protocol::Dialer &Dial,
        prometheus::Registry &Metrics);
 
-  /// Connects to control processes one after another until `stop`.
+  /// Keeps the node connected to a control process until `stop`.
   boost::asio::awaitable<void> connectLoop();
   /// Periodically sends evidence and due endpoint updates, and replaces a stale
-  /// connection.
+  /// connection as soon as it is found to be stale.
   boost::asio::awaitable<void> tickLoop();
   void stop();
 
@@ -60,7 +50,7 @@
   boost::asio::any_io_executor Executor;
   base::Clock &Time;
   protocol::Dialer &Dial;
-  detail::ControlChooser Chooser;
+  std::shared_ptr<detail::ControlSearch> Search;
   detail::SnapshotApplier Applier;
   detail::EndpointPublisher Publisher;
   detail::CallTable Calls;
@@ -69,21 +59,11 @@
   rollout::EvidenceReport PendingEvidence;
 
 private:
-  /// Dials a process and returns a connection, which may come from an earlier
-  /// dial. Returns null if there is none after `DialTimeout` or if the dial
-  /// fails; a dial that takes longer goes on.
-  boost::asio::awaitable<std::shared_ptr<Connection>>
-  connect(std::size_t ProcessIndex);
-  /// Runs one dial to its end. The connection goes to `Established` if one is
-  /// needed.
-  boost::asio::awaitable<void> dial(std::size_t ProcessIndex);
-  /// Returns an established connection that is still open, or null.
-  std::shared_ptr<Connection> takeEstablished();
-  void closeEstablished();
-  /// Waits for `Span`, or until a dial has established a connection.
-  boost::asio::awaitable<void> waitForConnection(base::Millis Span);
   boost::asio::awaitable<void> runConnection(std::shared_ptr<Connection> Conn);
   boost::asio::awaitable<void> replaceStaleConnection();
+  /// Called after a search that found no current process, for example because
+  /// there is no majority.
+  void pauseSearches();
   boost::asio::awaitable<void> subscribeAfter(std::shared_ptr<Connection> Conn,
                                               base::Millis Delay);
   void handle(Connection &From, const protocol::Frame &Message);
@@ -95,8 +75,9 @@
   static control::CompressedUpdate decompress(base::ByteView Payload);
   void onUpdateApplied();
   void onUpdateRefused(const detail::UpdateRefused &Refusal);
-  void addControlProcesses(const std::vector<std::string> &Addresses);
   void handleCurrency(Connection &From, const control::Currency &Message);
+  /// Records a message from a process that is current.
+  void onCurrent(const Connection &From);
   void subscribe();
   void sendEvidence();
   /// Time since the control process last sent a `Currency` message or a part of
@@ -107,14 +88,11 @@
   /// Why a stale connection is closed, for the log.
   std::string staleReason(const Connection &Conn) const;
   base::Millis nextBackoff();
+  /// Time until the next tick, earlier if the connection turns silent before.
+  base::Millis nextTickDelay() const;
   void postToControl(protocol::MessageType Type, std::uint64_t Stream,
                      base::Bytes Payload);
 
-  /// Processes to which a dial is running.
-  std::set<std::size_t> Dialing;
-  /// Connections of dials that took longer than `DialTimeout`, not in use yet.
-  std::deque<std::shared_ptr<Connection>> Established;
-  base::Signal DialEnded;
   std::shared_ptr<Connection> Active;
   /// Established to replace a stale `Active` connection.
   std::shared_ptr<Connection> Replacement;
@@ -122,20 +100,24 @@
   unsigned FailedAttempts = 0;
   /// Last document version that was logged.
   base::DocumentVersion LoggedDocument;
-  /// Attempts to replace a stale connection since the last fresh one, counted
-  /// within the current round over all control processes.
-  std::size_t ConsecutiveStale = 0;
-  /// Completed rounds in which every process was stale, capped at
-  /// `MaxStaleDoublings`.
-  unsigned StaleRounds = 0;
-  /// A stale connection is not replaced before this time.
+  /// Pause after the next search that finds no current process. Doubles with
+  /// each such search in a row.
+  base::Millis StalePause;
+  /// No search replaces a stale connection before this time.
   base::TimePoint NextSwitchTime;
+  /// The connection of the last message from a current process, when it
+  /// arrived, and the dials until then.
+  std::weak_ptr<protocol::Channel> LastCurrentChannel;
+  std::optional<base::TimePoint> LastCurrentTime;
+  std::uint64_t DialsAtLastCurrent = 0;
   std::mt19937_64 Random;
   FollowerStatus Status;
   prometheus::Counter *AppliedCount;
   prometheus::Counter *RefusedCount;
   prometheus::Counter *ConnectionCount;
   prometheus::Counter *ReceivedBytes;
+  prometheus::Histogram *FailoverTime;
+  prometheus::Histogram *FailoverDials;
   prometheus::Gauge *DocumentGauge;
   prometheus::Gauge *StateGauge;
 };
--- a/follower/test/Simulation.cpp
+++ b/follower/test/Simulation.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace asio = boost::asio;
 
@@ -103,14 +104,16 @@
   asio::awaitable<std::shared_ptr<protocol::Channel>>
   dial(base::Address Peer, base::Millis Timeout) override {
     Simulation::Control &Target = *Owner.Controls.at(Peer.Port);
-    base::Millis Needed = Target.Links->Latency * 3;
+    Target.DialTimes.push_back(Owner.Time.now());
+    base::Millis Needed =
+        Target.Hangs ? Timeout + base::Millis(1) : Target.Links->Latency * 3;
     co_await Owner.Time.sleepFor(std::min(Needed, Timeout));
     if (Needed > Timeout)
       throw protocol::ChannelClosed("no connection in time");
     if (Target.Down || Target.Links->DropsMessages)
       throw protocol::ChannelClosed("connection refused");
     auto Executor = Owner.Context.get_executor();
-    protocol::Identity Server{protocol::Role::Control, "1", {}};
+    protocol::Identity Server{Target.PeerRole, "1", {}};
     auto [NodeChannel, ControlChannel] =
         protocol::testing::makeChannelPair(Executor, Self, Server);
     // Each node has its own uplink.
@@ -147,30 +150,48 @@
 
 } // namespace
 
-Simulation::Simulation(std::size_t Count, std::uint64_t Seed) : Random(Seed) {
+Simulation::Simulation(std::size_t Count, std::uint64_t Seed)
+    : Random(Seed), Seed(Seed) {
   Latest = std::make_shared<document::MeshSnapshot>();
-  for (std::size_t I = 0; I < Count; ++I) {
-    auto Process = std::make_unique<Control>();
-    Process->Log = std::make_shared<FakeLog>(
-        Context.get_executor(), Time,
-        [this](const control::Command &Request) { return apply(Request); });
-    Process->Log->Leader = I == 0;
-    Process->Mesh = Latest;
-    Process->Metrics = std::make_unique<prometheus::Registry>();
-    control::NodeServiceSettings Settings;
-    Settings.Seed = Seed + I + 1;
-    Process->Service = std::make_unique<control::NodeService>(
-        Settings, Context.get_executor(), Time, *Process->Log,
-        [Owner = Process.get()] { return Owner->Mesh; }, *Process->Metrics);
-    Process->Log->ToLeader = [this](base::Bytes Message) {
-      Controls[0]->Service->receiveReport(Message);
-    };
-    Process->Service->start();
-    Controls.push_back(std::move(Process));
-  }
+  for (std::size_t I = 0; I < Count; ++I)
+    addControl();
   commit(true, [](document::MeshSnapshot &) {});
 }
 
+std::size_t Simulation::addControl() {
+  std::size_t Index = Controls.size();
+  auto Process = std::make_unique<Control>();
+  Process->Log = std::make_shared<FakeLog>(
+      Context.get_executor(), Time,
+      [this](const control::Command &Request) { return apply(Request); });
+  Process->Log->Leader = Index == 0;
+  Process->Metrics = std::make_unique<prometheus::Registry>();
+  control::NodeServiceSettings Settings;
+  Settings.Seed = Seed + Index + 1;
+  Process->Service = std::make_unique<control::NodeService>(
+      Settings, Context.get_executor(), Time, *Process->Log,
+      [Owner = Process.get()] { return Owner->Mesh; }, *Process->Metrics);
+  Process->Log->ToLeader = [this](base::Bytes Message) {
+    Controls[0]->Service->receiveReport(Message);
+  };
+  deliver(*Process);
+  Process->Service->start();
+  Controls.push_back(std::move(Process));
+  return Index;
+}
+
+void Simulation::setMembers(const std::vector<std::size_t> &Members) {
+  LatestMembers.clear();
+  for (std::size_t Index : Members) {
+    replication::MemberStatus Member;
+    Member.Id = base::ReplicaId(Index + 1);
+    Member.Address = address(Index).text();
+    Member.Voter = true;
+    LatestMembers.push_back(Member);
+  }
+  commit(false, [](document::MeshSnapshot &) {});
+}
+
 Simulation::~Simulation() {
   for (Node &Entry : Nodes)
     Entry.NodeFollower->stop();
@@ -183,11 +204,19 @@
 Follower &Simulation::addNode(const std::string &Name,
                               std::set<base::ServiceName> Services) {
   FollowerSettings Settings;
+  Settings.Services = std::move(Services);
+  std::vector<std::size_t> All(Controls.size());
+  std::iota(All.begin(), All.end(), 0);
+  return addNode(Name, std::move(Settings), All);
+}
+
+Follower &Simulation::addNode(const std::string &Name,
+                              FollowerSettings Settings,
+                              const std::vector<std::size_t> &Seeds) {
   Settings.Node = base::NodeId(Name);
   Settings.Zone = base::AvailabilityZone("z");
-  Settings.Services = std::move(Services);
   Settings.Seed = Random();
-  for (std::size_t I = 0; I < Controls.size(); ++I)
+  for (std::size_t I : Seeds)
     Settings.ControlProcesses.push_back(
         {address(I), base::AvailabilityZone(I == 0 ? "z" : "y")});
   Node Entry;
@@ -210,6 +239,7 @@
 void Simulation::deliver(Control &Process) {
   Process.Mesh = Latest;
   Process.Log->Applied = base::LogIndex(Latest->State.value());
+  Process.Log->Members = LatestMembers;
   Process.Log->changed().notifyAll();
 }
 
@@ -292,6 +322,11 @@
   DroppingSince[&Process] = Time.now();
 }
 
+void Simulation::cutPower(Control &Process) {
+  Process.Hangs = true;
+  dropMessages(Process);
+}
+
 void Simulation::closeSilentConnections() {
   for (const auto &[Process, Since] : DroppingSince)
     if (Process->Links->DropsMessages &&
--- a/follower/test/Simulation.h
+++ b/follower/test/Simulation.h
@@ -97,7 +97,9 @@
   base::LogIndex appliedIndex() const override { return Applied; }
   base::LogIndex commitIndex() const override { return Applied; }
   base::Millis staleness() const override { return Staleness; }
-  std::vector<replication::MemberStatus> members() const override { return {}; }
+  std::vector<replication::MemberStatus> members() const override {
+    return Members;
+  }
   base::Signal &changed() override { return Changed; }
   void postToLeader(base::Bytes Message) override {
     if (ToLeader)
@@ -111,6 +113,7 @@
   base::Term CurrentTerm = base::Term(1);
   base::LogIndex Applied;
   base::Millis Staleness;
+  std::vector<replication::MemberStatus> Members;
   std::function<void(base::Bytes)> ToLeader;
   std::size_t Proposals = 0;
 
@@ -130,8 +133,15 @@
     std::unique_ptr<prometheus::Registry> Metrics;
     std::unique_ptr<control::NodeService> Service;
     bool Down = false;
+    /// Dials hang until they time out, as at a VM without power or a process
+    /// that is frozen.
+    bool Hangs = false;
+    /// Role that the process at the address reports.
+    protocol::Role PeerRole = protocol::Role::Control;
     /// Commits are not delivered to this process.
     bool Lagging = false;
+    /// Dials that began, and when.
+    std::vector<base::TimePoint> DialTimes;
     std::vector<std::weak_ptr<DelayedChannel>> OpenChannels;
     std::function<void(protocol::Frame &)> Tamper;
     /// Number of messages sent to nodes, by type. Compressed messages count
@@ -151,6 +161,10 @@
 
   Follower &addNode(const std::string &Name,
                     std::set<base::ServiceName> Services = {});
+  /// Adds a node with the given limits, whose seeds are the control processes
+  /// with the indexes `Seeds`.
+  Follower &addNode(const std::string &Name, FollowerSettings Settings,
+                    const std::vector<std::size_t> &Seeds);
   void removeNode(std::size_t Index);
 
   /// Commits a change of the mesh; `Document` also assigns a new document
@@ -163,6 +177,12 @@
   void closeConnections(Control &Process, bool Down);
   /// Drops all messages of a process without an error.
   void dropMessages(Control &Process);
+  /// Cuts the power of a process: its messages are lost and dials hang.
+  void cutPower(Control &Process);
+  /// Adds a control process with the latest state and returns its index.
+  std::size_t addControl();
+  /// Commits a list of members, which the processes that don't lag send.
+  void setMembers(const std::vector<std::size_t> &Members);
 
   void run(base::Millis Span);
   /// Runs until the condition holds and returns the simulated time elapsed.
@@ -203,7 +223,9 @@
   void deliver(Control &Process);
   void closeSilentConnections();
 
+  std::uint64_t Seed;
   std::map<Control *, base::TimePoint> DroppingSince;
+  std::vector<replication::MemberStatus> LatestMembers;
 };
 
 } // namespace amaranth::follower::testing
--- a/tools/daemon/src/NodeDaemon.cpp
+++ b/tools/daemon/src/NodeDaemon.cpp
@@ -36,16 +36,6 @@
   return {{protocol::Role::Node, base::readSecretFile(Settings.NodeKeyFile)}};
 }
 
-/// Limits for followers of control processes in the same region, so that they
-/// fail over to another one quickly.
-constexpr base::Millis RegionBackoffMax = base::Millis(1000);
-constexpr base::Millis RegionDialTimeout = base::Millis(500);
-/// A handshake over a link on which packets wait for half a second each way.
-constexpr base::Millis RegionMaxDialTime = base::Millis(3000);
-/// Three `Currency` messages have been missed by then.
-constexpr base::Millis RegionSilenceTimeout = base::Millis(1800);
-/// Longer than a leader election takes.
-constexpr base::Millis RegionMaxStaleness = base::Millis(1200);
 /// Short, so that another node is tried soon when one does not respond.
 constexpr base::Millis RegionPeerDialTimeout = base::Millis(400);
 
@@ -62,17 +52,12 @@
 }
 
 follower::FollowerSettings followerSettings(const NodeSettings &Settings) {
-  follower::FollowerSettings Result;
+  auto Result = Settings.Interface == InterfaceKind::Platform
+                    ? follower::FollowerSettings::withinRegion()
+                    : follower::FollowerSettings();
   Result.Node = Settings.Id;
   Result.Zone = Settings.Zone;
   Result.ControlProcesses = controlProcesses(Settings);
-  if (Settings.Interface == InterfaceKind::Platform) {
-    Result.BackoffMax = RegionBackoffMax;
-    Result.DialTimeout = RegionDialTimeout;
-    Result.MaxDialTime = RegionMaxDialTime;
-    Result.SilenceTimeout = RegionSilenceTimeout;
-    Result.MaxStaleness = RegionMaxStaleness;
-  }
   return Result;
 }
 
@@ -243,7 +228,7 @@
   auto Controls = controlProcesses(Settings);
   base::logger("node")->info("control processes in settings count={}",
                              Controls.size());
-  Self->ConfigFollower.addControlProcesses(Controls);
+  Self->ConfigFollower.setControlProcesses(Controls);
 }
 
 asio::awaitable<void> NodeDaemon::stop() {
