Let a removed control process return through the members of its log

Cause: a replica without a leader asked the initial voters and the seeds of its settings only. When all of them had been replaced while it was cut off, it never joined again, although a member that its log names was running. It asked them one after the other, 500 ms for each that hangs.

Ruled out: the join request itself; it works once the process is asked.

Change: the members of the log are asked too, all addresses at once, and a reply that names a leader is preferred. Forming a cluster still needs the replies of all initial voters.

--- a/replication/src/Formation.cpp
+++ b/replication/src/Formation.cpp
@@ -42,31 +42,72 @@
              Settings.ElectionTimeoutMax * 3;
 }
 
+namespace {
+
+/// Replies to `Identify` requests that were sent at the same time.
+struct Identification {
+  explicit Identification(const asio::any_io_executor &Executor)
+      : Changed(Executor) {}
+
+  /// By address.
+  std::map<std::string, wire::MemberReplyT> Replies;
+  /// Requests without a reply so far.
+  std::size_t Outstanding = 0;
+  bool LeaderFound = false;
+  base::Signal Changed;
+};
+
+} // namespace
+
+asio::awaitable<std::map<std::string, wire::MemberReplyT>>
+ReplicaCore::identify(std::set<std::string> Addresses) {
+  auto Found = std::make_shared<Identification>(Executor);
+  wire::MemberRequestT Identify;
+  Identify.from = self();
+  for (const std::string &Address : Addresses) {
+    ++Found->Outstanding;
+    spawn([Self = shared_from_this(), Found, Address,
+           Raw = encode(Identify)]() -> asio::awaitable<void> {
+      auto Reply = co_await Self->callPeer<wire::MemberReplyT>(
+          Address, protocol::MessageType::MemberRequest, Raw);
+      --Found->Outstanding;
+      if (Reply) {
+        Found->LeaderFound |= Reply->formed && !Reply->leader_address.empty();
+        Found->Replies.emplace(Address, std::move(*Reply));
+      }
+      Found->Changed.notifyAll();
+    });
+  }
+  while (Found->Outstanding != 0 && !Found->LeaderFound && !Stopped)
+    co_await Found->Changed.wait();
+  co_return Found->Replies;
+}
+
 asio::awaitable<void> ReplicaCore::formOrJoin() {
   const std::vector<std::string> &Voters = Settings.InitialVoters;
   std::set<std::string> Known(Voters.begin(), Voters.end());
   Known.insert(Settings.KnownPeers.begin(), Settings.KnownPeers.end());
+  // A member that was removed while it was cut off may find that all processes
+  // of its settings were replaced meanwhile.
+  for (const Member &Each : membership().Members)
+    Known.insert(Each.Address);
+  Known.erase(Settings.Address);
+  auto Replies = co_await identify(std::move(Known));
+  if (Stopped)
+    co_return;
+  // A process that names a leader is more likely to be a member itself.
+  std::optional<std::string> Contact;
   std::map<std::string, std::uint64_t> FormableIds;
-  for (const std::string &Address : Known) {
-    if (Address == Settings.Address) {
-      FormableIds[Address] = self();
-      continue;
-    }
-    wire::MemberRequestT Identify;
-    Identify.from = self();
-    base::Bytes Raw = encode(Identify);
-    auto Found = co_await callPeer<wire::MemberReplyT>(
-        Address, protocol::MessageType::MemberRequest, std::move(Raw));
-    if (Stopped)
-      co_return;
-    if (!Found)
-      continue;
-    if (Found->formed) {
-      co_await joinCluster(Address, std::move(*Found));
-      co_return;
-    }
-    if (Found->cluster == 0 || Found->cluster == Identity.Cluster)
-      FormableIds[Address] = Found->id;
+  FormableIds[Settings.Address] = self();
+  for (const auto &[Address, Reply] : Replies) {
+    if (Reply.formed && (!Contact || !Reply.leader_address.empty()))
+      Contact = Address;
+    if (Reply.cluster == 0 || Reply.cluster == Identity.Cluster)
+      FormableIds[Address] = Reply.id;
+  }
+  if (Contact) {
+    co_await joinCluster(*Contact, Replies.at(*Contact));
+    co_return;
   }
   bool IsCoordinator =
       !Voters.empty() &&
--- a/replication/src/ReplicaCore.h
+++ b/replication/src/ReplicaCore.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace amaranth::replication {
 
@@ -221,6 +222,10 @@
   void keepInitialVoters();
   bool isWithoutLeader() const;
   boost::asio::awaitable<void> formOrJoin();
+  /// Asks all addresses at once for the cluster they belong to. Returns the
+  /// replies by address as soon as one names a leader or all calls have ended.
+  boost::asio::awaitable<std::map<std::string, wire::MemberReplyT>>
+  identify(std::set<std::string> Addresses);
   boost::asio::awaitable<void> joinCluster(std::string ContactAddress,
                                            wire::MemberReplyT Found);
   boost::asio::awaitable<void>
--- a/replication/test/ReplicaRepair_test.cpp
+++ b/replication/test/ReplicaRepair_test.cpp
@@ -9,8 +9,9 @@
 /// Five control processes that know three seeds, as in a deployment.
 class ReplicaRepairTest {
 protected:
-  explicit ReplicaRepairTest(std::uint64_t Seed = 21)
-      : TestCluster(Seed, 3, 3) {
+  explicit ReplicaRepairTest(std::uint64_t Seed = 21,
+                             std::size_t OtherPeers = 3)
+      : TestCluster(Seed, 3, OtherPeers) {
     TestCluster.Settings.TargetVoters = 5;
     TestCluster.Settings.HeartbeatInterval = base::Millis(100);
     TestCluster.Settings.ElectionTimeoutMin = base::Millis(400);
@@ -241,4 +242,78 @@
   }
 }
 
+/// Five control processes and four others that may replace them.
+class ReplicaReplacementTest : public ReplicaRepairTest {
+protected:
+  ReplicaReplacementTest() : ReplicaRepairTest(31, 6) {}
+
+  std::string addressOf(std::size_t Index) {
+    return TestCluster.at(Index).Address;
+  }
+
+  /// Cuts a process off for good and starts another one, whose settings name
+  /// `Seed` only.
+  void replace(std::size_t Gone, std::size_t Successor, std::size_t Seed) {
+    TestCluster.Network.IsolatedAddresses.insert(addressOf(Gone));
+    std::vector<std::string> Seeds =
+        std::exchange(TestCluster.Settings.KnownPeers, {addressOf(Seed)});
+    startWithEmptyDisk(Successor);
+    TestCluster.Settings.KnownPeers = Seeds;
+    REQUIRE(TestCluster.runUntil(
+        [&] { return isVoter(Successor) && !isMember(Gone); },
+        base::Millis(10'000)));
+  }
+
+  bool isVoter(std::size_t Index) { return hasMember(Index, true); }
+  bool isMember(std::size_t Index) { return hasMember(Index, false); }
+
+private:
+  bool hasMember(std::size_t Index, bool MustVote) {
+    Process *Leader = TestCluster.leader();
+    if (!Leader)
+      return false;
+    auto Members = Leader->Log->members();
+    return std::any_of(
+        Members.begin(), Members.end(), [&](const MemberStatus &Each) {
+          return Each.Address == addressOf(Index) && (Each.Voter || !MustVote);
+        });
+  }
+};
+
+// Guards against a process that stays outside for good: it was removed while it
+// was cut off, and all seeds of its settings were replaced meanwhile, while a
+// member that it knows from its log still runs.
+TEST_CASE_METHOD(ReplicaReplacementTest,
+                 "Removed voter whose seeds are all gone becomes a member "
+                 "again") {
+  startFive();
+  replace(4, 5, 3);
+  replace(0, 6, 3);
+  replace(1, 7, 3);
+  replace(2, 8, 3);
+  TestCluster.commit("after the replacements");
+  REQUIRE_FALSE(isMember(4));
+  TestCluster.Network.IsolatedAddresses.erase(addressOf(4));
+  CHECK(TestCluster.runUntil([&] { return isMember(4); }, RecoveryTimeLimit));
+  for (std::size_t Gone : {0U, 1U, 2U})
+    TestCluster.kill(Gone);
+  TestCluster.checkAcknowledged();
+}
+
+// Guards against a process that asks addresses that hang one after the other
+// and joins late.
+TEST_CASE_METHOD(ReplicaReplacementTest,
+                 "New process joins in time although most of its seeds hang") {
+  startFive();
+  TestCluster.Settings.KnownPeers = {addressOf(3)};
+  for (int I = 0; I < 8; ++I) {
+    std::string Gone = "10.0.0.0:" + std::to_string(7000 + I);
+    TestCluster.Network.IsolatedAddresses.insert(Gone);
+    TestCluster.Settings.KnownPeers.push_back(Gone);
+  }
+  TestCluster.kill(4);
+  startWithEmptyDisk(5);
+  CHECK(TestCluster.runUntil([&] { return isVoter(5); }, RecoveryTimeLimit));
+}
+
 } // namespace amaranth::replication::testing
