Ask processes that did not answer last in the next search

A process whose dial still ran at the end of a search was dialed first again in the next one, because only the end of its dial, after up to 3 s, marked it. Also stops the search at once when the node shuts down, and splits ControlSearch::find. Found by reading.

--- a/follower/src/ControlChooser.h
+++ b/follower/src/ControlChooser.h
@@ -5,7 +5,6 @@
 
 #include <optional>
 #include <set>
-#include <string_view>
 #include <vector>
 
 namespace amaranth::follower::detail {
--- a/follower/src/ControlSearch.cpp
+++ b/follower/src/ControlSearch.cpp
@@ -37,40 +37,48 @@
   std::set<base::Address> Asked;
   if (Excluded)
     Asked.insert(*Excluded);
-  auto IsAnswerDue = [this, &Asked](const auto &Entry) {
-    return Asked.contains(Entry.second.Process);
-  };
-  base::TimePoint End = Time.now() + Settings.DialTimeout;
+  base::TimePoint LastAsked = Time.now();
   while (IsNeeded()) {
     if (ConnectionPtr Current = takeCurrent())
       co_return Current;
     base::TimePoint Now = Time.now();
     auto Target = Chooser.next(Now, Asked);
-    bool MayDial = Running.size() < MaxRunningDials && Now >= NextDialTime;
-    if (Target && (MayDial || isBeingDialed(Target->Process.Address))) {
+    bool IsFull = Running.size() >= MaxRunningDials;
+    bool IsRunning = Target && isBeingDialed(Target->Process.Address);
+    if (Target && (IsRunning || (!IsFull && Now >= NextDialTime))) {
       Asked.insert(Target->Process.Address);
-      if (!isBeingDialed(Target->Process.Address))
+      if (!IsRunning)
         startDial(*Target);
-      End = Now + Settings.DialTimeout;
+      LastAsked = Now;
       continue;
     }
-    bool AnswersAreDue =
-        std::any_of(Running.begin(), Running.end(), IsAnswerDue);
-    if (!Target && (!AnswersAreDue || Now >= End)) {
+    base::TimePoint End = LastAsked + Settings.DialTimeout;
+    if (!Target && (!isAnswerDue(Asked) || Now >= End)) {
+      avoidUnanswered(Asked);
       ConnectionPtr LeastStale = takeLeastStale();
       closeAnswers();
       co_return LeastStale;
     }
-    bool WaitsForStagger = Target && Running.size() < MaxRunningDials;
-    // At the limit, the end of a dial notifies.
-    base::TimePoint Until = WaitsForStagger
-                                ? NextDialTime
-                                : (Target ? Now + Settings.MaxDialTime : End);
-    co_await Time.waitFor(Changed, Until);
+    // While the limit is reached, the end of a dial notifies.
+    base::TimePoint NextDial =
+        IsFull ? Now + Settings.MaxDialTime : NextDialTime;
+    co_await Time.waitFor(Changed, Target ? NextDial : End);
   }
   co_return nullptr;
 }
 
+bool ControlSearch::isAnswerDue(const std::set<base::Address> &Asked) const {
+  return std::any_of(Running.begin(), Running.end(), [&](const auto &Entry) {
+    return Asked.contains(Entry.second.Process);
+  });
+}
+
+void ControlSearch::avoidUnanswered(const std::set<base::Address> &Asked) {
+  for (const auto &[Id, Each] : Running)
+    if (Asked.contains(Each.Process))
+      Chooser.avoid(Each.Process, Time.now());
+}
+
 void ControlSearch::startDial(const ControlChooser::Choice &Target) {
   const base::Address &Process = Target.Process.Address;
   base::logger("follower")
--- a/follower/src/ControlSearch.h
+++ b/follower/src/ControlSearch.h
@@ -59,13 +59,11 @@
   bool hasCurrent() const;
 
   /// Closes the connections that are not used, also those of dials that are
-  /// still running, until the next call of `find`.
+  /// still running, until the next call of `find`. Ends `waitForCurrent`.
   void finish();
-  /// Makes `find` and `waitForCurrent` check their conditions again.
+  /// Makes `find` check its condition and the known processes again.
   void wake() { Changed.notifyAll(); }
 
-  /// Notified when a dial has ended.
-  base::Signal &changed() { return Changed; }
   /// Dials started so far.
   std::uint64_t dials() const { return Dials; }
 
@@ -83,6 +81,11 @@
   void onAnswer(ConnectionPtr Answer);
   void onFailure(const base::Address &Process, const std::string &Reason);
   bool isCurrent(const ControlConnection &Answer) const;
+  /// Whether a dial of one of these processes is still running.
+  bool isAnswerDue(const std::set<base::Address> &Asked) const;
+  /// Avoids the processes whose dials are still running, so that the next
+  /// search asks the others first.
+  void avoidUnanswered(const std::set<base::Address> &Asked);
   /// Whether a dial of the process began less than `DialTimeout` ago.
   bool isBeingDialed(const base::Address &Process) const;
   ConnectionPtr takeCurrent();
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -99,7 +99,7 @@
     Active->Channel->close("the node is shutting down");
   if (Replacement)
     Replacement->Channel->close("the node is shutting down");
-  Search->wake();
+  Search->finish();
   ConnectionChanged.notifyAll();
 }
 
