Test followers against random losses and replacements of control processes

Guards against an order of losses, replacements and changed settings after which a node stays without a current control process.

--- a/follower/test/Failover_test.cpp
+++ b/follower/test/Failover_test.cpp
@@ -5,7 +5,7 @@
 #include <prometheus/registry.h>
 
 #include <algorithm>
-#include <numeric>
+#include <cstdlib>
 
 namespace amaranth::follower::testing {
 
@@ -324,6 +324,128 @@
   CHECK(Running <= 16);
 }
 
+/// Random faults of control processes, in series and overlapping. A majority of
+/// the members is sound at any time.
+class RandomFailoverTest {
+public:
+  explicit RandomFailoverTest(std::uint64_t Seed) : Sim(5, Seed) {
+    Sim.fill(3, 10, 20);
+    Members = {0, 1, 2, 3, 4};
+    Sim.setMembers(Members);
+    for (int I = 0; I < 12; ++I)
+      Sim.addNode(fmt::format("n{:03}", I), FollowerSettings::withinRegion(),
+                  {0, 1, 2});
+    Sim.runUntil([&] { return Sim.converged(); });
+  }
+
+  void run(int Steps) {
+    for (int Step = 0; Step < Steps; ++Step) {
+      disturb();
+      Sim.updateEndpoint(static_cast<int>(random(20)));
+      Sim.run(base::Millis(static_cast<std::int64_t>(random(1500))));
+      for (const auto &Entry : Sim.Nodes)
+        if (random(200) == 0)
+          changeSeeds(*Entry.NodeFollower);
+    }
+  }
+
+  /// Ends all faults; every node must follow within the limit.
+  void recover() {
+    while (!Disturbed.empty())
+      heal(Disturbed.front());
+    Sim.updateEndpoint(1);
+    Sim.runUntil([&] { return Sim.converged(); }, ContactLimit);
+    Sim.run(base::Millis::seconds(8));
+    std::size_t Connected = 0;
+    for (auto &Process : Sim.Controls)
+      for (const auto &Status : Process->Service->nodes())
+        Connected += Status.Connected ? 1 : 0;
+    CHECK(Connected == Sim.Nodes.size());
+  }
+
+  /// Cuts the power of two members; every node must follow within the limit.
+  void loseTwo() {
+    for (std::size_t Index : {Members[random(2)], Members[2 + random(3)]})
+      Sim.cutPower(control(Index));
+    Sim.updateEndpoint(1);
+    Sim.runUntil([&] { return Sim.converged(); }, ContactLimit);
+  }
+
+private:
+  std::uint64_t random(std::uint64_t Limit) { return Sim.Random() % Limit; }
+  Simulation::Control &control(std::size_t Index) {
+    return *Sim.Controls[Index];
+  }
+
+  void disturb() {
+    if (Disturbed.size() == 2)
+      return heal(Disturbed[random(2)]);
+    std::size_t Index = Members[random(Members.size())];
+    if (std::count(Disturbed.begin(), Disturbed.end(), Index) != 0)
+      return;
+    Disturbed.push_back(Index);
+    switch (random(4)) {
+    case 0: // Power loss, for a while or for good.
+      Sim.cutPower(control(Index));
+      if (random(2) == 0)
+        replace(Index);
+      return;
+    case 1: // Killed.
+      return Sim.closeConnections(control(Index), true);
+    case 2: // Cut off from the others.
+      control(Index).Lagging = true;
+      control(Index).Log->Staleness = base::Millis::seconds(60);
+      return;
+    default: // Frozen.
+      control(Index).Hangs = true;
+      control(Index).Links->DropsMessages = true;
+    }
+  }
+
+  void replace(std::size_t Index) {
+    std::erase(Disturbed, Index);
+    std::size_t Successor = Sim.addControl();
+    std::replace(Members.begin(), Members.end(), Index, Successor);
+    Sim.setMembers(Members);
+  }
+
+  void heal(std::size_t Index) {
+    std::erase(Disturbed, Index);
+    Simulation::Control &Process = control(Index);
+    // Connections to a machine that was without power are reset.
+    Sim.closeConnections(Process, false);
+    Process.Hangs = false;
+    Process.Links->DropsMessages = false;
+    Process.Log->Staleness = {};
+    Sim.deliverLatest(Process);
+  }
+
+  void changeSeeds(Follower &Node) {
+    Node.setControlProcesses(
+        {{Simulation::address(Members[random(5)]), base::AvailabilityZone()}});
+  }
+
+  Simulation Sim;
+  std::vector<std::size_t> Members;
+  std::vector<std::size_t> Disturbed;
+};
+
+// Guards against any order of losses, replacements and changed settings after
+// which a node stays without a current control process.
+TEST_CASE("Follower returns within 3 s after random losses and replacements") {
+  const char *SeedText = std::getenv("AMARANTH_SEED");
+  std::uint64_t FirstSeed = SeedText ? std::strtoull(SeedText, nullptr, 10) : 1;
+  for (std::uint64_t Seed = FirstSeed; Seed < FirstSeed + (SeedText ? 1 : 10);
+       ++Seed) {
+    INFO("repeat with AMARANTH_SEED=" << Seed << " follower_test \"Follower "
+                                      << "returns within*\"");
+    RandomFailoverTest Run(Seed);
+    Run.run(80);
+    Run.recover();
+    Run.loseTwo();
+  }
+}
+
 TEST_CASE_METHOD(FailoverTest,
                  "Follower metrics record the time and dials of a failover") {
   addNodes(1);
