--- a/follower/test/Failover_test.cpp
+++ b/follower/test/Failover_test.cpp
@@ -48,6 +48,11 @@
     return Successor;
   }
 
+  void cutPowerOfAll() {
+    for (std::size_t Index : Members)
+      Sim.cutPower(control(Index));
+  }
+
   /// Replaces the oldest member, `Count` times, with pauses in which the nodes
   /// receive the new list.
   void replaceOldest(int Count) {
@@ -225,8 +230,7 @@
                  "through its seeds") {
   addNodes(4);
   // The node hears nothing while all members but a seed are replaced.
-  for (std::size_t Index : {0U, 1U, 2U, 3U, 4U})
-    Sim.cutPower(control(Index));
+  cutPowerOfAll();
   for (std::size_t Index : {0U, 1U, 3U, 4U})
     replace(Index);
   Sim.run(base::Millis::seconds(60));
@@ -240,12 +244,13 @@
   waitConverged(ContactLimit);
 }
 
+// Guards against a node that keeps to the seeds of its start although its
+// settings name others.
 TEST_CASE_METHOD(FailoverTest,
                  "Follower whose seeds are all gone returns through those of "
                  "changed settings") {
   addNodes(4);
-  for (std::size_t Index : {0U, 1U, 2U, 3U, 4U})
-    Sim.cutPower(control(Index));
+  cutPowerOfAll();
   for (std::size_t Index : {0U, 1U, 2U, 3U, 4U})
     replace(Index);
   Sim.run(base::Millis::seconds(60));
@@ -311,8 +316,7 @@
 TEST_CASE_METHOD(FailoverTest,
                  "Follower bounds its dials while all processes hang") {
   addNodes(1);
-  for (std::size_t Index : {0U, 1U, 2U, 3U, 4U})
-    Sim.cutPower(control(Index));
+  cutPowerOfAll();
   Sim.run(base::Millis::seconds(30));
   base::TimePoint End = Sim.Time.now();
   std::size_t Running = 0;
@@ -446,6 +450,7 @@
   }
 }
 
+// Guards against a failover that cannot be explained from the metrics.
 TEST_CASE_METHOD(FailoverTest,
                  "Follower metrics record the time and dials of a failover") {
   addNodes(1);
