--- a/tools/e2e/test/Crash_test.cpp
+++ b/tools/e2e/test/Crash_test.cpp
@@ -106,7 +106,9 @@
   INFO(Seen);
   CHECK(Crashes >= 1);
   CHECK(Crashes <= 2);
-  CHECK(Lost == std::vector<std::string>());
+  for (const std::string &Each : Lost)
+    UNSCOPED_INFO(Each);
+  CHECK(Lost.empty());
 }
 
 } // namespace amaranth::e2e
