Use the first control process that answers, and dial each one only once

- A node without a connection waited for an answer of every process that it knew, up to 0.5 s after the last dial, before it subscribed at one that is not current.
After a restart of all processes none is current until a leader is elected.
It now subscribes at the first that answers and goes on searching.
- A process whose dial was still running was dialed again in the next search.
When both dials succeeded, the process closed the older connection, which was in use.

Before: "Follower subscribes at once at the only process that answers" and "Follower keeps its connection after a dial that took long" failed.

--- a/follower/src/ControlSearch.cpp
+++ b/follower/src/ControlSearch.cpp
@@ -32,15 +32,28 @@
 asio::awaitable<ControlSearch::ConnectionPtr>
 ControlSearch::find(std::optional<base::Address> Excluded,
                     std::function<bool()> IsNeeded) {
-  auto Self = shared_from_this();
-  Wanted = true;
   std::set<base::Address> Asked;
   if (Excluded)
     Asked.insert(*Excluded);
+  return search(std::move(Asked), std::move(IsNeeded), false);
+}
+
+asio::awaitable<ControlSearch::ConnectionPtr>
+ControlSearch::findAny(std::function<bool()> IsNeeded) {
+  return search({}, std::move(IsNeeded), true);
+}
+
+asio::awaitable<ControlSearch::ConnectionPtr>
+ControlSearch::search(std::set<base::Address> Asked,
+                      std::function<bool()> IsNeeded, bool AcceptsStale) {
+  auto Self = shared_from_this();
+  Wanted = true;
   base::TimePoint LastAsked = Time.now();
   while (IsNeeded()) {
     if (ConnectionPtr Current = takeCurrent())
       co_return Current;
+    if (AcceptsStale && !Answers.empty())
+      co_return takeLeastStale();
     base::TimePoint Now = Time.now();
     auto Target = Chooser.next(Now, Asked);
     bool IsFull = Running.size() >= MaxRunningDials;
@@ -68,15 +81,15 @@
 }
 
 bool ControlSearch::isAnswerDue(const std::set<base::Address> &Asked) const {
-  return std::any_of(Running.begin(), Running.end(), [&](const auto &Entry) {
-    return Asked.contains(Entry.second.Process);
-  });
+  return std::any_of(
+      Running.begin(), Running.end(),
+      [&](const base::Address &Process) { return Asked.contains(Process); });
 }
 
 void ControlSearch::avoidUnanswered(const std::set<base::Address> &Asked) {
-  for (const auto &[Id, Each] : Running)
-    if (Asked.contains(Each.Process))
-      Chooser.avoid(Each.Process, Time.now());
+  for (const base::Address &Process : Running)
+    if (Asked.contains(Process))
+      Chooser.avoid(Process, Time.now());
 }
 
 void ControlSearch::startDial(const ControlChooser::Choice &Target) {
@@ -87,19 +100,18 @@
           "dials_running={} processes_known={}",
           Process.text(), Target.IsMember ? "member" : "seed", Target.IsAvoided,
           Running.size(), Chooser.size());
-  std::uint64_t Id = ++Dials;
-  Running.emplace(Id, RunningDial{Process, Time.now()});
+  ++Dials;
+  Running.insert(Process);
   NextDialTime = Time.now() + Settings.DialStagger;
   asio::co_spawn(
       Executor,
-      [Self = shared_from_this(), Id, Process]() -> asio::awaitable<void> {
-        co_await Self->dial(Id, Process);
+      [Self = shared_from_this(), Process]() -> asio::awaitable<void> {
+        co_await Self->dial(Process);
       },
       asio::detached);
 }
 
-asio::awaitable<void> ControlSearch::dial(std::uint64_t Id,
-                                          base::Address Process) {
+asio::awaitable<void> ControlSearch::dial(base::Address Process) {
   std::string Reason;
   ConnectionPtr Answer;
   try {
@@ -107,7 +119,7 @@
   } catch (const base::Error &Failure) {
     Reason = Failure.what();
   }
-  Running.erase(Id);
+  Running.erase(Process);
   if (Answer)
     onAnswer(std::move(Answer));
   else
@@ -177,11 +189,7 @@
 }
 
 bool ControlSearch::isBeingDialed(const base::Address &Process) const {
-  base::TimePoint Now = Time.now();
-  return std::any_of(Running.begin(), Running.end(), [&](const auto &Entry) {
-    const RunningDial &Each = Entry.second;
-    return Each.Process == Process && Now - Each.Began < Settings.DialTimeout;
-  });
+  return Running.contains(Process);
 }
 
 ControlSearch::ConnectionPtr ControlSearch::takeCurrent() {
--- a/follower/src/ControlSearch.h
+++ b/follower/src/ControlSearch.h
@@ -8,7 +8,6 @@
 
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 
@@ -52,6 +51,9 @@
   /// `IsNeeded` does not hold.
   boost::asio::awaitable<ConnectionPtr>
   find(std::optional<base::Address> Excluded, std::function<bool()> IsNeeded);
+  /// Like `find`, but also returns a stale connection as soon as there is one.
+  /// The dials go on, for a later call of `find`.
+  boost::asio::awaitable<ConnectionPtr> findAny(std::function<bool()> IsNeeded);
 
   /// Waits for `Span`, or until a current process has answered.
   boost::asio::awaitable<void> waitForCurrent(base::Millis Span);
@@ -68,14 +70,12 @@
   std::uint64_t dials() const { return Dials; }
 
 private:
-  struct RunningDial {
-    base::Address Process;
-    base::TimePoint Began;
-  };
-
+  boost::asio::awaitable<ConnectionPtr> search(std::set<base::Address> Asked,
+                                               std::function<bool()> IsNeeded,
+                                               bool AcceptsStale);
   void startDial(const ControlChooser::Choice &Target);
   /// Runs one dial to its end and waits for the first report.
-  boost::asio::awaitable<void> dial(std::uint64_t Id, base::Address Process);
+  boost::asio::awaitable<void> dial(base::Address Process);
   /// Throws `base::Error` with the reason if there is no usable report in time.
   boost::asio::awaitable<ConnectionPtr> connect(base::Address Process);
   void onAnswer(ConnectionPtr Answer);
@@ -86,7 +86,9 @@
   /// Avoids the processes whose dials are still running, so that the next
   /// search asks the others first.
   void avoidUnanswered(const std::set<base::Address> &Asked);
-  /// Whether a dial of the process began less than `DialTimeout` ago.
+  /// Whether a dial of the process is running. There is no second one: a
+  /// control process closes the older of two connections of a node, which may
+  /// be in use.
   bool isBeingDialed(const base::Address &Process) const;
   ConnectionPtr takeCurrent();
   ConnectionPtr takeLeastStale();
@@ -98,7 +100,8 @@
   protocol::Dialer &Dial;
   ControlChooser Chooser;
   base::Signal Changed;
-  std::map<std::uint64_t, RunningDial> Running;
+  /// Processes to which a dial is running.
+  std::set<base::Address> Running;
   /// Processes that answered, in the order of their answers.
   std::deque<ConnectionPtr> Answers;
   base::TimePoint NextDialTime;
--- a/follower/src/FollowerImpl.cpp
+++ b/follower/src/FollowerImpl.cpp
@@ -123,14 +123,11 @@
   while (!Stopped) {
     std::shared_ptr<Connection> Conn = std::exchange(Replacement, nullptr);
     if (!Conn)
-      Conn = co_await Search->find(std::nullopt, IsNeeded);
+      Conn = co_await Search->findAny(IsNeeded);
     if (Conn && Stopped)
       Conn->Channel->close("the node is shutting down");
-    else if (Conn) {
-      if (isStale(*Conn))
-        pauseSearches();
+    else if (Conn)
       co_await runConnection(Conn);
-    }
     if (!Stopped && !Replacement)
       co_await Search->waitForCurrent(nextBackoff());
   }
--- a/follower/test/Failover_test.cpp
+++ b/follower/test/Failover_test.cpp
@@ -312,6 +312,37 @@
   CHECK(Connected == Sim.Nodes.size());
 }
 
+// Guards against nodes that serve nothing for longer after all processes were
+// restarted, because they wait for processes that are not back yet although one
+// answers.
+TEST_CASE_METHOD(FailoverTest,
+                 "Follower subscribes at once at the only process that "
+                 "answers") {
+  for (std::size_t Index : Members)
+    control(Index).Log->Staleness = base::Millis::seconds(60);
+  Sim.cutPower(control(0));
+  Sim.cutPower(control(1));
+  Follower &Node =
+      Sim.addNode("n", FollowerSettings::withinRegion(), {0, 1, 2});
+  Sim.runUntil([&] { return Node.current() != nullptr; },
+               FollowerSettings::withinRegion().DialStagger * 2 +
+                   base::Millis(20));
+  CHECK(controlOf(Node) == 2);
+}
+
+// Guards against a second connection to the same process, because of which the
+// process closes the one that is in use.
+TEST_CASE_METHOD(FailoverTest,
+                 "Follower keeps its connection after a dial that took long") {
+  // A dial takes 1,200 ms, longer than a search waits.
+  control(0).Links->Latency = base::Millis(400);
+  Follower &Node = Sim.addNode("n", FollowerSettings::withinRegion(), {0});
+  Sim.runUntil([&] { return Node.current() != nullptr; });
+  Sim.run(base::Millis::seconds(8));
+  CHECK(Node.status().Connections == 1);
+  CHECK(control(0).DialTimes.size() == 1);
+}
+
 // Guards against dials that pile up while no control process can be reached.
 TEST_CASE_METHOD(FailoverTest,
                  "Follower bounds its dials while all processes hang") {
