--- a/review/standin-3/Stage.cpp
+++ b/review/standin-3/Stage.cpp
@@ -309,7 +309,11 @@
                Address AnnounceAt, std::string Zone, Handler Handle)
     : Id(std::move(Id)), Service(std::move(Service)), At(std::move(At)),
       AnnounceAt(std::move(AnnounceAt)), Zone(std::move(Zone)),
-      Handle(std::move(Handle)), Listener(listenAt(this->At)) {
+      Handle(std::move(Handle)),
+      Born(std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+               .count()),
+      Listener(listenAt(this->At)) {
   if (Listener < 0)
     throw CannotRun{"no listener at " + this->At.text()};
   Accepting = std::thread([this] { accept(); });
@@ -320,7 +324,7 @@
   Stopping = true;
   ::shutdown(Listener, SHUT_RDWR);
   Accepting.join();
-  Announcing.join();
+  stopAnnouncing();
   ::close(Listener);
   {
     std::lock_guard<std::mutex> Guard(Lock);
@@ -363,26 +367,45 @@
   Caller->wake();
 }
 
+bool Target::post(const std::string &Action, const std::string &Body) {
+  auto To = Stream::connect(AnnounceAt, At.Ip);
+  if (!To)
+    return false;
+  To->send("POST /instances/" + Id + "/" + Action +
+           " HTTP/1.1\r\nHost: " + AnnounceAt.text() +
+           "\r\nContent-Type: application/json\r\nConnection: close\r\n"
+           "Content-Length: " +
+           std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  auto Answer = readResponse(*To, now() + 1);
+  return Answer && Answer->status() == 200;
+}
+
+std::string Target::takeHeartbeat() {
+  return "{\"address\":\"" + At.text() + "\",\"born\":" + std::to_string(Born) +
+         ",\"info\":{\"service\":\"" + Service +
+         "\",\"version\":\"v1\",\"zone\":\"" + Zone +
+         "\",\"slots\":64},\"status\":{\"phase\":\"ready\",\"sequence\":" +
+         std::to_string(++Sequence) + ",\"cold_left_s\":0}}";
+}
+
+bool Target::deliver(const std::string &Heartbeat) {
+  return post("heartbeat", Heartbeat);
+}
+
+bool Target::deregister() {
+  return post("deregister", "{\"born\":" + std::to_string(Born) + "}");
+}
+
+void Target::stopAnnouncing() {
+  Quiet = true;
+  if (Announcing.joinable())
+    Announcing.join();
+}
+
 void Target::announce() {
-  auto Born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                  std::chrono::system_clock::now().time_since_epoch())
-                  .count();
-  for (int Sequence = 1; !Stopping; ++Sequence) {
-    std::string Body =
-        "{\"address\":\"" + At.text() + "\",\"born\":" + std::to_string(Born) +
-        ",\"info\":{\"service\":\"" + Service +
-        "\",\"version\":\"v1\",\"zone\":\"" + Zone +
-        "\",\"slots\":64},\"status\":{\"phase\":\"ready\",\"sequence\":" +
-        std::to_string(Sequence) + ",\"cold_left_s\":0}}";
-    if (auto To = Stream::connect(AnnounceAt, At.Ip)) {
-      To->send("POST /instances/" + Id +
-               "/heartbeat HTTP/1.1\r\nHost: " + AnnounceAt.text() +
-               "\r\nContent-Type: application/json\r\nConnection: close\r\n"
-               "Content-Length: " +
-               std::to_string(Body.size()) + "\r\n\r\n" + Body);
-      readResponse(*To, now() + 1);
-    }
-    for (int Step = 0; Step < 15 && !Stopping; ++Step)
+  while (!Stopping && !Quiet) {
+    deliver(takeHeartbeat());
+    for (int Step = 0; Step < 15 && !Stopping && !Quiet; ++Step)
       sleepFor(0.1);
   }
 }
@@ -411,10 +434,8 @@
 }
 
 Deployment::~Deployment() {
-  for (pid_t Process : Processes) {
-    ::kill(Process, SIGKILL);
-    ::waitpid(Process, nullptr, 0);
-  }
+  for (std::size_t Index = 0; Index < Processes.size(); ++Index)
+    end(Index);
   std::error_code Ignored;
   std::filesystem::remove_all(Folder, Ignored);
 }
@@ -433,8 +454,15 @@
 
 void Deployment::launch(const std::string &Program, const std::string &Name,
                         const std::string &Settings) {
+  std::ofstream(Folder + "/" + Name + ".toml") << Settings;
+  Commands.emplace_back(Program, Name);
+  Processes.push_back(-1);
+  launchAgain(Commands.size() - 1);
+}
+
+void Deployment::launchAgain(std::size_t Index) {
+  const auto &[Program, Name] = Commands[Index];
   std::string File = Folder + "/" + Name + ".toml";
-  std::ofstream(File) << Settings;
   std::string Path = Root + "/target/tools/daemon/" + Program;
   if (::access(Path.c_str(), X_OK) != 0)
     throw CannotRun{Program + " is not built"};
@@ -446,13 +474,38 @@
   if (Process == 0) {
     // The daemons also end if this program is killed.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    int Out = ::open(Output.c_str(), O_WRONLY | O_CREAT, 0644);
+    int Out = ::open(Output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(Out, 1);
     ::dup2(Out, 2);
     ::execl(Path.c_str(), Path.c_str(), Option.c_str(), nullptr);
     ::_exit(127);
   }
-  Processes.push_back(Process);
+  Processes[Index] = Process;
+}
+
+void Deployment::end(std::size_t Index) {
+  pid_t Process = std::exchange(Processes[Index], -1);
+  if (Process < 0)
+    return;
+  ::kill(Process, SIGKILL);
+  ::waitpid(Process, nullptr, 0);
+}
+
+void Deployment::restart(std::size_t Node) {
+  end(3 + Node);
+  launchAgain(3 + Node);
+}
+
+void Deployment::killControls() {
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    ::kill(Processes[Index], SIGKILL);
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    end(Index);
+}
+
+void Deployment::restartControls() {
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    launchAgain(Index);
 }
 
 void Deployment::start() {
@@ -581,7 +634,7 @@
 std::size_t Deployment::ended() {
   std::size_t Result = 0;
   for (pid_t Process : Processes)
-    Result += ::waitpid(Process, nullptr, WNOHANG) == Process;
+    Result += Process >= 0 && ::waitpid(Process, nullptr, WNOHANG) == Process;
   return Result;
 }
 
--- a/review/standin-3/Stage.h
+++ b/review/standin-3/Stage.h
@@ -118,9 +118,20 @@
   Target(const Target &) = delete;
   Target &operator=(const Target &) = delete;
 
+  /// Sends no more heartbeats of its own. Returns after the last one.
+  void stopAnnouncing();
+  /// A heartbeat with the next sequence number and the phase `ready`, for a
+  /// delayed delivery with `deliver`.
+  std::string takeHeartbeat();
+  /// Delivers a heartbeat. Returns whether it was acknowledged.
+  bool deliver(const std::string &Heartbeat);
+  /// Returns whether the deregistration was acknowledged.
+  bool deregister();
+
   const std::string Id;
 
 private:
+  bool post(const std::string &Action, const std::string &Body);
   void accept();
   void serve(const std::shared_ptr<Stream> &Caller);
   void announce();
@@ -131,6 +142,10 @@
   std::string Zone;
   Handler Handle;
   std::atomic<bool> Stopping{false};
+  std::atomic<bool> Quiet{false};
+  /// Unix milliseconds of the start.
+  long long Born;
+  std::atomic<int> Sequence{0};
   int Listener;
   std::mutex Lock;
   std::vector<std::shared_ptr<Stream>> Open;
@@ -174,6 +189,11 @@
   void waitReady();
   /// Sends a signal to the process of a node.
   void signal(std::size_t Node, int Number);
+  /// Ends the process of a node with SIGKILL and starts it again at once.
+  void restart(std::size_t Node);
+  /// Ends all control processes with SIGKILL.
+  void killControls();
+  void restartControls();
   /// Daemons that have ended by themselves.
   std::size_t ended();
 
@@ -181,12 +201,18 @@
   std::string controlIp(int Index) const;
   void launch(const std::string &Program, const std::string &Name,
               const std::string &Settings);
+  /// Starts a process that was ended.
+  void launchAgain(std::size_t Index);
+  void end(std::size_t Index);
 
   std::string Root;
   std::vector<std::string> Services;
   Record &Log;
   std::string Folder;
   std::string Net;
+  /// Program and name.
+  std::vector<std::pair<std::string, std::string>> Commands;
+  /// -1 for a process that was ended.
   std::vector<pid_t> Processes;
 };
 
