--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 Sources=review/standin-3
-for Case in HeldDownload PipelinedLeave ForgottenDeparture; do
+for Case in EarlyReset ForgottenDeparture HeldDownload; do
   "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -I "$Sources" \
     -o "target/review-3/$Case" "$Sources/$Case.cpp" "$Sources/Stage.cpp"
 done
