--- a/review/standin-3/ForgottenDeparture.cpp
+++ b/review/standin-3/ForgottenDeparture.cpp
@@ -1,4 +1,4 @@
-// Case 13: a target leaves while the core is down, its node acknowledges this
+// A target leaves while the core is down, its node acknowledges this
 // and is then restarted. A late heartbeat of the target reaches the new process
 // of the node. From `drain_s` after the acknowledgement on, no request may
 // reach the target.
--- a/review/standin-3/HeldDownload.cpp
+++ b/review/standin-3/HeldDownload.cpp
@@ -1,4 +1,4 @@
-// Case 11: downloads are in progress when the machine of their target freezes.
+// Downloads are in progress when the machine of their target freezes.
 // The clients' machines are calm; they have to give a final answer half a
 // second after the route's `timeout_s` at the latest.
 
--- a/review/standin-3/Stage.cpp
+++ b/review/standin-3/Stage.cpp
@@ -188,6 +188,8 @@
   return Result;
 }
 
+bool Stream::hasInput() { return peerClosed() || !Buffer.empty(); }
+
 bool Stream::peerClosed() {
   while (!Ended) {
     pollfd Wanted{Descriptor, POLLIN, 0};
@@ -206,8 +208,7 @@
     linger Now{1, 0};
     ::setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
   }
-  ::close(Descriptor);
-  Descriptor = -1;
+  ::close(std::exchange(Descriptor, -1));
   Ended = true;
 }
 
@@ -285,15 +286,9 @@
 
 } // namespace
 
-std::optional<Message> readRequest(Stream &From, double Until) {
-  std::string Head = From.readHead(Until);
-  if (Head.empty())
-    return std::nullopt;
-  Message Result = parseHead(Head);
-  readBody(From, Until, Result, false);
-  if (!Result.Complete)
-    return std::nullopt;
-  return Result;
+bool readRequestBody(Stream &From, double Until, Message &Into) {
+  readBody(From, Until, Into, false);
+  return Into.Complete;
 }
 
 std::optional<Message> readResponse(Stream &From, double Until) {
@@ -306,10 +301,11 @@
 }
 
 Target::Target(std::string Id, std::string Service, Address At,
-               Address AnnounceAt, std::string Zone, Handler Handle)
+               Address AnnounceAt, std::string Zone, Handler Handle,
+               HeadHandler HandleHead)
     : Id(std::move(Id)), Service(std::move(Service)), At(std::move(At)),
       AnnounceAt(std::move(AnnounceAt)), Zone(std::move(Zone)),
-      Handle(std::move(Handle)),
+      Handle(std::move(Handle)), HandleHead(std::move(HandleHead)),
       Born(std::chrono::duration_cast<std::chrono::milliseconds>(
                std::chrono::system_clock::now().time_since_epoch())
                .count()),
@@ -351,16 +347,21 @@
 
 void Target::serve(const std::shared_ptr<Stream> &Caller) {
   while (!Stopping) {
-    std::optional<Message> Request = readRequest(*Caller, now() + 10);
-    if (!Request)
+    std::string Head = Caller->readHead(now() + 10);
+    if (Head.empty())
+      break;
+    Message Request = parseHead(Head);
+    if (HandleHead && HandleHead(*Caller, Request))
+      break;
+    if (!readRequestBody(*Caller, now() + 10, Request))
       break;
-    if (Request->First.find(" /health") != std::string::npos) {
+    if (Request.First.find(" /health") != std::string::npos) {
       if (!Caller->send("HTTP/1.1 200 OK\r\nX-Instance-Id: " + Id +
                         "\r\nContent-Length: 0\r\n\r\n"))
         break;
       continue;
     }
-    Handle(*Caller, *Request);
+    Handle(*Caller, Request);
     if (Caller->atEnd())
       break;
   }
--- a/review/standin-3/Stage.h
+++ b/review/standin-3/Stage.h
@@ -74,6 +74,8 @@
   /// Whether the peer has closed the connection or reset it. What it sent
   /// before is read into the buffer.
   bool peerClosed();
+  /// Whether bytes of the peer or its end have arrived.
+  bool hasInput();
   /// Ends the connection, with a reset if `Reset`.
   void close(bool Reset = false);
   bool atEnd() const { return Ended; }
@@ -102,8 +104,8 @@
 
 /// Parses the first line and the header fields.
 Message parseHead(const std::string &Head);
-/// Reads a request whose body has a length or is chunked.
-std::optional<Message> readRequest(Stream &From, double Until);
+/// Reads the body of a request, which has a length or is chunked.
+bool readRequestBody(Stream &From, double Until, Message &Into);
 /// Reads a response.
 std::optional<Message> readResponse(Stream &From, double Until);
 
@@ -111,9 +113,12 @@
 class Target {
 public:
   using Handler = std::function<void(Stream &, const Message &)>;
+  /// Called with the head of a request. Returns true if it has dealt with the
+  /// request and its connection.
+  using HeadHandler = std::function<bool(Stream &, const Message &)>;
 
   Target(std::string Id, std::string Service, Address At, Address Announce,
-         std::string Zone, Handler Handle);
+         std::string Zone, Handler Handle, HeadHandler HandleHead = nullptr);
   ~Target();
   Target(const Target &) = delete;
   Target &operator=(const Target &) = delete;
@@ -141,6 +146,7 @@
   Address AnnounceAt;
   std::string Zone;
   Handler Handle;
+  HeadHandler HandleHead;
   std::atomic<bool> Stopping{false};
   std::atomic<bool> Quiet{false};
   /// Unix milliseconds of the start.
